Add standin-target: one database instance over sqlite

A group of three needs instances with terms, fences, a replication log and asynchronous replicas. mysql-mimic serves the MySQL protocol; a connection subclass supplies affected rows, last insert id and the transaction flag.

--- /dev/null
+++ b/src/standins/cli.py
@@ -0,0 +1,118 @@
+"""Command lines of the stand-ins."""
+
+import asyncio
+import sys
+from collections.abc import Callable, Coroutine
+from typing import Any
+
+import fire
+import uvloop
+
+from standins import target as target_module
+from standins.exceptions import UsageError
+from standins.instance import TargetConfig
+
+EXIT_USAGE = 2
+
+
+def target() -> None:
+    """Run `standin-target`."""
+    _run(_target_config, TargetConfig, target_module.serve)
+
+
+def _target_config(
+    name: str = "target",
+    listen: str = "127.0.0.1:0",
+    data_centre: str = "",
+    slots: int = 2,
+    connections: int = 16,
+    connect_ms: float = 12,
+    lag_ms: float = 5,
+    work_ms: float = 0,
+    initial: bool = True,
+    primary: bool = False,
+    user: str = "",
+    password: str = "",
+) -> TargetConfig:
+    """Run one database instance that speaks the MySQL protocol.
+
+    Args:
+        name: Name of the instance.
+        listen: IP number and port to listen on; port 0 lets the kernel choose.
+        data_centre: Data centre of the instance.
+        slots: Statements that may execute at once.
+        connections: Connections that may be open at once.
+        connect_ms: Delay of each handshake, in milliseconds.
+        lag_ms: Time from a commit to its application on this replica, in ms.
+        work_ms: Simulated execution time of every statement, in milliseconds.
+        initial: Founding member of a new group (false: it rejoins empty).
+        primary: Start as primary of term 1.
+        user: Let in only this user; any user if empty.
+        password: Password of that user.
+    """
+    host, port = _address(listen)
+    cfg = TargetConfig(
+        name=str(name),
+        host=host,
+        port=port,
+        data_centre=str(data_centre),
+        slots=_count("slots", slots),
+        connections=_count("connections", connections),
+        connect_ms=_duration("connect-ms", connect_ms),
+        lag_ms=_duration("lag-ms", lag_ms),
+        work_ms=_duration("work-ms", work_ms),
+        initial=_flag("initial", initial),
+        primary=_flag("primary", primary),
+        user=str(user),
+        password=str(password),
+    )
+    if cfg.primary and not cfg.initial:
+        raise UsageError("--primary needs --initial: a rejoining instance is empty")
+    return cfg
+
+
+def _run(
+    read_flags: Callable[..., Any],
+    config_type: type,
+    serve: Callable[[Any], Coroutine[Any, Any, None]],
+) -> None:
+    try:
+        cfg = fire.Fire(read_flags, serialize=lambda _: None)
+    except UsageError as exc:
+        _fail(str(exc))
+    if not isinstance(cfg, config_type):
+        _fail(f"unexpected arguments: {' '.join(sys.argv[1:])}")
+    with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
+        runner.run(serve(cfg))
+
+
+def _fail(reason: str) -> None:
+    print(f"ERROR: {reason}", file=sys.stderr)
+    raise SystemExit(EXIT_USAGE)
+
+
+def _address(value: object) -> tuple[str, int]:
+    host, _, port = str(value).rpartition(":")
+    if not host or not port.isdigit() or int(port) > 0xFFFF:
+        raise UsageError(f"--listen: {value!r} is not IP:PORT")
+    return host, int(port)
+
+
+def _count(flag: str, value: object) -> int:
+    if isinstance(value, bool) or not isinstance(value, int) or value < 1:
+        raise UsageError(f"--{flag}: {value!r} is not a whole number above 0")
+    return value
+
+
+def _duration(flag: str, value: object) -> float:
+    is_number = isinstance(value, int | float) and not isinstance(value, bool)
+    if not is_number or value < 0:
+        raise UsageError(f"--{flag}: {value!r} is not a number of 0 or more")
+    return float(value)
+
+
+def _flag(flag: str, value: object) -> bool:
+    text = str(value).lower()
+    if text not in ("true", "false"):
+        raise UsageError(f"--{flag}: {value!r} is neither true nor false")
+    return text == "true"
--- /dev/null
+++ b/src/standins/controls.py
@@ -0,0 +1,252 @@
+"""The CALLs by which a group is watched, steered, replicated and disturbed."""
+
+import json
+import re
+import time
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import Any
+
+import msgspec
+from mysql_mimic.results import ResultSet
+
+from standins.exceptions import PARSE_ERROR, SqlError
+from standins.instance import Instance
+from standins.log import Entry, LoggedStatement, Position
+from standins.results import records_result
+
+_CALL = re.compile(
+    r"^\s*(?:/\*.*?\*/\s*)*CALL\s+(\w+)\s*\((.*)\)\s*;?\s*$",
+    re.IGNORECASE | re.DOTALL,
+)
+_ARGUMENT = re.compile(r"\s*(?:'([^']*)'|\"([^\"]*)\"|(-?\d+(?:\.\d+)?))\s*(?:,|$)")
+MAX_FREEZE_MS = 60_000
+
+
+@dataclass(frozen=True)
+class Call:
+    """One control call with its arguments."""
+
+    name: str
+    args: tuple[Any, ...]
+
+
+@dataclass(frozen=True)
+class StatusRow:
+    """The answer to every control call but the log call."""
+
+    name: str
+    role: str
+    term: int
+    fence: int
+    last_term: int
+    last_index: int
+    member: int
+    leader: str
+    running: int
+    queued: int
+    connections: int
+    connection_limit: int
+    accepted: int
+    reason: str
+
+
+@dataclass(frozen=True)
+class LogRow:
+    """One row of the log call: a header first, then one row an entry.
+
+    In the header, `term` and `index` are the position that the following rows
+    continue, and `statements` is a `LogHeader` as JSON.
+    """
+
+    leader_term: int
+    term: int
+    index: int
+    age_ms: int
+    statements: str
+
+
+@dataclass(frozen=True)
+class LogHeader:
+    """Facts about the answer to a log call.
+
+    Attributes:
+        name: Name of the instance that answers.
+        known: Whether the position that was asked for is in its log.
+    """
+
+    name: str
+    known: bool
+
+
+def parse_call(sql: str) -> Call | None:
+    """Read a control call; None if the text is no CALL.
+
+    Raises:
+        SqlError: The arguments can't be read.
+    """
+    if "call" not in sql[:256].lower():
+        return None
+    match = _CALL.match(sql)
+    if match is None:
+        return None
+    return Call(match.group(1).lower(), _parse_arguments(match.group(2)))
+
+
+def _parse_arguments(text: str) -> tuple[Any, ...]:
+    args: list[Any] = []
+    at = 0
+    while at < len(text.rstrip()):
+        match = _ARGUMENT.match(text, at)
+        if match is None:
+            raise SqlError(PARSE_ERROR, f"bad argument near '{text[at : at + 40]}'")
+        quoted, double_quoted, number = match.groups()
+        if number is not None:
+            args.append(float(number) if "." in number else int(number))
+        else:
+            args.append(quoted if quoted is not None else double_quoted)
+        at = match.end()
+    return tuple(args)
+
+
+class Controls:
+    """Answers the control calls of one instance.
+
+    Args:
+        instance: The instance.
+        refollow: Called after an order that changes whom the instance follows.
+    """
+
+    def __init__(self, instance: Instance, refollow: Callable[[], None]) -> None:
+        self._instance = instance
+        self._refollow = refollow
+        self._handlers = {
+            "wasabipitch_status": self._status,
+            "wasabipitch_wait": self._wait,
+            "wasabipitch_fence": self._fence,
+            "wasabipitch_promote": self._promote,
+            "wasabipitch_follow": self._follow,
+            "wasabipitch_join": self._join,
+            "wasabipitch_log": self._log,
+            "standin_set": self._set,
+            "standin_cut": self._cut,
+            "standin_freeze": self._freeze,
+        }
+
+    async def answer(self, call: Call) -> ResultSet:
+        """Run a control call.
+
+        Raises:
+            SqlError: The call is unknown or its arguments are wrong.
+        """
+        handler = self._handlers.get(call.name)
+        if handler is None:
+            raise SqlError(1305, f"PROCEDURE {call.name} does not exist")
+        try:
+            return await handler(*call.args)
+        except (TypeError, ValueError) as exc:
+            raise SqlError(1318, f"wrong arguments for {call.name}: {exc}") from exc
+
+    def status(self, reason: str = "") -> StatusRow:
+        """Return the present state as one row."""
+        inst = self._instance
+        return StatusRow(
+            name=inst.cfg.name,
+            role=inst.role,
+            term=inst.term,
+            fence=inst.fence_term,
+            last_term=inst.position.term,
+            last_index=inst.position.index,
+            member=int(inst.member),
+            leader=inst.leader,
+            running=inst.slots.running,
+            queued=inst.queued,
+            connections=inst.connection_count,
+            connection_limit=inst.cfg.connections,
+            accepted=int(not reason),
+            reason=reason,
+        )
+
+    def _row(self, reason: str = "") -> ResultSet:
+        return records_result(StatusRow, [self.status(reason)])
+
+    async def _status(self) -> ResultSet:
+        return self._row()
+
+    async def _wait(self, term: int, index: int, timeout_ms: float) -> ResultSet:
+        position = Position(int(term), int(index))
+        reached = await self._instance.wait_for(position, timeout_ms / 1000)
+        return self._row("" if reached else f"position not reached in {timeout_ms} ms")
+
+    async def _fence(self, term: int) -> ResultSet:
+        return self._row(self._instance.fence(int(term)))
+
+    async def _promote(self, term: int) -> ResultSet:
+        reason = self._instance.promote(int(term))
+        if not reason:
+            self._refollow()
+        return self._row(reason)
+
+    async def _follow(self, leader: str, term: int) -> ResultSet:
+        reason = self._instance.follow(str(leader), int(term))
+        if not reason:
+            self._refollow()
+        return self._row(reason)
+
+    async def _join(self, term: int) -> ResultSet:
+        return self._row(self._instance.join(int(term)))
+
+    async def _log(
+        self, term: int, index: int, limit: int, timeout_ms: float
+    ) -> ResultSet:
+        inst = self._instance
+        asked = Position(int(term), int(index))
+        if inst.is_primary and inst.log.holds(asked):
+            await inst.changed.wait_for(
+                lambda: inst.position != asked or not inst.is_primary,
+                timeout_ms / 1000,
+            )
+        known = inst.log.holds(asked)
+        start = asked if known else inst.log.greatest_up_to(asked)
+        header = msgspec.json.encode(LogHeader(inst.cfg.name, known)).decode()
+        leader_term = inst.term if inst.is_primary else 0
+        rows = [LogRow(leader_term, start.term, start.index, 0, header)]
+        if known and leader_term:
+            entries = inst.log.after(asked, int(limit))
+            rows += [_log_row(leader_term, entry) for entry in entries]
+        return records_result(LogRow, rows)
+
+    async def _set(self, name: str, value: float) -> ResultSet:
+        if name not in ("lag_ms", "work_ms", "connect_ms"):
+            raise ValueError(f"no setting {name!r}")
+        setattr(self._instance, name, float(value))
+        return self._row()
+
+    async def _cut(self, names: str = "") -> ResultSet:
+        parts = (part.strip() for part in str(names).split(","))
+        self._instance.cut = frozenset(part for part in parts if part)
+        self._instance.changed.notify()
+        return self._row()
+
+    async def _freeze(self, duration_ms: float) -> ResultSet:
+        time.sleep(min(duration_ms, MAX_FREEZE_MS) / 1000)
+        return self._row()
+
+
+def _log_row(leader_term: int, entry: Entry) -> LogRow:
+    age_ms = int((time.monotonic() - entry.committed_at) * 1000)
+    statements = msgspec.json.encode(entry.statements).decode()
+    position = entry.position
+    return LogRow(leader_term, position.term, position.index, age_ms, statements)
+
+
+def decode_entry(row: LogRow) -> Entry:
+    """Return the entry of a row of the log call, with its age kept."""
+    statements = msgspec.json.decode(row.statements, type=tuple[LoggedStatement, ...])
+    committed_at = time.monotonic() - row.age_ms / 1000
+    return Entry(Position(row.term, row.index), statements, committed_at)
+
+
+def decode_header(row: LogRow) -> LogHeader:
+    """Return the facts of the header row of the log call."""
+    return LogHeader(**json.loads(row.statements))
--- /dev/null
+++ b/src/standins/dialect.py
@@ -0,0 +1,196 @@
+"""Reads MySQL statements as far as needed and rewrites them for sqlite."""
+
+import re
+from dataclasses import dataclass
+from enum import Enum, auto
+
+from standins.exceptions import syntax_error
+
+
+class Kind(Enum):
+    """What a statement asks of the instance."""
+
+    READ = auto()
+    WRITE = auto()
+    BEGIN = auto()
+    COMMIT = auto()
+    ROLLBACK = auto()
+    SAVEPOINT = auto()
+    SET = auto()
+    NOTHING = auto()
+    SHOW = auto()
+
+
+@dataclass(frozen=True)
+class Statement:
+    """A statement in sqlite's dialect.
+
+    Attributes:
+        kind: What it asks of the instance.
+        sql: Text for sqlite.
+        locks: Whether it is a read that takes the write lock (FOR UPDATE).
+        work_ms: Simulated execution time that the statement itself asks for.
+    """
+
+    kind: Kind
+    sql: str
+    locks: bool = False
+    work_ms: float = 0.0
+
+
+_KINDS = {
+    "SELECT": Kind.READ,
+    "WITH": Kind.READ,
+    "VALUES": Kind.READ,
+    "EXPLAIN": Kind.READ,
+    "INSERT": Kind.WRITE,
+    "REPLACE": Kind.WRITE,
+    "UPDATE": Kind.WRITE,
+    "DELETE": Kind.WRITE,
+    "CREATE": Kind.WRITE,
+    "DROP": Kind.WRITE,
+    "ALTER": Kind.WRITE,
+    "TRUNCATE": Kind.WRITE,
+    "BEGIN": Kind.BEGIN,
+    "START": Kind.BEGIN,
+    "COMMIT": Kind.COMMIT,
+    "ROLLBACK": Kind.ROLLBACK,
+    "SAVEPOINT": Kind.SAVEPOINT,
+    "RELEASE": Kind.SAVEPOINT,
+    "SET": Kind.SET,
+    "USE": Kind.NOTHING,
+    "SHOW": Kind.SHOW,
+}
+_TOKENS = re.compile(
+    r"""(?P<comment>/\*.*?\*/|--[ \t][^\n]*|\#[^\n]*)
+    |(?P<binary>\b_binary\s*'(?:[^'\\]|\\.|'')*')
+    |(?P<single>'(?:[^'\\]|\\.|'')*')
+    |(?P<double>"(?:[^"\\]|\\.|"")*")
+    |(?P<back>`(?:[^`]|``)*`)
+    """,
+    re.VERBOSE | re.DOTALL | re.IGNORECASE,
+)
+_NEEDS_REWRITE = re.compile(r"""[\\"#]|/\*|--|_binary""", re.IGNORECASE)
+_ESCAPE = re.compile(r"\\(.)|''|\"\"", re.DOTALL)
+_ESCAPED = {"0": "\0", "b": "\b", "n": "\n", "r": "\r", "t": "\t", "Z": "\x1a"}
+_FIRST_WORD = re.compile(r"[\s(]*([A-Za-z]+)")
+_WORK_COMMENT = re.compile(r"/\*[^*]*?\bwork_ms\s*=\s*(\d+(?:\.\d+)?)")
+_SLEEP = re.compile(r"\bSLEEP\s*\(\s*(\d*\.?\d+)\s*\)", re.IGNORECASE)
+_LOCKING_READ = re.compile(
+    r"\s+(?:FOR\s+(?:UPDATE|SHARE)|LOCK\s+IN\s+SHARE\s+MODE)"
+    r"(?:\s+(?:NOWAIT|SKIP\s+LOCKED))?\s*$",
+    re.IGNORECASE,
+)
+_INSERT_IGNORE = re.compile(r"^\s*INSERT\s+IGNORE\b", re.IGNORECASE)
+_TRUNCATE = re.compile(r"^\s*TRUNCATE\s+(?:TABLE\s+)?", re.IGNORECASE)
+_ON_DUPLICATE = re.compile(r"\bON\s+DUPLICATE\s+KEY\s+UPDATE\b", re.IGNORECASE)
+_VALUES_OF = re.compile(r"\bVALUES\s*\(\s*([`\w]+)\s*\)", re.IGNORECASE)
+_AUTO_INCREMENT = re.compile(
+    r"\b(?:TINY|SMALL|MEDIUM|BIG)?INT(?:EGER)?(?:\s*\(\d+\))?(?:\s+UNSIGNED)?"
+    r"((?:\s+(?:NOT\s+NULL|PRIMARY\s+KEY))*)\s+AUTO_INCREMENT"
+    r"((?:\s+(?:NOT\s+NULL|PRIMARY\s+KEY))*)",
+    re.IGNORECASE,
+)
+_PRIMARY_KEY_LINE = re.compile(r",\s*PRIMARY\s+KEY\s*\(\s*[`\w]+\s*\)", re.IGNORECASE)
+_TABLE_OPTIONS = re.compile(
+    r"\)\s*(?:(?:ENGINE|AUTO_INCREMENT|(?:DEFAULT\s+)?CHARSET|COLLATE"
+    r"|(?:DEFAULT\s+)?CHARACTER\s+SET)\s*=?\s*\w+[\s,]*)+$",
+    re.IGNORECASE,
+)
+
+
+def parse(sql: str) -> Statement:
+    """Read a MySQL statement.
+
+    Args:
+        sql: The text that the client sent.
+
+    Returns:
+        The statement in sqlite's dialect, without comments and last semicolon.
+
+    Raises:
+        SqlError: The first keyword is none of those that are known.
+    """
+    work_ms = _find_work_ms(sql)
+    text = _TOKENS.sub(_rewrite_token, sql) if _NEEDS_REWRITE.search(sql) else sql
+    text = text.strip().rstrip(";").rstrip()
+    match = _FIRST_WORD.match(text)
+    word = match.group(1).upper() if match else ""
+    kind = _KINDS.get(word)
+    if kind is None:
+        raise syntax_error(text[:80])
+    if kind is Kind.ROLLBACK and re.search(r"\bTO\b", text, re.IGNORECASE):
+        kind = Kind.SAVEPOINT
+    if kind is Kind.WRITE:
+        text = _rewrite_write(text, word)
+    bare = _LOCKING_READ.sub("", text) if kind is Kind.READ else text
+    return Statement(
+        kind, bare, locks=bare is not text and bare != text, work_ms=work_ms
+    )
+
+
+def quote(value: str) -> str:
+    """Return a text as a literal of sqlite."""
+    if "\0" in value:
+        return f"CAST(X'{value.encode().hex()}' AS TEXT)"
+    return "'" + value.replace("'", "''") + "'"
+
+
+def _find_work_ms(sql: str) -> float:
+    work_ms = 0.0
+    if "work_ms" in sql and (match := _WORK_COMMENT.search(sql)):
+        work_ms += float(match.group(1))
+    if match := _SLEEP.search(sql):
+        work_ms += float(match.group(1)) * 1000
+    return work_ms
+
+
+def _rewrite_token(match: re.Match[str]) -> str:
+    token = match.group()
+    if match.lastgroup == "comment":
+        return " "
+    if match.lastgroup == "back":
+        return token
+    if match.lastgroup == "binary":
+        value = _unescape(token[token.index("'") + 1 : -1])
+        return f"X'{value.encode(errors='surrogateescape').hex()}'"
+    return quote(_unescape(token[1:-1]))
+
+
+def _unescape(body: str) -> str:
+    def replace(match: re.Match[str]) -> str:
+        escaped = match.group(1)
+        if escaped is None:
+            return match.group()[0]
+        if escaped in "%_":
+            return match.group()
+        return _ESCAPED.get(escaped, escaped)
+
+    return _ESCAPE.sub(replace, body)
+
+
+def _rewrite_write(text: str, word: str) -> str:
+    if word == "CREATE":
+        return _rewrite_create(text)
+    if word == "TRUNCATE":
+        return _TRUNCATE.sub("DELETE FROM ", text)
+    if word == "INSERT":
+        return _rewrite_insert(text)
+    return text
+
+
+def _rewrite_insert(text: str) -> str:
+    text = _INSERT_IGNORE.sub("INSERT OR IGNORE", text)
+    match = _ON_DUPLICATE.search(text)
+    if match is None:
+        return text
+    changes = _VALUES_OF.sub(r"excluded.\1", text[match.end() :])
+    return f"{text[: match.start()]}ON CONFLICT DO UPDATE SET{changes}"
+
+
+def _rewrite_create(text: str) -> str:
+    text = _TABLE_OPTIONS.sub(")", text)
+    if not _AUTO_INCREMENT.search(text):
+        return text
+    text = _PRIMARY_KEY_LINE.sub("", text)
+    return _AUTO_INCREMENT.sub("INTEGER PRIMARY KEY AUTOINCREMENT", text)
--- /dev/null
+++ b/src/standins/exceptions.py
@@ -0,0 +1,123 @@
+"""Errors of the stand-ins, and their translation into MySQL error codes."""
+
+import re
+import sqlite3
+from collections.abc import Callable
+
+from mysql_mimic.errors import MysqlError
+
+ACCESS_DENIED = 1045
+BAD_FIELD = 1054
+CHECK_VIOLATED = 3819
+DUPLICATE_ENTRY = 1062
+FOREIGN_KEY_FAILED = 1452
+LOCK_WAIT_TIMEOUT = 1205
+NO_SUCH_FUNCTION = 1305
+NO_SUCH_TABLE = 1146
+NOT_NULL = 1048
+PARSE_ERROR = 1064
+READ_ONLY = 1290
+TABLE_EXISTS = 1050
+TOO_MANY_CONNECTIONS = 1040
+UNKNOWN_ERROR = 1105
+
+SQLSTATES = {
+    ACCESS_DENIED: "28000",
+    BAD_FIELD: "42S22",
+    DUPLICATE_ENTRY: "23000",
+    FOREIGN_KEY_FAILED: "23000",
+    NO_SUCH_FUNCTION: "42000",
+    NO_SUCH_TABLE: "42S02",
+    NOT_NULL: "23000",
+    PARSE_ERROR: "42000",
+    TABLE_EXISTS: "42S01",
+    TOO_MANY_CONNECTIONS: "08004",
+}
+DEFAULT_SQLSTATE = "HY000"
+
+_SQLITE_PATTERNS = (
+    (re.compile(r"no such table: (\S+)"), NO_SUCH_TABLE, "Table '{}' doesn't exist"),
+    (
+        re.compile(r"no such column: (\S+)"),
+        BAD_FIELD,
+        "Unknown column '{}' in 'field list'",
+    ),
+    (
+        re.compile(r"has no column named (\S+)"),
+        BAD_FIELD,
+        "Unknown column '{}' in 'field list'",
+    ),
+    (re.compile(r"already exists"), TABLE_EXISTS, ""),
+    (re.compile(r"no such function: (\S+)"), NO_SUCH_FUNCTION, ""),
+    (re.compile(r"UNIQUE constraint failed: (\S+)"), DUPLICATE_ENTRY, ""),
+    (re.compile(r"PRIMARY KEY must be unique"), DUPLICATE_ENTRY, ""),
+    (
+        re.compile(r"NOT NULL constraint failed: (\S+)"),
+        NOT_NULL,
+        "Column '{}' cannot be null",
+    ),
+    (re.compile(r"FOREIGN KEY constraint failed"), FOREIGN_KEY_FAILED, ""),
+    (re.compile(r"CHECK constraint failed"), CHECK_VIOLATED, ""),
+    (re.compile(r"database (table )?is locked"), LOCK_WAIT_TIMEOUT, ""),
+    (re.compile(r"syntax error|incomplete input|unrecognized token"), PARSE_ERROR, ""),
+    (re.compile(r"one statement at a time|number of bindings"), PARSE_ERROR, ""),
+)
+
+
+class StandinError(Exception):
+    """Base class of the errors of the stand-ins."""
+
+
+class UsageError(StandinError):
+    """A command line flag has a wrong value."""
+
+
+class SqlError(StandinError, MysqlError):
+    """An error that is answered to a MySQL client with its code and SQLSTATE."""
+
+    def __init__(self, code: int, msg: str) -> None:
+        MysqlError.__init__(self, msg, code)
+
+    @property
+    def sqlstate(self) -> str:
+        """SQLSTATE that belongs to the code."""
+        return SQLSTATES.get(self.code, DEFAULT_SQLSTATE)
+
+
+class LinkCutError(StandinError):
+    """Replication stopped because the leader is cut off from this instance."""
+
+
+def syntax_error(detail: str) -> SqlError:
+    """Return the error for a statement that can't be read."""
+    return SqlError(
+        PARSE_ERROR, f"You have an error in your SQL syntax; near '{detail}'"
+    )
+
+
+def from_sqlite(exc: sqlite3.Error) -> SqlError:
+    """Translate an error of sqlite into the MySQL error of the same meaning."""
+    text = str(exc)
+    for pattern, code, template in _SQLITE_PATTERNS:
+        match = pattern.search(text)
+        if match is None:
+            continue
+        if code == DUPLICATE_ENTRY:
+            return SqlError(code, f"Duplicate entry: {text}")
+        msg = template.format(*match.groups()) if template else text
+        return SqlError(code, msg)
+    return SqlError(UNKNOWN_ERROR, text)
+
+
+def checked(run: Callable[[], sqlite3.Cursor]) -> sqlite3.Cursor:
+    """Call a function of sqlite and raise its errors as MySQL errors.
+
+    Raises:
+        SqlError: The statement failed.
+    """
+    try:
+        return run()
+    except sqlite3.Error as exc:
+        raise from_sqlite(exc) from exc
+    except ValueError as exc:
+        raise syntax_error(str(exc)) from exc
--- /dev/null
+++ b/src/standins/replication.py
@@ -0,0 +1,154 @@
+"""Pulls the leader's log into a replica."""
+
+import asyncio
+import contextlib
+import logging
+import time
+from collections.abc import AsyncIterator, Awaitable, Callable
+from functools import partial
+
+import asyncmy
+from asyncmy.connection import Connection
+from asyncmy.errors import Error as MysqlClientError
+
+from standins.controls import LogRow, decode_entry, decode_header
+from standins.exceptions import LinkCutError
+from standins.instance import Instance
+from standins.log import Entry, Position
+
+REPLICATION_PROGRAM = "standin-replication"
+BATCH_ENTRIES = 500
+POLL_MS = 500
+ANSWER_TIMEOUT_S = 2.0
+CONNECT_TIMEOUT_S = 1.0
+RETRY_S = 0.05
+
+logger = logging.getLogger(__name__)
+
+
+class Replicator:
+    """Keeps one task that pulls from the leader that the instance follows."""
+
+    def __init__(self, instance: Instance) -> None:
+        self._instance = instance
+        self._task: asyncio.Task[None] | None = None
+
+    def restart(self) -> None:
+        """Start over with the present leader, or stop if there is none."""
+        if self._task is not None:
+            self._task.cancel()
+            self._task = None
+        if self._instance.leader:
+            puller = Puller(self._instance)
+            self._task = asyncio.get_running_loop().create_task(puller.run())
+
+    async def stop(self) -> None:
+        """Stop pulling."""
+        if self._task is None:
+            return
+        self._task.cancel()
+        with contextlib.suppress(asyncio.CancelledError):
+            await self._task
+        self._task = None
+
+
+class Puller:
+    """Pulls from one leader, at the address and term that the instance follows."""
+
+    def __init__(self, instance: Instance) -> None:
+        self._instance = instance
+        self._address = instance.leader
+        self._term = instance.term
+        self._leader_name = ""
+
+    async def run(self) -> None:
+        """Pull until cancelled; a lost link is opened again."""
+        while True:
+            try:
+                async with self._connect() as conn:
+                    await self._pull(conn)
+            except (MysqlClientError, OSError, LinkCutError) as exc:
+                logger.info("replication from %s: %s", self._address, exc)
+            await asyncio.sleep(RETRY_S)
+
+    @contextlib.asynccontextmanager
+    async def _connect(self) -> AsyncIterator[Connection]:
+        self._check_link()
+        host, _, port = self._address.rpartition(":")
+        conn = await asyncmy.connect(
+            host=host,
+            port=int(port),
+            user=self._instance.cfg.name,
+            connect_timeout=CONNECT_TIMEOUT_S,
+            autocommit=True,
+            program_name=REPLICATION_PROGRAM,
+        )
+        try:
+            yield conn
+        finally:
+            conn.close()
+
+    async def _pull(self, conn: Connection) -> None:
+        asked = self._instance.position
+        while True:
+            rows = await self._ask(conn, asked)
+            header = decode_header(rows[0])
+            self._leader_name = header.name
+            self._check_link()
+            if not self._takes_from(rows[0].leader_term):
+                await asyncio.sleep(RETRY_S)
+                continue
+            if not header.known:
+                point = Position(rows[0].term, rows[0].index)
+                asked = self._instance.log.greatest_up_to(point)
+                continue
+            takes = partial(self._takes_from, rows[0].leader_term)
+            await self._instance.rewind(asked, takes)
+            await self._apply_all(rows[1:], takes)
+            asked = self._instance.position
+
+    async def _ask(self, conn: Connection, asked: Position) -> list[LogRow]:
+        poll_ms = POLL_MS if asked == self._instance.position else 0
+        sql = (
+            f"CALL wasabipitch_log({asked.term}, {asked.index}, "
+            f"{BATCH_ENTRIES}, {poll_ms})"
+        )
+        rows = await _within(ANSWER_TIMEOUT_S, _query(conn, sql))
+        return [LogRow(*row) for row in rows]
+
+    async def _apply_all(self, rows: list[LogRow], takes: Callable[[], bool]) -> None:
+        for entry in [decode_entry(row) for row in rows]:
+            await self._wait_until_due(entry)
+            self._check_link()
+            if not takes():
+                return
+            self._instance.apply(entry)
+
+    async def _wait_until_due(self, entry: Entry) -> None:
+        due = entry.committed_at + self._instance.lag_ms / 1000
+        delay = due - time.monotonic()
+        if delay > 0:
+            await asyncio.sleep(delay)
+
+    def _takes_from(self, leader_term: int) -> bool:
+        inst = self._instance
+        is_current = not inst.is_primary and inst.leader == self._address
+        return is_current and leader_term >= max(inst.fence_term, 1)
+
+    def _check_link(self) -> None:
+        if self._leader_name in self._instance.cut:
+            raise LinkCutError(f"cut off from {self._leader_name}")
+
+
+async def _query(conn: Connection, sql: str) -> list[tuple]:
+    async with conn.cursor() as cursor:
+        await cursor.execute(sql)
+        return list(await cursor.fetchall())
+
+
+async def _within(timeout_s: float, work: Awaitable[list[tuple]]) -> list[tuple]:
+    try:
+        async with asyncio.timeout(timeout_s):
+            return await work
+    except TimeoutError:
+        raise LinkCutError(f"no answer in {timeout_s} s") from None
--- /dev/null
+++ b/src/standins/server.py
@@ -0,0 +1,316 @@
+"""The MySQL server of one instance, on top of mysql-mimic."""
+
+import asyncio
+import contextlib
+import logging
+import struct
+from collections.abc import Sequence
+from typing import Any
+
+from mysql_mimic import packets
+from mysql_mimic.auth import IdentityProvider, NativePasswordAuthPlugin, User
+from mysql_mimic.charset import CharacterSet
+from mysql_mimic.connection import Connection
+from mysql_mimic.constants import KillKind
+from mysql_mimic.control import LocalControl
+from mysql_mimic.errors import MysqlError
+from mysql_mimic.results import ResultColumn, ResultSet
+from mysql_mimic.server import MysqlServer
+from mysql_mimic.stream import ConnectionClosed, MysqlStream
+from mysql_mimic.types import ColumnType
+
+from standins.controls import Controls
+from standins.exceptions import (
+    ACCESS_DENIED,
+    DEFAULT_SQLSTATE,
+    SQLSTATES,
+    TOO_MANY_CONNECTIONS,
+    SqlError,
+)
+from standins.instance import Instance
+from standins.replication import REPLICATION_PROGRAM
+from standins.session import TargetSession
+
+TEST_USER = "harness"  # never cut and not counted against the connection limit
+MAX_PACKET = 0xFFFFFF
+SEND_ROWS = 1_000  # rows sent before other tasks get a turn
+STOP_TIMEOUT_S = 5.0
+STOP_POLL_S = 0.02
+
+logger = logging.getLogger(__name__)
+
+
+class WatchedReader(asyncio.StreamReader):
+    """A stream reader that ends the work of a connection when the peer leaves."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.connection: TargetConnection | None = None
+
+    def feed_eof(self) -> None:
+        """Note the end of the stream; the event loop calls this."""
+        super().feed_eof()
+        if self.connection is not None:
+            self.connection.peer_left()
+
+    def set_exception(self, exc: Exception) -> None:
+        """Note a broken stream; the event loop calls this."""
+        super().set_exception(exc)
+        if self.connection is not None:
+            self.connection.peer_left()
+
+
+class GatedStream:
+    """A packet stream that carries nothing while its user is cut off.
+
+    Args:
+        inner: The stream that frames the packets.
+        instance: The instance that knows who is cut off.
+    """
+
+    def __init__(self, inner: MysqlStream, instance: Instance) -> None:
+        self._inner = inner
+        self._instance = instance
+        self.user = ""
+
+    @property
+    def is_cut(self) -> bool:
+        """Whether the user of this stream is cut off."""
+        return self.user in self._instance.cut
+
+    async def read(self) -> bytes:
+        """Read one packet; while the user is cut off, it does not arrive."""
+        data = await self._read_packet()
+        await self._pass()
+        return data
+
+    async def write(self, data: bytes, drain: bool = True) -> None:
+        """Write one packet."""
+        await self._pass()
+        await self._inner.write(data, drain)
+
+    def write_many(self, items: Sequence[bytes]) -> None:
+        """Buffer several packets."""
+        self._inner.write_many(items)
+
+    def write_text_rows(self, rows: Sequence[Any], columns: Sequence[Any]) -> None:
+        """Buffer rows of a result set."""
+        self._inner.write_text_rows(rows, columns)
+
+    async def drain(self) -> None:
+        """Send what is buffered."""
+        await self._pass()
+        await self._inner.drain()
+
+    def reset_seq(self) -> None:
+        """Start the packet numbers of a new command."""
+        self._inner.reset_seq()
+
+    async def _pass(self) -> None:
+        if self.is_cut:
+            await self._instance.changed.wait_for(lambda: not self.is_cut)
+
+    async def _read_packet(self) -> bytes:
+        # The library's own read mistakes a header that arrives in two parts.
+        data = b""
+        while True:
+            try:
+                header = await self._inner.reader.readexactly(4)
+                size = struct.unpack("<I", header)[0] & MAX_PACKET
+                next(self._inner.seq)
+                data += await self._inner.reader.readexactly(size)
+            except asyncio.IncompleteReadError:
+                raise ConnectionClosed from None
+            if size < MAX_PACKET:
+                return data
+
+
+class TargetConnection(Connection):
+    """A connection whose answers carry all that MySQL's carry."""
+
+    instance: Instance
+    session: TargetSession
+    counted = False
+
+    def ok(self, **kwargs: Any) -> bytes:
+        """Build an OK packet with the outcome of the last statement."""
+        self.status_flags = self.session.status_flags
+        outcome, self.session.outcome = (
+            self.session.outcome,
+            type(self.session.outcome)(),
+        )
+        kwargs.setdefault("affected_rows", outcome.affected_rows)
+        kwargs.setdefault("last_insert_id", outcome.last_insert_id)
+        return super().ok(**kwargs)
+
+    def eof(self, **kwargs: Any) -> bytes:
+        """Build an EOF packet with the flags of the session."""
+        self.status_flags = self.session.status_flags
+        return super().eof(**kwargs)
+
+    def error(self, **kwargs: Any) -> bytes:
+        """Build an error packet with the SQLSTATE of its code."""
+        msg, code = kwargs.get("msg", ""), int(kwargs.get("code", 1105))
+        if isinstance(msg, MysqlError):
+            msg, code = msg.msg, int(msg.code)
+        sqlstate = SQLSTATES.get(code, DEFAULT_SQLSTATE)
+        head = struct.pack("<BH", 0xFF, code) + b"#" + sqlstate.encode()
+        return head + str(msg).encode()
+
+    async def authenticate(self, username: str, *args: Any, **kwargs: Any) -> None:
+        """Check the user, the password and the connection limit.
+
+        Raises:
+            SqlError: The user is refused; the connection is to be closed.
+        """
+        self.stream.user = "" if username == TEST_USER else username
+        attrs = kwargs.get("connect_attrs") or {}
+        is_replica = attrs.get("program_name") == REPLICATION_PROGRAM
+        self._count(exempt=is_replica or username == TEST_USER)
+        self.session.username = None
+        await super().authenticate(username, *args, **kwargs)
+        if self.session.username is None:
+            raise SqlError(ACCESS_DENIED, f"Access denied for user '{username}'")
+
+    def peer_left(self) -> None:
+        """End the statement in progress; across a cut, nobody would notice."""
+        if not self.stream.is_cut:
+            self.kill(KillKind.CONNECTION)
+
+    def release(self) -> None:
+        """Give the connection's place back."""
+        if self.counted:
+            self.counted = False
+            self.instance.connection_count -= 1
+
+    async def write_text_resultset(self, result_set: ResultSet) -> None:
+        """Send a result set in blocks, with turns for other tasks between them."""
+        columns = result_set.columns
+        self.stream.write_many(self._header_packets(result_set))
+        rows = result_set.rows
+        for start in range(0, len(rows), SEND_ROWS):
+            self.stream.write_text_rows(rows[start : start + SEND_ROWS], columns)
+            await self.stream.drain()
+            await asyncio.sleep(0)
+        await self.stream.write(self.ok_or_eof())
+
+    def _header_packets(self, result_set: ResultSet) -> list[bytes]:
+        head = [packets.make_column_count(self.capabilities, len(result_set.columns))]
+        for column in result_set.columns:
+            head.append(
+                packets.make_column_definition_41(
+                    server_charset=self.server_charset,
+                    name=column.name,
+                    column_type=column.type,
+                    character_set=_charset_of(column),
+                )
+            )
+        if not self.deprecate_eof():
+            head.append(self.eof())
+        return head
+
+    def _count(self, exempt: bool) -> None:
+        if exempt or self.counted:
+            return
+        if self.instance.connection_count >= self.instance.cfg.connections:
+            raise SqlError(TOO_MANY_CONNECTIONS, "Too many connections")
+        self.instance.connection_count += 1
+        self.counted = True
+
+
+def _charset_of(column: ResultColumn) -> CharacterSet:
+    is_text = column.type == ColumnType.VAR_STRING
+    return CharacterSet.utf8mb4 if is_text else CharacterSet.binary
+
+
+class AllowList(IdentityProvider):
+    """Lets in any user, or only one user with a password and the test user.
+
+    Replicas are let in by name as well: they connect without a password.
+    """
+
+    def __init__(self, user: str, password: str) -> None:
+        self._user = user
+        self._password = password
+
+    async def get_user(self, username: str) -> User | None:
+        """Return the user with the hash of the password, or None if unknown."""
+        plugin = NativePasswordAuthPlugin
+        if not self._user or username == TEST_USER:
+            return User(name=username, auth_plugin=plugin.name)
+        if username != self._user:
+            return None
+        secret = plugin.create_auth_string(self._password) if self._password else None
+        return User(name=username, auth_string=secret, auth_plugin=plugin.name)
+
+
+class TargetServer(MysqlServer):
+    """Accepts the connections of one instance.
+
+    Args:
+        instance: The instance.
+        controls: Answers the control calls.
+    """
+
+    def __init__(self, instance: Instance, controls: Controls) -> None:
+        cfg = instance.cfg
+        super().__init__(
+            session_factory=lambda: TargetSession(instance, controls),
+            control=LocalControl(),
+            identity_provider=AllowList(cfg.user, cfg.password),
+        )
+        self._instance = instance
+        self._open: set[TargetConnection] = set()
+
+    async def start(self) -> str:
+        """Listen, and return the address as `ip:port`."""
+        loop = asyncio.get_running_loop()
+        cfg = self._instance.cfg
+        self._server = await loop.create_server(self._protocol, cfg.host, cfg.port)
+        host, port = self._server.sockets[0].getsockname()[:2]
+        return f"{host}:{port}"
+
+    async def stop(self) -> None:
+        """Stop accepting, let statements in progress end, and close the rest."""
+        self.close()
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(STOP_TIMEOUT_S):
+                while self._open:
+                    self._kill_idle()
+                    await asyncio.sleep(STOP_POLL_S)
+        for conn in list(self._open):
+            conn.kill(KillKind.CONNECTION)
+        await asyncio.sleep(0)
+
+    def _kill_idle(self) -> None:
+        for conn in list(self._open):
+            if not conn.session.busy:
+                conn.kill(KillKind.CONNECTION)
+
+    def _protocol(self) -> asyncio.StreamReaderProtocol:
+        return asyncio.StreamReaderProtocol(WatchedReader(), self._client_connected_cb)
+
+    async def _client_connected_cb(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        conn = TargetConnection(
+            stream=GatedStream(MysqlStream(reader, writer), self._instance),
+            session=self.session_factory(),
+            control=self.control,
+            server_capabilities=self.capabilities,
+            identity_provider=self.identity_provider,
+        )
+        conn.instance = self._instance
+        conn.connection_id = await self.control.add(conn)
+        self._open.add(conn)
+        reader.connection = conn
+        try:
+            await asyncio.sleep(self._instance.connect_ms / 1000)
+            await conn.start()
+        except (MysqlError, ConnectionClosed, OSError, asyncio.CancelledError) as exc:
+            logger.info("connection %d ended: %s", conn.connection_id, exc)
+        finally:
+            conn.release()
+            self._open.discard(conn)
+            writer.close()
+            await self.control.remove(conn.connection_id)
--- /dev/null
+++ b/src/standins/session.py
@@ -0,0 +1,248 @@
+"""One MySQL session on an instance: its transaction and its statements."""
+
+import asyncio
+import re
+from dataclasses import dataclass
+
+from mysql_mimic.results import ResultSet
+from mysql_mimic.session import BaseSession
+from mysql_mimic.types import ServerStatus
+from mysql_mimic.variables import GlobalVariables, SessionVariables
+
+from standins.controls import Controls, parse_call
+from standins.dialect import Kind, Statement, parse
+from standins.instance import Instance, Transaction, new_inputs
+from standins.results import fetch_all, make_result
+
+_VARIABLE_ITEM = re.compile(
+    r"@@(?:(?:session|global|local)\.)?(\w+)(?:\s+AS\s+[`'\"]?(\w+)[`'\"]?)?",
+    re.IGNORECASE,
+)
+_VARIABLE_LIST = re.compile(r"^\s*SELECT\s+(@@.+?)(?:\s+LIMIT\s+\d+)?$", re.I | re.S)
+_AUTOCOMMIT = re.compile(
+    r"\bautocommit\s*=\s*'?(0|1|ON|OFF|TRUE|FALSE)\b", re.IGNORECASE
+)
+_SHOW_TABLES = (
+    "SELECT name AS Tables FROM sqlite_master "
+    "WHERE type = 'table' AND name NOT LIKE 'sqlite_%' ORDER BY name"
+)
+_SHOW_NOTHING = "SELECT '' AS Variable_name, '' AS Value WHERE 0"
+
+
+@dataclass(frozen=True)
+class Outcome:
+    """What the next OK packet reports of a statement without rows."""
+
+    affected_rows: int = 0
+    last_insert_id: int = 0
+
+
+class TargetSession(BaseSession):
+    """Runs the statements of one connection.
+
+    Transactions are READ COMMITTED: a read outside a write sees the last commit,
+    and the first write of a transaction takes the write lock of the instance.
+
+    Args:
+        instance: The instance.
+        controls: Answers the control calls.
+    """
+
+    def __init__(self, instance: Instance, controls: Controls) -> None:
+        self.variables = SessionVariables(GlobalVariables())
+        self.username: str | None = None
+        self.database: str | None = None
+        self.outcome = Outcome()
+        self.busy = False
+        self._instance = instance
+        self._controls = controls
+        self._autocommit = True
+        self._in_transaction = False
+        self._tx: Transaction | None = None
+        self._last_insert_id = 0
+        self._handlers = {
+            Kind.READ: self._read,
+            Kind.WRITE: self._write,
+            Kind.SAVEPOINT: self._savepoint,
+            Kind.BEGIN: self._begin,
+            Kind.COMMIT: self._commit,
+            Kind.ROLLBACK: self._rollback,
+            Kind.SET: self._set,
+            Kind.SHOW: self._show,
+            Kind.NOTHING: self._nothing,
+        }
+
+    @property
+    def status_flags(self) -> ServerStatus:
+        """Flags of the session for OK and EOF packets."""
+        flags = ServerStatus(0)
+        if self._autocommit:
+            flags |= ServerStatus.SERVER_STATUS_AUTOCOMMIT
+        if self._in_transaction:
+            flags |= ServerStatus.SERVER_STATUS_IN_TRANS
+        return flags
+
+    async def handle_query(self, sql: str, attrs: dict[str, str]) -> ResultSet | None:
+        """Run one statement.
+
+        Args:
+            sql: Text of the statement.
+            attrs: Query attributes; the instance has no use for them.
+
+        Raises:
+            SqlError: The statement failed.
+        """
+        self.outcome = Outcome()
+        self.busy = True
+        try:
+            call = parse_call(sql)
+            if call is not None:
+                return await self._controls.answer(call)
+            stmt = parse(sql)
+            return await self._handlers[stmt.kind](stmt)
+        finally:
+            self.busy = False
+
+    async def use(self, database: str) -> None:
+        """Take a default database; names of databases have no effect here."""
+        self.database = database
+
+    async def reset(self) -> None:
+        """Roll back and return to the state of a new session."""
+        self._end_transaction()
+        self._autocommit = True
+        self._last_insert_id = 0
+
+    async def close(self) -> None:
+        """Roll back what is open."""
+        self._end_transaction()
+
+    async def _read(self, stmt: Statement) -> ResultSet:
+        variables = self._read_variables(stmt.sql)
+        if variables is not None:
+            return variables
+        self._start_implicitly()
+        if stmt.locks and self._in_transaction and self._may_write():
+            await self._take_lock()
+        if self._tx is not None:
+            return await self._read_own(self._tx, stmt)
+        async with self._instance.slots.hold():
+            await self._work(stmt)
+            database = self._instance.database
+            with database.reader() as conn:
+                cursor = conn.execute(stmt.sql, new_inputs(self._last_insert_id))
+                names = [item[0] for item in cursor.description or ()]
+                rows = await fetch_all(cursor)
+        return make_result(names, rows, database.declared_types)
+
+    async def _read_own(self, tx: Transaction, stmt: Statement) -> ResultSet:
+        self._instance.check_open(tx)
+        async with self._instance.slots.hold():
+            await self._work(stmt)
+            self._instance.check_open(tx)
+            database = self._instance.database
+            inputs = new_inputs(self._last_insert_id)
+            cursor = database.writer.execute(stmt.sql, inputs)
+            names = [item[0] for item in cursor.description or ()]
+            rows = cursor.fetchall()
+        return make_result(names, rows, database.declared_types)
+
+    async def _write(self, stmt: Statement) -> None:
+        self._start_implicitly()
+        if self._in_transaction:
+            tx = await self._take_lock()
+            self._instance.check_open(tx)
+            async with self._instance.slots.hold():
+                await self._run(tx, stmt)
+            return
+        tx = await self._instance.begin()
+        try:
+            async with self._instance.slots.hold():
+                await self._run(tx, stmt)
+                self._instance.commit(tx)
+        finally:
+            self._instance.rollback(tx)
+
+    async def _run(self, tx: Transaction, stmt: Statement) -> None:
+        await self._work(stmt)
+        cursor = self._instance.run(tx, stmt.sql, self._last_insert_id)
+        insert_id = self._instance.database.insert_id(stmt.sql, cursor)
+        self._last_insert_id = insert_id or self._last_insert_id
+        self.outcome = Outcome(max(cursor.rowcount, 0), insert_id)
+
+    async def _savepoint(self, stmt: Statement) -> None:
+        if self._in_transaction:
+            await self._write(stmt)
+
+    async def _begin(self, stmt: Statement) -> None:
+        self._commit_open()
+        self._in_transaction = True
+
+    async def _commit(self, stmt: Statement) -> None:
+        self._commit_open()
+
+    async def _rollback(self, stmt: Statement) -> None:
+        self._end_transaction()
+
+    async def _set(self, stmt: Statement) -> None:
+        match = _AUTOCOMMIT.search(stmt.sql)
+        if match is None:
+            return
+        enabled = match.group(1).upper() in ("1", "ON", "TRUE")
+        if enabled and not self._autocommit:
+            self._commit_open()
+        self._autocommit = enabled
+
+    async def _show(self, stmt: Statement) -> ResultSet:
+        is_tables = " TABLES" in stmt.sql.upper()
+        sql = _SHOW_TABLES if is_tables else _SHOW_NOTHING
+        return await self._read(Statement(Kind.READ, sql))
+
+    async def _nothing(self, stmt: Statement) -> None:
+        return None
+
+    async def _work(self, stmt: Statement) -> None:
+        work_ms = self._instance.work_ms + stmt.work_ms
+        if work_ms > 0:
+            await asyncio.sleep(work_ms / 1000)
+
+    def _may_write(self) -> bool:
+        inst = self._instance
+        return inst.is_primary and inst.fence_term <= inst.term
+
+    async def _take_lock(self) -> Transaction:
+        if self._tx is None:
+            self._tx = await self._instance.begin()
+        return self._tx
+
+    def _start_implicitly(self) -> None:
+        if not self._autocommit:
+            self._in_transaction = True
+
+    def _commit_open(self) -> None:
+        tx, self._tx = self._tx, None
+        self._in_transaction = False
+        if tx is not None:
+            self._instance.commit(tx)
+
+    def _end_transaction(self) -> None:
+        tx, self._tx = self._tx, None
+        self._in_transaction = False
+        if tx is not None:
+            self._instance.rollback(tx)
+
+    def _read_variables(self, sql: str) -> ResultSet | None:
+        match = _VARIABLE_LIST.match(sql) if "@@" in sql else None
+        if match is None:
+            return None
+        names, values = [], []
+        for item in _VARIABLE_ITEM.finditer(match.group(1)):
+            names.append(item.group(2) or item.group(0).split()[0])
+            values.append(self._variable(item.group(1).lower()))
+        return make_result(names, [values], {})
+
+    def _variable(self, name: str) -> str | int | None:
+        if name == "autocommit":
+            return int(self._autocommit)
+        value = self.variables.get(name)
+        return int(value) if isinstance(value, bool) else value
--- /dev/null
+++ b/src/standins/target.py
@@ -0,0 +1,67 @@
+"""One database instance as a process: settings, start and graceful stop."""
+
+import asyncio
+import json
+import logging
+import signal
+import tempfile
+from contextlib import AsyncExitStack
+from pathlib import Path
+
+from standins.controls import Controls
+from standins.instance import Instance, TargetConfig
+from standins.replication import Replicator
+from standins.server import TargetServer
+
+
+class Target:
+    """A running instance with its server and its replication.
+
+    Use it as an asynchronous context manager.
+
+    Args:
+        cfg: Settings.
+    """
+
+    def __init__(self, cfg: TargetConfig) -> None:
+        self.cfg = cfg
+        self.address = ""
+        self.instance: Instance
+        self._stack = AsyncExitStack()
+
+    async def __aenter__(self) -> "Target":
+        directory = self._stack.enter_context(
+            tempfile.TemporaryDirectory(prefix="standin-target-")
+        )
+        self.instance = Instance(self.cfg, Path(directory))
+        self._stack.callback(self.instance.close)
+        replicator = Replicator(self.instance)
+        self._stack.push_async_callback(replicator.stop)
+        server = TargetServer(
+            self.instance, Controls(self.instance, replicator.restart)
+        )
+        self._stack.push_async_callback(server.stop)
+        self.address = await server.start()
+        return self
+
+    async def __aexit__(self, *exc_info: object) -> None:
+        await self._stack.aclose()
+
+
+async def serve(cfg: TargetConfig) -> None:
+    """Run an instance until SIGTERM or SIGINT."""
+    logging.getLogger("mysql_mimic").setLevel(logging.CRITICAL)
+    stop = asyncio.Event()
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, stop.set)
+    async with Target(cfg) as target:
+        ready = {"ready": True, "name": cfg.name, "address": target.address}
+        print(json.dumps(ready), flush=True)
+        await stop.wait()
+
+
+if __name__ == "__main__":
+    from standins import cli
+
+    cli.target()
