Add standin-platform: key-value store, leases, watches and host list

The platform's service counts calls, has rates and outages, and may lose an answer after the change took effect; tests need each of these on demand.

--- a/src/standins/cli.py
+++ b/src/standins/cli.py
@@ -8,9 +8,12 @@
 import fire
 import uvloop
 
+from standins import platform as platform_module
 from standins import target as target_module
 from standins.exceptions import UsageError
+from standins.faults import Faults
 from standins.instance import TargetConfig
+from standins.platform import PlatformConfig
 
 EXIT_USAGE = 2
 
@@ -20,7 +23,42 @@
     _run(_target_config, TargetConfig, target_module.serve)
 
 
+def platform() -> None:
+    """Run `standin-platform`."""
+    _run(_platform_config, PlatformConfig, platform_module.serve)
+
+
+def _platform_config(
+    *,
+    listen: str = "127.0.0.1:0",
+    reads_per_s: float = 2000,
+    writes_per_s: float = 400,
+    delay_ms: float = 2,
+    host_lag_s: float = 1,
+    seed: int = 1,
+) -> PlatformConfig:
+    """Run the platform: key-value store, leases, watches and the host list.
+
+    Args:
+        listen: IP number and port to listen on; port 0 lets the kernel choose.
+        reads_per_s: Reads that are answered in a second.
+        writes_per_s: Writes that are answered in a second.
+        delay_ms: Delay of each call, in milliseconds.
+        host_lag_s: How late the host list is, in seconds.
+        seed: Seed of the choice of lost answers.
+    """
+    host, port = _address(listen)
+    faults = Faults(
+        delay_ms=_duration("delay-ms", delay_ms),
+        host_lag_s=_duration("host-lag-s", host_lag_s),
+        reads_per_s=_duration("reads-per-s", reads_per_s),
+        writes_per_s=_duration("writes-per-s", writes_per_s),
+    )
+    return PlatformConfig(host, port, faults, _count("seed", seed))
+
+
 def _target_config(
+    *,
     name: str = "target",
     listen: str = "127.0.0.1:0",
     data_centre: str = "",
--- /dev/null
+++ b/src/standins/store.py
@@ -0,0 +1,187 @@
+"""Key-value store with compare-and-swap, leases and watches, kept in memory."""
+
+import time
+from collections.abc import Callable
+from dataclasses import dataclass
+from itertools import count
+
+from standins.exceptions import StandinError
+from standins.signals import Signal
+
+MAX_VALUE_BYTES = 1 << 20
+
+
+class StoreError(StandinError):
+    """Base class of the refusals of the store."""
+
+
+class ValueTooLargeError(StoreError):
+    """A value is above the limit."""
+
+
+class NoSuchLeaseError(StoreError):
+    """A lease does not exist, or has lapsed."""
+
+
+@dataclass(frozen=True)
+class Item:
+    """The state of one key.
+
+    Attributes:
+        key: The key.
+        value: Its value; None if the key is absent.
+        revision: Revision of its last change; 0 if it never existed.
+        lease: Lease that the key is attached to.
+    """
+
+    key: str
+    value: str | None = None
+    revision: int = 0
+    lease: str | None = None
+
+    @property
+    def expected(self) -> int:
+        """What a compare-and-swap has to expect: 0 for an absent key."""
+        return 0 if self.value is None else self.revision
+
+    def is_newer_than(self, revision: int) -> bool:
+        """Tell a watcher that has seen a revision (0: an absent key) of a change."""
+        if self.value is None:
+            return 0 < revision < self.revision
+        return self.revision > revision
+
+
+class ConflictError(StoreError):
+    """A compare-and-swap expected another revision.
+
+    Attributes:
+        current: The present state of the key.
+    """
+
+    def __init__(self, current: Item, expect: int) -> None:
+        super().__init__(
+            f"key {current.key!r} is at revision {current.expected}, not {expect}"
+        )
+        self.current = current
+
+
+@dataclass(frozen=True)
+class Lease:
+    """A lease.
+
+    Attributes:
+        ttl_s: Time from a renewal to the lapse, in seconds.
+        lapses_at: Time of the lapse on the store's clock, in seconds.
+    """
+
+    ttl_s: float
+    lapses_at: float
+
+
+class Store:
+    """The keys, their leases and the global revision.
+
+    Args:
+        clock: Monotonic clock in seconds.
+    """
+
+    def __init__(self, clock: Callable[[], float] = time.monotonic) -> None:
+        self.changed = Signal()
+        self._clock = clock
+        self._items: dict[str, Item] = {}
+        self._leases: dict[str, Lease] = {}
+        self._lease_numbers = count(1)
+        self._revision = 0
+
+    def get(self, key: str) -> Item:
+        """Return the state of a key, also of an absent one."""
+        self.drop_lapsed()
+        return self._items.get(key, Item(key))
+
+    def put(self, key: str, value: str, expect: int | None, lease: str | None) -> int:
+        """Set a key.
+
+        Args:
+            key: The key.
+            value: The new value.
+            expect: Revision that the key must have, 0 for an absent key, or None.
+            lease: Lease to attach the key to, or None.
+
+        Returns:
+            The revision of the change.
+
+        Raises:
+            ConflictError: The key has another revision.
+            NoSuchLeaseError: The lease does not exist.
+            ValueTooLargeError: The value is above the limit.
+        """
+        self.drop_lapsed()
+        if len(value.encode()) > MAX_VALUE_BYTES:
+            raise ValueTooLargeError(f"value of {key!r} is above {MAX_VALUE_BYTES}")
+        self._check(key, expect)
+        if lease is not None:
+            self._find_lease(lease)
+        return self._change(Item(key, value, lease=lease))
+
+    def delete(self, key: str, expect: int | None) -> int:
+        """Delete a key and return the revision of the change.
+
+        Raises:
+            ConflictError: The key has another revision.
+        """
+        self.drop_lapsed()
+        self._check(key, expect)
+        return self._change(Item(key))
+
+    def grant(self, ttl_s: float) -> str:
+        """Create a lease and return its id."""
+        lease = f"lease-{next(self._lease_numbers)}"
+        self._leases[lease] = Lease(ttl_s, self._clock() + ttl_s)
+        return lease
+
+    def renew(self, lease: str) -> None:
+        """Extend a lease by its full time.
+
+        Raises:
+            NoSuchLeaseError: It does not exist, or has lapsed.
+        """
+        self.drop_lapsed()
+        ttl_s = self._find_lease(lease).ttl_s
+        self._leases[lease] = Lease(ttl_s, self._clock() + ttl_s)
+
+    def revoke(self, lease: str) -> None:
+        """End a lease; its keys vanish.
+
+        Raises:
+            NoSuchLeaseError: It does not exist, or has lapsed.
+        """
+        self.drop_lapsed()
+        self._find_lease(lease)
+        self._drop(lease)
+
+    def drop_lapsed(self) -> None:
+        """End the leases whose time is over."""
+        now = self._clock()
+        for lease in [x for x, item in self._leases.items() if item.lapses_at <= now]:
+            self._drop(lease)
+
+    def _find_lease(self, lease: str) -> Lease:
+        if lease not in self._leases:
+            raise NoSuchLeaseError(f"lease {lease!r} does not exist")
+        return self._leases[lease]
+
+    def _drop(self, lease: str) -> None:
+        del self._leases[lease]
+        for item in [x for x in self._items.values() if x.lease == lease]:
+            self._change(Item(item.key))
+
+    def _check(self, key: str, expect: int | None) -> None:
+        current = self._items.get(key, Item(key))
+        if expect is not None and current.expected != expect:
+            raise ConflictError(current, expect)
+
+    def _change(self, item: Item) -> int:
+        self._revision += 1
+        self._items[item.key] = Item(item.key, item.value, self._revision, item.lease)
+        self.changed.notify()
+        return self._revision
