--- a/src/standins/database.py
+++ b/src/standins/database.py
@@ -16,7 +16,7 @@
 
 SERVER_VERSION = "8.0.29"
 BUSY_TIMEOUT_S = 5.0
-CACHED_STATEMENTS = 256
+CACHED_STATEMENTS = 64
 _INSERT_INTO = re.compile(
     r"^\s*(?:INSERT|REPLACE)\b.*?\bINTO\s+[`\"]?(\w+)", re.IGNORECASE | re.DOTALL
 )
@@ -109,8 +109,12 @@
     def replay(self, entry: Entry) -> None:
         """Apply a committed transaction of another instance."""
         self.writer.raw.execute("BEGIN IMMEDIATE")
-        for stmt in entry.statements:
-            self.writer.execute(stmt.sql, stmt.inputs)
+        try:
+            for stmt in entry.statements:
+                self.writer.execute(stmt.sql, stmt.inputs)
+        except BaseException:
+            self.writer.raw.execute("ROLLBACK")
+            raise
         self.writer.raw.execute("COMMIT")
         self.note_schema(stmt.sql for stmt in entry.statements)
 
--- a/src/standins/exceptions.py
+++ b/src/standins/exceptions.py
@@ -3,6 +3,7 @@
 import re
 import sqlite3
 from collections.abc import Callable
+from typing import TypeVar
 
 from mysql_mimic.errors import MysqlError
 
@@ -35,6 +36,8 @@
 }
 DEFAULT_SQLSTATE = "HY000"
 
+Result = TypeVar("Result")
+
 _SQLITE_PATTERNS = (
     (re.compile(r"no such table: (\S+)"), NO_SUCH_TABLE, "Table '{}' doesn't exist"),
     (
@@ -109,7 +112,7 @@
     return SqlError(UNKNOWN_ERROR, text)
 
 
-def checked(run: Callable[[], sqlite3.Cursor]) -> sqlite3.Cursor:
+def checked(run: Callable[[], Result]) -> Result:
     """Call a function of sqlite and raise its errors as MySQL errors.
 
     Raises:
--- a/src/standins/replication.py
+++ b/src/standins/replication.py
@@ -69,6 +69,9 @@
                     await self._pull(conn)
             except (MysqlClientError, OSError, LinkCutError) as exc:
                 logger.info("replication from %s: %s", self._address, exc)
+            except Exception:
+                # The task is the only one that pulls; it must outlive any fault.
+                logger.exception("replication from %s failed", self._address)
             await asyncio.sleep(RETRY_S)
 
     @contextlib.asynccontextmanager
--- a/src/standins/results.py
+++ b/src/standins/results.py
@@ -9,6 +9,8 @@
 from mysql_mimic.results import ResultColumn, ResultSet
 from mysql_mimic.types import ColumnType
 
+from standins.exceptions import checked
+
 FETCH_ROWS = 1_000  # rows fetched before other tasks get a turn
 Row = Sequence[Any]
 
@@ -28,21 +30,61 @@
 )
 
 
-def make_result(
-    names: Sequence[str], rows: Sequence[Row], declared: Mapping[str, str]
-) -> ResultSet:
-    """Build a result set whose column types fit all its values.
+class ColumnKinds:
+    """Collects which kinds of values each column of a result holds.
 
     Args:
         names: Names of the columns.
-        rows: All rows.
+    """
+
+    def __init__(self, names: Sequence[str]) -> None:
+        self._names = names
+        self._kinds: list[set[type]] = [set() for _ in names]
+
+    def add(self, rows: Sequence[Row]) -> None:
+        """Take the values of some rows into account."""
+        for i, kinds in enumerate(self._kinds):
+            kinds.update(type(row[i]) for row in rows)
+
+    def columns(self, declared: Mapping[str, str]) -> list[ResultColumn]:
+        """Return the columns, each of a type that fits all its values.
+
+        Args:
+            declared: Declared type by column name, for columns without a value.
+        """
+        return [
+            ResultColumn(name, _column_type(kinds, declared.get(name, "")))
+            for name, kinds in zip(self._names, self._kinds, strict=True)
+        ]
+
+
+def make_result(names: Sequence[str], rows: Sequence[Row]) -> ResultSet:
+    """Build a result set of a few rows."""
+    kinds = ColumnKinds(names)
+    kinds.add(rows)
+    return ResultSet(rows, kinds.columns({}))
+
+
+async def fetch_result(
+    cursor: sqlite3.Cursor, declared: Mapping[str, str]
+) -> ResultSet:
+    """Fetch all rows in blocks, with turns for other tasks between them.
+
+    Args:
+        cursor: A cursor that has run a statement.
         declared: Declared type by column name, for columns without a value.
+
+    Raises:
+        SqlError: The statement failed on a later row.
     """
-    columns = [
-        ResultColumn(name, _column_type([row[i] for row in rows], declared.get(name)))
-        for i, name in enumerate(names)
-    ]
-    return ResultSet(rows, columns)
+    rows: list[Row] = []
+    kinds = ColumnKinds([item[0] for item in cursor.description or ()])
+    while block := checked(lambda: cursor.fetchmany(FETCH_ROWS)):
+        kinds.add(block)
+        rows.extend(block)
+        if len(block) == FETCH_ROWS:
+            await asyncio.sleep(0)
+    return ResultSet(rows, kinds.columns(declared))
 
 
 def records_result(kind: type, records: Iterable[Any]) -> ResultSet:
@@ -59,28 +101,15 @@
     return ResultSet(rows, columns)
 
 
-async def fetch_all(cursor: sqlite3.Cursor) -> list[Row]:
-    """Fetch all rows in blocks, with turns for other tasks between them."""
-    rows: list[Row] = []
-    while block := cursor.fetchmany(FETCH_ROWS):
-        rows.extend(block)
-        if len(block) == FETCH_ROWS:
-            await asyncio.sleep(0)
-    return rows
-
-
-def _column_type(values: Iterable[Any], declared: str | None) -> ColumnType:
-    kinds = {type(value) for value in values}
-    kinds.discard(type(None))
+def _column_type(kinds: set[type], declared: str) -> ColumnType:
+    kinds = kinds - {type(None)}
     if len(kinds) == 1:
-        return _TYPES[kinds.pop()]
+        return _TYPES[next(iter(kinds))]
     if kinds == {int, float}:
         return ColumnType.DOUBLE
     if bytes in kinds:
         return ColumnType.BLOB
-    if kinds:
-        return ColumnType.VAR_STRING
-    return _declared_type(declared or "")
+    return ColumnType.VAR_STRING if kinds else _declared_type(declared)
 
 
 def _declared_type(declared: str) -> ColumnType:
--- a/src/standins/server.py
+++ b/src/standins/server.py
@@ -36,6 +36,7 @@
 SEND_ROWS = 1_000  # rows sent before other tasks get a turn
 STOP_TIMEOUT_S = 5.0
 STOP_POLL_S = 0.02
+KILL_ROUNDS = 3  # a killed connection may wait for a cut before it says goodbye
 
 logger = logging.getLogger(__name__)
 
@@ -81,12 +82,12 @@
     async def read(self) -> bytes:
         """Read one packet; while the user is cut off, it does not arrive."""
         data = await self._read_packet()
-        await self._pass()
+        await self.wait_open()
         return data
 
     async def write(self, data: bytes, drain: bool = True) -> None:
         """Write one packet."""
-        await self._pass()
+        await self.wait_open()
         await self._inner.write(data, drain)
 
     def write_many(self, items: Sequence[bytes]) -> None:
@@ -99,14 +100,15 @@
 
     async def drain(self) -> None:
         """Send what is buffered."""
-        await self._pass()
+        await self.wait_open()
         await self._inner.drain()
 
     def reset_seq(self) -> None:
         """Start the packet numbers of a new command."""
         self._inner.reset_seq()
 
-    async def _pass(self) -> None:
+    async def wait_open(self) -> None:
+        """Wait until the user is not cut off."""
         if self.is_cut:
             await self._instance.changed.wait_for(lambda: not self.is_cut)
 
@@ -135,10 +137,7 @@
     def ok(self, **kwargs: Any) -> bytes:
         """Build an OK packet with the outcome of the last statement."""
         self.status_flags = self.session.status_flags
-        outcome, self.session.outcome = (
-            self.session.outcome,
-            type(self.session.outcome)(),
-        )
+        outcome = self.session.take_outcome()
         kwargs.setdefault("affected_rows", outcome.affected_rows)
         kwargs.setdefault("last_insert_id", outcome.last_insert_id)
         return super().ok(**kwargs)
@@ -166,6 +165,9 @@
         self.stream.user = "" if username == TEST_USER else username
         attrs = kwargs.get("connect_attrs") or {}
         is_replica = attrs.get("program_name") == REPLICATION_PROGRAM
+        if is_replica:
+            self.identity_provider = AllowList("", "")
+        await self.stream.wait_open()
         self._count(exempt=is_replica or username == TEST_USER)
         self.session.username = None
         await super().authenticate(username, *args, **kwargs)
@@ -224,9 +226,11 @@
 
 
 class AllowList(IdentityProvider):
-    """Lets in any user, or only one user with a password and the test user.
+    """Lets in any user, or only the test user and one user with a password.
 
-    Replicas are let in by name as well: they connect without a password.
+    Args:
+        user: The user to let in; any user if empty.
+        password: Password of the user; none if empty.
     """
 
     def __init__(self, user: str, password: str) -> None:
@@ -278,9 +282,10 @@
                 while self._open:
                     self._kill_idle()
                     await asyncio.sleep(STOP_POLL_S)
-        for conn in list(self._open):
-            conn.kill(KillKind.CONNECTION)
-        await asyncio.sleep(0)
+        for _ in range(KILL_ROUNDS):
+            for conn in list(self._open):
+                conn.kill(KillKind.CONNECTION)
+            await asyncio.sleep(0)
 
     def _kill_idle(self) -> None:
         for conn in list(self._open):
--- a/src/standins/session.py
+++ b/src/standins/session.py
@@ -12,7 +12,7 @@
 from standins.controls import Controls, parse_call
 from standins.dialect import Kind, Statement, parse
 from standins.instance import Instance, Transaction, new_inputs
-from standins.results import fetch_all, make_result
+from standins.results import fetch_result, make_result
 
 _VARIABLE_ITEM = re.compile(
     r"@@(?:(?:session|global|local)\.)?(\w+)(?:\s+AS\s+[`'\"]?(\w+)[`'\"]?)?",
@@ -103,6 +103,11 @@
         finally:
             self.busy = False
 
+    def take_outcome(self) -> Outcome:
+        """Return the outcome of the last statement, once."""
+        outcome, self.outcome = self.outcome, Outcome()
+        return outcome
+
     async def use(self, database: str) -> None:
         """Take a default database; names of databases have no effect here."""
         self.database = database
@@ -131,9 +136,7 @@
             database = self._instance.database
             with database.reader() as conn:
                 cursor = conn.execute(stmt.sql, new_inputs(self._last_insert_id))
-                names = [item[0] for item in cursor.description or ()]
-                rows = await fetch_all(cursor)
-        return make_result(names, rows, database.declared_types)
+                return await fetch_result(cursor, database.declared_types)
 
     async def _read_own(self, tx: Transaction, stmt: Statement) -> ResultSet:
         self._instance.check_open(tx)
@@ -143,9 +146,10 @@
             database = self._instance.database
             inputs = new_inputs(self._last_insert_id)
             cursor = database.writer.execute(stmt.sql, inputs)
-            names = [item[0] for item in cursor.description or ()]
-            rows = cursor.fetchall()
-        return make_result(names, rows, database.declared_types)
+            try:
+                return await fetch_result(cursor, database.declared_types)
+            finally:
+                self._instance.check_open(tx)
 
     async def _write(self, stmt: Statement) -> None:
         self._start_implicitly()
@@ -239,7 +243,7 @@
         for item in _VARIABLE_ITEM.finditer(match.group(1)):
             names.append(item.group(2) or item.group(0).split()[0])
             values.append(self._variable(item.group(1).lower()))
-        return make_result(names, [values], {})
+        return make_result(names, [values])
 
     def _variable(self, name: str) -> str | int | None:
         if name == "autocommit":
