--- /dev/null
+++ b/src/wasabipitch/exceptions.py
@@ -0,0 +1,158 @@
+"""Every error that wasabipitch raises, under one base class."""
+
+from wasabipitch.verdict import Verdict
+
+# MySQL error numbers that the proxy's own errors use.
+ER_CON_COUNT_ERROR = 1040
+ER_BAD_DB_ERROR = 1049
+ER_UNKNOWN_ERROR = 1105
+ER_LOCK_WAIT_TIMEOUT = 1205
+ER_OPTION_PREVENTS_STATEMENT = 1290
+ER_QUERY_TIMEOUT = 3024
+
+
+class WasabipitchError(Exception):
+    """The base of all errors.
+
+    Args:
+        message: names the thing that failed and the reason.
+        verdict: whether the request may have run; each class has a default.
+        code: the MySQL error number that the caller sees.
+    """
+
+    verdict = Verdict.NOT_RUN
+    code = ER_UNKNOWN_ERROR
+
+    def __init__(
+        self,
+        message: str,
+        *,
+        verdict: Verdict | None = None,
+        code: int | None = None,
+    ) -> None:
+        super().__init__(message)
+        self.message = message
+        if verdict is not None:
+            self.verdict = verdict
+        if code is not None:
+            self.code = code
+
+    @property
+    def sqlstate(self) -> str:
+        """The SQLSTATE that the caller sees; it carries the verdict."""
+        return self.verdict.sqlstate
+
+
+class SettingsError(WasabipitchError):
+    """A settings file or a declared configuration has errors, each with its path."""
+
+
+class LinkError(WasabipitchError):
+    """A link to another process of the system failed."""
+
+
+class LinkDown(LinkError):
+    """The peer could not be reached, so nothing was sent to it."""
+
+
+class LinkLost(LinkError):
+    """The link broke, or no reply came, after the message was sent."""
+
+    verdict = Verdict.MAY_HAVE_RUN
+
+
+class StoreError(WasabipitchError):
+    """The platform's key-value service did not do what was asked."""
+
+
+class StoreUnavailable(StoreError):
+    """The key-value service gave no answer, so a change may have taken effect."""
+
+    verdict = Verdict.MAY_HAVE_RUN
+
+
+class StoreConflict(StoreError):
+    """A compare-and-swap met another revision than the expected one."""
+
+    def __init__(self, message: str, *, revision: int, value: str) -> None:
+        super().__init__(message)
+        self.revision = revision
+        self.value = value
+
+
+class RequestError(WasabipitchError):
+    """A caller's request failed in the proxy."""
+
+
+class Refused(RequestError):
+    """The request was refused before it reached a target."""
+
+
+class Overloaded(Refused):
+    """The expected wait passes the request's deadline, or a queue is full."""
+
+    code = ER_QUERY_TIMEOUT
+
+
+class Stopping(Refused):
+    """The process is stopping and takes no new work."""
+
+
+class NotOwner(Refused):
+    """This pool does not serve the group."""
+
+
+class NoTarget(Refused):
+    """No instance of the group may serve the request now."""
+
+
+class UnknownGroup(Refused):
+    """No group of that name is declared."""
+
+    code = ER_BAD_DB_ERROR
+
+
+class UnknownClass(Refused):
+    """No request class of that name is declared."""
+
+
+class InDoubt(RequestError):
+    """The outcome of a write could not be established in time."""
+
+    verdict = Verdict.MAY_HAVE_RUN
+
+
+class TransactionLost(RequestError):
+    """The connection that carried the session's transaction is gone.
+
+    Its work was never committed, so it did not run.
+    """
+
+
+class TargetError(RequestError):
+    """A target answered with an SQL error; the statement had no effect.
+
+    Args:
+        message: the target's message.
+        code: the target's MySQL error number.
+        sqlstate: the target's SQLSTATE, passed on as it is.
+    """
+
+    def __init__(self, message: str, *, code: int, sqlstate: str = "HY000") -> None:
+        super().__init__(message, code=code)
+        self._sqlstate = sqlstate
+
+    @property
+    def sqlstate(self) -> str:
+        """The target's own SQLSTATE."""
+        return self._sqlstate
+
+
+class TargetLost(RequestError):
+    """The connection to a target broke while a statement was running."""
+
+    verdict = Verdict.MAY_HAVE_RUN
+
+
+class TargetDown(RequestError):
+    """A target could not be connected to."""
--- /dev/null
+++ b/src/wasabipitch/links.py
@@ -0,0 +1,396 @@
+"""Links: one TCP connection to a peer, with many requests in flight.
+
+``Link`` is the requesting end and ``LinkServer`` the serving end. Requests
+carry a number, and replies come back under it in any order.
+"""
+
+import asyncio
+import contextlib
+import itertools
+import logging
+from collections.abc import AsyncIterator, Awaitable, Callable
+
+from wasabipitch import contracts
+from wasabipitch.contracts import FRAME_HEADER, MAX_FRAME_BYTES, Envelope
+from wasabipitch.events import Clock
+from wasabipitch.exceptions import LinkDown, LinkError, LinkLost, WasabipitchError
+from wasabipitch.messages import Cancel, Done, Execute, Failure, Hello, Message
+from wasabipitch.models import Address, Host
+from wasabipitch.verdict import Verdict
+
+CONNECT_TIMEOUT_S = 1.0
+CALL_TIMEOUT_S = 5.0
+MIN_RECONNECT_S = 0.05
+WRITE_HIGH_WATER_BYTES = 1024 * 1024
+
+logger = logging.getLogger(__name__)
+
+
+async def read_envelope(reader: asyncio.StreamReader) -> Envelope:
+    """Read one frame.
+
+    Raises:
+        asyncio.IncompleteReadError: if the peer closed the connection.
+        LinkError: if the frame is malformed or too long.
+    """
+    header = await reader.readexactly(FRAME_HEADER.size)
+    (size,) = FRAME_HEADER.unpack(header)
+    if size > MAX_FRAME_BYTES:
+        raise LinkError(f"frame of {size} bytes exceeds {MAX_FRAME_BYTES}")
+    return contracts.unpack(await reader.readexactly(size))
+
+
+def raise_failure(failure: Failure) -> None:
+    """Raise the error that a failure message carries."""
+    raise RemoteError(failure)
+
+
+class RemoteError(WasabipitchError):
+    """The peer answered with a failure; its verdict and SQLSTATE are kept."""
+
+    def __init__(self, failure: Failure) -> None:
+        super().__init__(failure.message, verdict=failure.verdict, code=failure.code)
+        self.failure = failure
+
+    @property
+    def sqlstate(self) -> str:
+        """The SQLSTATE that the peer gave."""
+        return self.failure.sqlstate
+
+
+def describe_failure(exc: WasabipitchError, in_transaction: bool = False) -> Failure:
+    """Return the message that carries an error to the peer."""
+    return Failure(
+        verdict=Verdict(exc.verdict),
+        code=exc.code,
+        sqlstate=exc.sqlstate,
+        message=exc.message,
+        in_transaction=in_transaction,
+    )
+
+
+class Cuts:
+    """Fault injection: the peers whose traffic is dropped, by host name."""
+
+    def __init__(self) -> None:
+        self.peers: frozenset[str] = frozenset()
+
+    def drops(self, peer: str) -> bool:
+        """Return whether traffic with the peer is dropped."""
+        return peer in self.peers
+
+
+class Link:
+    """The requesting end of a link to one peer; it reconnects when needed.
+
+    Args:
+        address: where the peer accepts links.
+        hello: says who this process is, sent first on each connection.
+        clock: carried on every message.
+        peer: the peer's host name, for errors and for cuts.
+        cuts: the peers whose traffic is dropped, in fault injection.
+    """
+
+    def __init__(
+        self,
+        address: Address,
+        hello: Hello,
+        clock: Clock,
+        *,
+        peer: str = "",
+        cuts: Cuts | None = None,
+    ) -> None:
+        self.address = address
+        self.peer = peer or str(address)
+        self._hello = hello
+        self._clock = clock
+        self._cuts = cuts or Cuts()
+        self._numbers = itertools.count(1)
+        self._waiting: dict[int, asyncio.Queue[Envelope | None]] = {}
+        self._writer: asyncio.StreamWriter | None = None
+        self._reader_task: asyncio.Task | None = None
+        self._connecting = asyncio.Lock()
+        self._retry_at_s = 0.0
+        self.generation = 0
+
+    @property
+    def connected(self) -> bool:
+        """Whether a connection to the peer is open."""
+        return self._writer is not None
+
+    async def call(self, message: Message, timeout_s: float = CALL_TIMEOUT_S):
+        """Send a message and return the one message of its reply.
+
+        Raises:
+            LinkDown: if the peer can't be reached; nothing was sent.
+            LinkLost: if the link broke or the timeout passed after sending.
+            RemoteError: if the peer answered with a failure.
+        """
+        async with contextlib.aclosing(self.stream(message, timeout_s)) as replies:
+            async for reply in replies:
+                return reply
+        raise LinkLost(f"{self.peer} sent an empty reply")
+
+    async def stream(
+        self, message: Message, timeout_s: float = CALL_TIMEOUT_S
+    ) -> AsyncIterator[Message]:
+        """Send a message and yield each message of its reply.
+
+        The timeout is for each message of the reply. Raises as ``call`` does.
+        """
+        await self._connect()
+        number = next(self._numbers)
+        inbox: asyncio.Queue[Envelope | None] = asyncio.Queue()
+        self._waiting[number] = inbox
+        finished = False
+        try:
+            self._send(Envelope(number, self._clock.tick(), message))
+            while not finished:
+                envelope = await self._receive(inbox, timeout_s)
+                finished = not envelope.more
+                if isinstance(envelope.message, Failure):
+                    raise_failure(envelope.message)
+                yield envelope.message
+        finally:
+            self._waiting.pop(number, None)
+            if not finished and self._writer is not None:
+                self._send(Envelope(number, self._clock.tick(), Cancel()))
+
+    async def close(self) -> None:
+        """Close the connection; requests in flight fail with ``LinkLost``."""
+        task = self._reader_task
+        self._drop_connection()
+        if task is not None:
+            task.cancel()
+            with contextlib.suppress(asyncio.CancelledError):
+                await task
+
+    async def _receive(self, inbox: asyncio.Queue, timeout_s: float) -> Envelope:
+        try:
+            async with asyncio.timeout(timeout_s):
+                envelope = await inbox.get()
+        except TimeoutError:
+            raise LinkLost(f"no reply from {self.peer} in {timeout_s:g} s") from None
+        if envelope is None:
+            raise LinkLost(f"the link to {self.peer} broke before the reply")
+        return envelope
+
+    async def _connect(self) -> None:
+        if self._writer is not None:
+            return
+        async with self._connecting:
+            if self._writer is not None:
+                return
+            loop = asyncio.get_running_loop()
+            if loop.time() < self._retry_at_s:
+                raise LinkDown(f"{self.peer} was unreachable a moment ago")
+            self._retry_at_s = loop.time() + MIN_RECONNECT_S
+            reader, writer = await self._open()
+            self._writer = writer
+            self.generation += 1
+            self._reader_task = asyncio.create_task(self._read_replies(reader, writer))
+            self._send(Envelope(0, self._clock.tick(), self._hello))
+
+    async def _open(self) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
+        if self._cuts.drops(self.peer):
+            raise LinkDown(f"{self.peer} is cut off")
+        try:
+            async with asyncio.timeout(CONNECT_TIMEOUT_S):
+                return await asyncio.open_connection(self.address.ip, self.address.port)
+        except (OSError, TimeoutError) as exc:
+            reason = str(exc) or "timeout"
+            raise LinkDown(f"can't reach {self.peer}: {reason}") from exc
+
+    def _send(self, envelope: Envelope) -> None:
+        if self._cuts.drops(self.peer):
+            return
+        self._writer.write(contracts.pack(envelope))
+
+    async def _read_replies(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        try:
+            while True:
+                envelope = await read_envelope(reader)
+                if self._cuts.drops(self.peer):
+                    continue
+                self._clock.observe(envelope.clock)
+                inbox = self._waiting.get(envelope.number)
+                if inbox is not None:
+                    inbox.put_nowait(envelope)
+        except (OSError, asyncio.IncompleteReadError):
+            logger.debug("link to %s closed", self.peer)
+        except LinkError as exc:
+            logger.warning("link to %s: %s", self.peer, exc)
+        finally:
+            if self._writer is writer:
+                self._drop_connection()
+
+    def _drop_connection(self) -> None:
+        writer, self._writer = self._writer, None
+        if writer is not None:
+            writer.close()
+        for inbox in self._waiting.values():
+            inbox.put_nowait(None)
+
+
+class Exchange:
+    """One request that came over a link, and the way to answer it.
+
+    Args:
+        message: the request.
+        peer: who sent it.
+    """
+
+    def __init__(self, connection: "LinkConnection", envelope: Envelope) -> None:
+        self.message = envelope.message
+        self.connection = connection
+        self._number = envelope.number
+
+    @property
+    def peer(self) -> Host | None:
+        """Who sent the request, if its hello has come."""
+        return self.connection.peer
+
+    async def send(self, message: Message, *, more: bool = False) -> None:
+        """Send a message of the reply; ``more`` if others follow it."""
+        await self.connection.send(self._number, message, more)
+
+
+Handler = Callable[[Exchange], Awaitable[Message | None]]
+PeerLost = Callable[["LinkConnection"], Awaitable[None]]
+
+
+class LinkConnection:
+    """The serving end of one connection from a peer."""
+
+    def __init__(
+        self, server: "LinkServer", reader: asyncio.StreamReader, writer
+    ) -> None:
+        self.peer: Host | None = None
+        self.incarnation = ""
+        self._server = server
+        self._reader = reader
+        self._writer = writer
+        self._tasks: dict[int, asyncio.Task] = {}
+
+    async def send(self, number: int, message: Message, more: bool = False) -> None:
+        """Send a message under a request's number."""
+        if self._dropped() or self._writer.is_closing():
+            return
+        envelope = Envelope(number, self._server.clock.tick(), message, more)
+        self._writer.write(contracts.pack(envelope))
+        if self._writer.transport.get_write_buffer_size() > WRITE_HIGH_WATER_BYTES:
+            with contextlib.suppress(OSError):
+                await self._writer.drain()
+
+    async def run(self) -> None:
+        """Serve requests until the peer closes the connection."""
+        try:
+            while True:
+                envelope = await read_envelope(self._reader)
+                if not self._dropped():
+                    self._accept(envelope)
+        except (OSError, asyncio.IncompleteReadError):
+            pass
+        except LinkError as exc:
+            logger.warning("link from %s: %s", self._peer_name(), exc)
+        finally:
+            for task in list(self._tasks.values()):
+                task.cancel()
+            self._writer.close()
+
+    def _accept(self, envelope: Envelope) -> None:
+        self._server.clock.observe(envelope.clock)
+        message = envelope.message
+        if isinstance(message, Hello):
+            self.peer = message.host
+            self.incarnation = message.incarnation
+        elif isinstance(message, Cancel):
+            task = self._tasks.get(envelope.number)
+            if task is not None:
+                task.cancel()
+        else:
+            task = asyncio.create_task(self._serve(envelope))
+            self._tasks[envelope.number] = task
+            task.add_done_callback(lambda _: self._tasks.pop(envelope.number, None))
+
+    async def _serve(self, envelope: Envelope) -> None:
+        exchange = Exchange(self, envelope)
+        try:
+            reply = await self._server.handler(exchange)
+            if reply is not None:
+                await exchange.send(reply)
+        except WasabipitchError as exc:
+            await exchange.send(describe_failure(exc))
+        except Exception as exc:
+            logger.exception("request %s failed", type(envelope.message).__name__)
+            is_statement = isinstance(envelope.message, Execute)
+            verdict = Verdict.MAY_HAVE_RUN if is_statement else Verdict.NOT_RUN
+            error = WasabipitchError(f"internal error: {exc!r}", verdict=verdict)
+            await exchange.send(describe_failure(error))
+
+    def _dropped(self) -> bool:
+        return self.peer is not None and self._server.cuts.drops(self.peer.name)
+
+    def _peer_name(self) -> str:
+        return self.peer.name if self.peer else "unknown peer"
+
+
+class LinkServer:
+    """Accepts links and hands each request to a handler.
+
+    Each request runs in a task of its own, which is cancelled when the peer
+    cancels the request or its connection closes.
+
+    Args:
+        handler: returns the reply, or sends it itself and returns None.
+        clock: carried on every message.
+        on_peer_lost: called when a peer's connection has closed.
+        cuts: the peers whose traffic is dropped, in fault injection.
+    """
+
+    def __init__(
+        self,
+        handler: Handler,
+        clock: Clock,
+        *,
+        on_peer_lost: PeerLost | None = None,
+        cuts: Cuts | None = None,
+    ) -> None:
+        self.handler = handler
+        self.clock = clock
+        self.cuts = cuts or Cuts()
+        self._on_peer_lost = on_peer_lost
+        self._server: asyncio.Server | None = None
+        self._connections: set[LinkConnection] = set()
+
+    async def start(self, address: Address) -> Address:
+        """Listen on the address and return it; port 0 takes a free one."""
+        self._server = await asyncio.start_server(
+            self._accept, address.ip, address.port
+        )
+        ip, port = self._server.sockets[0].getsockname()[:2]
+        return Address(ip, port)
+
+    async def close(self) -> None:
+        """Stop listening and close every connection."""
+        if self._server is None:
+            return
+        self._server.close()
+        for connection in list(self._connections):
+            connection._writer.close()
+        self._server = None
+
+    async def _accept(self, reader: asyncio.StreamReader, writer) -> None:
+        connection = LinkConnection(self, reader, writer)
+        self._connections.add(connection)
+        try:
+            await connection.run()
+        finally:
+            self._connections.discard(connection)
+            if self._on_peer_lost is not None:
+                await self._on_peer_lost(connection)
+
+
+__all__ = ["Cuts", "Done", "Exchange", "Link", "LinkServer", "RemoteError"]
--- /dev/null
+++ b/src/wasabipitch/view.py
@@ -0,0 +1,150 @@
+"""What a pool knows of the instances of a group that it serves."""
+
+import asyncio
+import time
+from collections.abc import Iterable
+from dataclasses import dataclass, field
+
+from wasabipitch.deployment import Group, Instance
+from wasabipitch.models import ORIGIN, Position, majority
+from wasabipitch.targets import ControlChannel, InstanceStatus
+
+
+@dataclass
+class InstanceView:
+    """The latest report of one instance, and when it was heard.
+
+    Args:
+        instance: as declared.
+        channel: for orders and reports.
+        status: its latest report; None before the first.
+        heard_at_s: the monotonic time at which the latest report was asked
+            for, so that what it says was true no earlier than that.
+        misses: probes without an answer since the latest report.
+        leaving: whether it gets no new work.
+    """
+
+    instance: Instance
+    channel: ControlChannel
+    status: InstanceStatus | None = None
+    heard_at_s: float = 0.0
+    misses: int = 0
+    leaving: bool = False
+
+    @property
+    def name(self) -> str:
+        """The instance's declared name."""
+        return self.instance.name
+
+    @property
+    def position(self) -> Position:
+        """The latest reported position."""
+        return self.status.position if self.status else ORIGIN
+
+    @property
+    def reachable(self) -> bool:
+        """Whether it answered the latest probe."""
+        return self.status is not None and self.misses == 0
+
+
+@dataclass
+class PrimarySample:
+    """Where the primary's log ended at a moment, to judge replicas' age by."""
+
+    at_s: float
+    position: Position
+
+
+@dataclass
+class GroupView:
+    """All instances of one group, and who its primary is.
+
+    Args:
+        group: as declared.
+        instances: by name.
+        primary: the name of the established primary: the one that a majority
+            of the members follows, whose opening entry a majority holds.
+            Empty while there is none.
+        term: the established primary's term.
+        activity: what the pool is doing to the group, for ``ctl status``.
+    """
+
+    group: Group
+    instances: dict[str, InstanceView]
+    primary: str = ""
+    term: int = 0
+    activity: str = ""
+    samples: list[PrimarySample] = field(default_factory=list)
+    _changed: asyncio.Event = field(default_factory=asyncio.Event)
+
+    @property
+    def primary_view(self) -> InstanceView | None:
+        """The established primary, or None while there is none."""
+        return self.instances.get(self.primary)
+
+    @property
+    def majority(self) -> int:
+        """How many instances make a majority."""
+        return majority(len(self.instances))
+
+    def greatest_term(self) -> int:
+        """Return the greatest term that any instance has reported."""
+        statuses = self._statuses()
+        return max((max(s.term, s.fence) for s in statuses), default=0)
+
+    def update(self, name: str, status: InstanceStatus, asked_at_s: float) -> None:
+        """Keep a report that was asked for at a monotonic time, in seconds."""
+        view = self.instances[name]
+        view.misses = 0
+        if asked_at_s >= view.heard_at_s:
+            view.status = status
+            view.heard_at_s = asked_at_s
+        self.notify()
+
+    def miss(self, name: str) -> None:
+        """Count a probe without an answer."""
+        self.instances[name].misses += 1
+        self.notify()
+
+    def establish(self, name: str, term: int) -> None:
+        """Take an instance as the primary of a term; a lower term is ignored."""
+        if term < self.term:
+            return
+        self.primary = name
+        self.term = term
+        self.notify()
+
+    def depose(self) -> None:
+        """Have no primary until one is established again."""
+        self.primary = ""
+        self.notify()
+
+    def notify(self) -> None:
+        """Wake all that wait for a change."""
+        self._changed.set()
+        self._changed = asyncio.Event()
+
+    async def wait_changed(self, timeout_s: float) -> bool:
+        """Wait for any change; return whether one came within the timeout."""
+        changed = self._changed
+        try:
+            async with asyncio.timeout(timeout_s):
+                await changed.wait()
+        except TimeoutError:
+            return False
+        return True
+
+    async def wait_primary(self, deadline_s: float) -> InstanceView | None:
+        """Wait until a primary is established, up to a monotonic time.
+
+        Returns:
+            The primary, or None if there is still none at the deadline.
+        """
+        while self.primary_view is None:
+            left_s = deadline_s - time.monotonic()
+            if left_s <= 0 or not await self.wait_changed(left_s):
+                return self.primary_view
+        return self.primary_view
+
+    def _statuses(self) -> Iterable[InstanceStatus]:
+        return [v.status for v in self.instances.values() if v.status is not None]
