--- /dev/null
+++ b/src/wasabipitch/connections.py
@@ -0,0 +1,165 @@
+"""The connections of a pool to one instance."""
+
+import asyncio
+import logging
+from collections import deque
+
+from wasabipitch.exceptions import TargetDown
+from wasabipitch.models import Address
+from wasabipitch.targets import Connector, TargetConn
+
+# Kept free on each instance: two replicas' and two pools' control connections.
+RESERVED_CONNECTIONS = 6
+FIRST_OWNER_SHARE = 0.75
+MAX_CONNECTS_AT_ONCE = 2
+MIN_RETRY_S = 0.05
+MAX_RETRY_S = 1.0
+
+logger = logging.getLogger(__name__)
+
+
+def connection_limit(declared: int, rank: int) -> int:
+    """Return how many connections a pool may hold to an instance.
+
+    Args:
+        declared: what the instance takes in all.
+        rank: the pool's place in the owners' order; the first takes three
+            quarters, so that two pools never exhaust the instance.
+    """
+    usable = max(2, declared - RESERVED_CONNECTIONS)
+    first = max(1, int(usable * FIRST_OWNER_SHARE))
+    return first if rank == 0 else max(1, usable - first)
+
+
+class InstanceConnections:
+    """Opens, lends and takes back connections to one instance.
+
+    Args:
+        connector: opens them.
+        address: of the instance.
+        database: the group's name.
+        limit: how many may be open at once.
+    """
+
+    def __init__(
+        self, connector: Connector, address: Address, database: str, limit: int
+    ) -> None:
+        self.limit = limit
+        self._connector = connector
+        self._address = address
+        self._database = database
+        self._idle: deque[TargetConn] = deque()
+        self._lent: set[TargetConn] = set()
+        self._pinned: set[TargetConn] = set()
+        self._opening = 0
+        self._freed = asyncio.Event()
+        self._connects = asyncio.Semaphore(MAX_CONNECTS_AT_ONCE)
+        self._closed = False
+
+    @property
+    def open(self) -> int:
+        """How many are open or being opened."""
+        return len(self._idle) + len(self._lent) + self._opening
+
+    @property
+    def lent(self) -> int:
+        """How many are in use."""
+        return len(self._lent)
+
+    async def acquire(self) -> TargetConn:
+        """Return a connection for one session's work.
+
+        Raises:
+            TargetDown: if the instance can't be reached.
+        """
+        while True:
+            while self._idle:
+                conn = self._idle.pop()
+                if conn.usable:
+                    self._lent.add(conn)
+                    return conn
+                conn.close()
+            if self.open < self.limit:
+                conn = await self._open()
+                self._lent.add(conn)
+                return conn
+            self._freed.clear()
+            await self._freed.wait()
+
+    def pin(self, conn: TargetConn) -> None:
+        """Leave a lent connection to a transaction: ``unpin`` ends that."""
+        self._pinned.add(conn)
+
+    def unpin(self, conn: TargetConn) -> None:
+        """Take a transaction's connection back."""
+        self._pinned.discard(conn)
+        self.release(conn)
+
+    def release(self, conn: TargetConn) -> None:
+        """Take a connection back; one in an unknown state is closed.
+
+        A pinned one stays lent until it is unpinned.
+        """
+        if conn in self._pinned:
+            return
+        self._lent.discard(conn)
+        # An open transaction on a returned connection must never be joined.
+        reusable = conn.usable and not conn.in_transaction
+        if reusable and not self._closed and self.open < self.limit:
+            self._idle.append(conn)
+        else:
+            conn.close()
+        self._freed.set()
+
+    async def open_ahead(self, count: int) -> None:
+        """Open connections until that many are open, within the limit.
+
+        Raises:
+            TargetDown: if the instance can't be reached.
+        """
+        while self.open < min(count, self.limit) and not self._closed:
+            conn = await self._open()
+            self._idle.append(conn)
+            self._freed.set()
+
+    def drop_idle(self) -> None:
+        """Close all that are not in use."""
+        while self._idle:
+            self._idle.pop().close()
+
+    def close(self) -> None:
+        """Close all, also those in use."""
+        self._closed = True
+        self.drop_idle()
+        for conn in list(self._lent):
+            conn.close()
+
+    async def _open(self) -> TargetConn:
+        self._opening += 1
+        try:
+            async with self._connects:
+                return await self._connector.connect(self._address, self._database)
+        finally:
+            self._opening -= 1
+            self._freed.set()
+
+
+async def keep_open(connections: InstanceConnections, read_wanted) -> None:
+    """Keep connections open ahead of need, until cancelled.
+
+    An instance that comes back is tried by one connection at a time, with a
+    growing wait, so that its return meets no storm.
+
+    Args:
+        connections: of one instance.
+        read_wanted: returns how many should be open now.
+    """
+    wait_s = MIN_RETRY_S
+    while True:
+        try:
+            await connections.open_ahead(read_wanted())
+            wait_s = MIN_RETRY_S
+        except TargetDown as exc:
+            logger.debug("opening ahead: %s", exc)
+            wait_s = min(MAX_RETRY_S, wait_s * 2)
+        await asyncio.sleep(wait_s)
--- a/src/wasabipitch/contracts.py
+++ b/src/wasabipitch/contracts.py
@@ -109,6 +109,8 @@
     if message.floor is not None:
         body.hasFloor = True
         _pack_position(body.floor, message.floor)
+    body.inTransaction = message.in_transaction
+    body.inDoubt = message.in_doubt
 
 
 def _unpack_execute(frame) -> Execute:
@@ -123,6 +125,8 @@
         request_id=body.requestId,
         deadline_ms=body.deadlineMs,
         floor=floor,
+        in_transaction=body.inTransaction,
+        in_doubt=body.inDoubt,
     )
 
 
--- a/src/wasabipitch/deployment.py
+++ b/src/wasabipitch/deployment.py
@@ -28,11 +28,13 @@
         name: unique in the deployment.
         address: ``ip:port`` of its MySQL port.
         data_centre: where it stands.
+        leaving: whether it gets no new work, because it will be taken out.
     """
 
     name: Name
     address: Annotated[str, Field(pattern=r"^[0-9a-fA-F.:\[\]]+:\d+$")]
     data_centre: str
+    leaving: bool = False
 
     @property
     def endpoint(self) -> Address:
--- /dev/null
+++ b/src/wasabipitch/groups.py
@@ -0,0 +1,328 @@
+"""Serves one database group: everything that a pool runs for it."""
+
+import asyncio
+import contextlib
+import random
+import time
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass
+from functools import partial
+
+from wasabipitch.acks import Acknowledger
+from wasabipitch.connections import (
+    InstanceConnections,
+    connection_limit,
+    keep_open,
+)
+from wasabipitch.deployment import Group, Policy, RequestClass
+from wasabipitch.events import Timeline
+from wasabipitch.exceptions import WasabipitchError
+from wasabipitch.failover import Failover
+from wasabipitch.floors import FloorConfirmer
+from wasabipitch.health import Monitor, age_s
+from wasabipitch.limits import Scheduler
+from wasabipitch.links import Exchange, describe_failure
+from wasabipitch.messages import Execute, GroupState, InstanceState, Kind, Opinion
+from wasabipitch.metrics import Metrics
+from wasabipitch.models import Host
+from wasabipitch.parts import GroupParts
+from wasabipitch.reads import ReadRunner
+from wasabipitch.routing import Router
+from wasabipitch.sampling import SAMPLE_ERRORS, Sampler
+from wasabipitch.store import Store
+from wasabipitch.switchover import switch_primary
+from wasabipitch.targets import Connector
+from wasabipitch.terms import TermAllocator
+from wasabipitch.transaction_runner import TransactionRunner
+from wasabipitch.view import GroupView, InstanceView
+from wasabipitch.writes import WriteRunner
+
+WAKE_INTERVAL_S = 0.1
+REAP_INTERVAL_S = 1.0
+LEAVING_CHECK_S = 0.5
+DRAIN_POLL_S = 0.02
+# Connections opened ahead on each instance, beyond its slots.
+SPARE_CONNECTIONS = 1
+
+AskOpinions = Callable[[str, str], Awaitable[list[Opinion]]]
+
+
+@dataclass(frozen=True)
+class GroupContext:
+    """What a pool lends to the servers of its groups.
+
+    Args:
+        ask_opinions: asks other pools whether they reach an instance; takes
+            the group's and the instance's names.
+        read_rank: returns this pool's place among a group's owners, by name.
+    """
+
+    host: Host
+    connector: Connector
+    store: Store
+    ask_opinions: AskOpinions
+    read_rank: Callable[[str], int]
+    timeline: Timeline
+    metrics: Metrics
+    rng: random.Random
+
+
+class GroupServer:
+    """Serves one group: its connections, queue, health and failover.
+
+    Args:
+        group: as declared.
+        policy: which parts of the policy are on.
+        ctx: what the pool lends.
+    """
+
+    def __init__(self, group: Group, policy: Policy, ctx: GroupContext) -> None:
+        self.group = group
+        self.policy = policy
+        self._ctx = ctx
+        self.view = _make_view(group, ctx.connector)
+        self.parts = _make_parts(self.view, policy, ctx)
+        self._reads = ReadRunner(self.parts)
+        self._writes = WriteRunner(self.parts)
+        self._transactions = TransactionRunner(self.parts, self._writes)
+        self._monitor = Monitor(self.view, ctx.timeline, ctx.metrics)
+        self._failover = Failover(
+            self.view,
+            terms=TermAllocator(ctx.store, group.name),
+            ask_opinions=partial(ctx.ask_opinions, group.name),
+            rank=partial(ctx.read_rank, group.name),
+            timeline=ctx.timeline,
+            metrics=ctx.metrics,
+            enabled=policy.failover,
+        )
+        self._running = 0
+
+    async def run(self) -> None:
+        """Serve until cancelled; then close all connections."""
+        async with contextlib.AsyncExitStack() as stack:
+            stack.push_async_callback(self._close)
+            async with asyncio.TaskGroup() as tasks:
+                for work in self._make_background():
+                    tasks.create_task(work)
+
+    async def execute(
+        self, exchange: Exchange, req: Execute, cls: RequestClass
+    ) -> None:
+        """Run a caller's statement and send the answer.
+
+        Args:
+            exchange: where the answer goes.
+            req: the statement.
+            cls: its request class.
+        """
+        deadline_s = time.monotonic() + req.deadline_ms / 1000
+        self._running += 1
+        try:
+            await self._run_statement(exchange, req, cls, deadline_s)
+        except WasabipitchError as exc:
+            self._count_failure(exc)
+            in_transaction = self.parts.transactions.find(req.session) is not None
+            await exchange.send(describe_failure(exc, in_transaction))
+        finally:
+            self._running -= 1
+
+    def end_session(self, session: str) -> None:
+        """Roll back what a session that is gone has open."""
+        self.parts.transactions.abort_session(session)
+
+    def drop_peer(self, peer: object) -> None:
+        """Roll back what was open over a link that has closed."""
+        for session in self.parts.transactions.abort_peer(peer):
+            self._record("transaction.aborted", session, "the link closed")
+
+    def set_leaving(self, names: frozenset[str]) -> None:
+        """Say which instances get no new work."""
+        for name, view in self.view.instances.items():
+            if view.leaving != (name in names):
+                view.leaving = name in names
+                self._record("target.leaving", "", f"{name}: {view.leaving}")
+        self.view.notify()
+
+    async def switch_over(self, to: str = "") -> str:
+        """Change the primary as planned; return the new one's name."""
+        return await switch_primary(self.view, self._failover, to)
+
+    async def drain(self) -> None:
+        """Wait until no request runs and no transaction is open."""
+        while self._running or len(self.parts.transactions):
+            await asyncio.sleep(DRAIN_POLL_S)
+
+    async def form_opinion(self, instance: str) -> Opinion:
+        """Ask an instance now and return whether it answered."""
+        if instance not in self.view.instances:
+            return Opinion(instance, reachable=False)
+        try:
+            status = await self.parts.sampler.sample(instance)
+        except SAMPLE_ERRORS:
+            return Opinion(instance, reachable=False)
+        return Opinion(instance, reachable=True, term=status.term)
+
+    def describe(self, owner: str, rank: int) -> GroupState:
+        """Return the group's state for ``ctl status``."""
+        scheduler = self.parts.scheduler
+        return GroupState(
+            name=self.group.name,
+            primary=self.view.primary,
+            term=self.view.term,
+            owner=owner,
+            rank=rank,
+            queued=scheduler.queued,
+            running=scheduler.running,
+            slots=self.group.slots * len(self.group.instances),
+            instances=tuple(map(self._describe_instance, self.view.instances.values())),
+            activity=self.view.activity,
+        )
+
+    async def _run_statement(
+        self, exchange: Exchange, req: Execute, cls: RequestClass, deadline_s: float
+    ) -> None:
+        in_transaction = self.parts.transactions.find(req.session) is not None
+        transactional = req.in_transaction or in_transaction
+        if transactional or req.kind in (Kind.BEGIN, Kind.COMMIT, Kind.ROLLBACK):
+            work = self._transactions.run(exchange.connection, req, cls, deadline_s)
+            await exchange.send(await work)
+        elif req.kind is Kind.READ:
+            await self._reads.run(exchange, req, cls, deadline_s)
+        else:
+            await exchange.send(await self._writes.run(req, cls, deadline_s))
+
+    def _make_background(self):
+        yield self._monitor.run()
+        yield self._failover.run()
+        yield self._wake()
+        yield self._reap()
+        yield self._move_off_leaving()
+        if self.policy.open_ahead:
+            for name in self.view.instances:
+                wanted = partial(self._read_wanted, name)
+                yield keep_open(self.parts.connections[name], wanted)
+
+    async def _wake(self) -> None:
+        while True:
+            await self.view.wait_changed(WAKE_INTERVAL_S)
+            self.parts.scheduler.dispatch()
+
+    async def _reap(self) -> None:
+        while True:
+            await asyncio.sleep(REAP_INTERVAL_S)
+            for session in self.parts.transactions.abort_idle(time.monotonic()):
+                self._record("transaction.aborted", session, "idle too long")
+
+    async def _move_off_leaving(self) -> None:
+        while True:
+            await asyncio.sleep(LEAVING_CHECK_S)
+            primary = self.view.primary_view
+            if primary is None or not primary.leaving or self._is_second():
+                continue
+            try:
+                await self.switch_over()
+            except WasabipitchError as exc:
+                self._record("switchover.failed", "", exc.message)
+
+    def _is_second(self) -> bool:
+        return self._ctx.read_rank(self.group.name) > 0
+
+    def _read_wanted(self, name: str) -> int:
+        view = self.view.instances[name]
+        if view.leaving or not view.reachable:
+            return 0
+        connections = self.parts.connections[name]
+        return connections.lent + SPARE_CONNECTIONS + self.group.slots
+
+    def _describe_instance(self, view: InstanceView) -> InstanceState:
+        status = view.status
+        primary = self.view.primary_view
+        behind = primary.position.index - view.position.index if primary else 0
+        age = age_s(self.view, view.name, time.monotonic())
+        return InstanceState(
+            name=view.name,
+            address=view.instance.address,
+            data_centre=view.instance.data_centre,
+            role=status.role if status else "unknown",
+            term=status.term if status else 0,
+            fence=status.fence if status else 0,
+            position=view.position,
+            reachable=view.reachable,
+            member=status.member if status else False,
+            leaving=view.leaving,
+            lag_entries=max(0, behind),
+            age_ms=-1 if age is None else round(age * 1000),
+            running=self.parts.scheduler.running_on(view.name),
+            connections=self.parts.connections[view.name].open,
+        )
+
+    def _count_failure(self, exc: WasabipitchError) -> None:
+        self._ctx.metrics.count(f"pool.failures.{exc.verdict.name.lower()}")
+        self._ctx.metrics.count(f"pool.errors.{type(exc).__name__}")
+
+    def _record(self, kind: str, session: str, detail: str) -> None:
+        self._ctx.timeline.record(
+            kind,
+            group=self.group.name,
+            session=session,
+            term=self.view.term,
+            detail=detail,
+        )
+
+    async def _close(self) -> None:
+        self.parts.transactions.abort_all()
+        await self.parts.acks.close()
+        await self.parts.sampler.close()
+        for connections in self.parts.connections.values():
+            connections.close()
+        for view in self.view.instances.values():
+            await view.channel.close()
+
+
+def _make_view(group: Group, connector: Connector) -> GroupView:
+    views = {
+        instance.name: InstanceView(
+            instance=instance,
+            channel=connector.open_control(instance.name, instance.endpoint),
+            leaving=instance.leaving,
+        )
+        for instance in group.instances
+    }
+    return GroupView(group, views)
+
+
+def _make_parts(view: GroupView, policy: Policy, ctx: GroupContext) -> GroupParts:
+    group = view.group
+    sampler = Sampler(view)
+    rank = ctx.read_rank(group.name)
+    connections = {
+        instance.name: InstanceConnections(
+            ctx.connector,
+            instance.endpoint,
+            group.name,
+            connection_limit(group.connections, rank),
+        )
+        for instance in group.instances
+    }
+    slots = dict.fromkeys(view.instances, group.slots)
+    router = Router(
+        view,
+        policy,
+        ctx.host.data_centre,
+        read_load=lambda name: scheduler.running_on(name),
+        rng=ctx.rng,
+    )
+    scheduler = Scheduler(slots, policy, router.order, router.is_primary)
+    return GroupParts(
+        view=view,
+        policy=policy,
+        sampler=sampler,
+        acks=Acknowledger(view, sampler),
+        floors=FloorConfirmer(view, sampler),
+        router=router,
+        scheduler=scheduler,
+        connections=connections,
+        timeline=ctx.timeline,
+        metrics=ctx.metrics,
+        rng=ctx.rng,
+    )
--- /dev/null
+++ b/src/wasabipitch/limits.py
@@ -0,0 +1,371 @@
+"""Slots and queues: what runs now, what waits, and what is refused.
+
+An instance runs a few statements at once, its slots. All requests of a group
+wait in one place for them: a lane for those that only the primary may serve,
+and a lane for those that replicas may.
+"""
+
+import asyncio
+import enum
+import time
+from collections import OrderedDict, deque
+from collections.abc import Callable, Iterable, Iterator, Mapping
+from dataclasses import dataclass, field
+
+from wasabipitch.deployment import Policy, RequestClass
+from wasabipitch.exceptions import Overloaded
+
+MAX_QUEUED = 1024
+MAX_SCANNED = 64
+EWMA_WEIGHT = 0.1
+FIRST_SERVICE_S = 0.002
+LONG_SERVICE_FACTOR = 100.0
+# Of the time left, what the expected wait may use up before a refusal.
+WAIT_SHARE = 0.7
+
+
+class Lane(enum.Enum):
+    """Which instances may serve a request."""
+
+    PRIMARY = "primary"
+    REPLICA = "replica"
+
+
+@dataclass(eq=False)
+class Ticket:
+    """A request that waits for a slot.
+
+    Args:
+        session: for fairness between sessions.
+        deadline_s: a monotonic time.
+        may_run_on: whether an instance may serve it now, by name.
+        long: whether it is expected to hold its slot for long.
+        pinned: the instance that its transaction is on, or empty.
+    """
+
+    session: str
+    request_class: RequestClass
+    deadline_s: float
+    may_run_on: Callable[[str], bool]
+    lane: Lane = Lane.PRIMARY
+    long: bool = False
+    pinned: str = ""
+    granted: asyncio.Future = field(default_factory=asyncio.Future)
+
+
+class FirstComeQueue:
+    """Serves tickets in the order of their arrival."""
+
+    def __init__(self) -> None:
+        self._tickets: OrderedDict[Ticket, None] = OrderedDict()
+
+    def __len__(self) -> int:
+        return len(self._tickets)
+
+    def push(self, ticket: Ticket) -> None:
+        """Add a ticket."""
+        self._tickets[ticket] = None
+
+    def remove(self, ticket: Ticket) -> None:
+        """Take a ticket out, whether served or not."""
+        self._tickets.pop(ticket, None)
+
+    def served(self, ticket: Ticket, cost_s: float) -> None:
+        """Note that a ticket was served; the order doesn't depend on it."""
+
+    def heads(self) -> Iterator[Ticket]:
+        """Yield the tickets that may run next, the first first."""
+        yield from self._tickets
+
+    def count_ahead(self, ticket: Ticket) -> float:
+        """Return how many tickets run before one that arrives now."""
+        return len(self._tickets)
+
+
+@dataclass(eq=False)
+class _ClassQueue:
+    weight: int
+    finish: float = 0.0
+    count: int = 0
+    sessions: OrderedDict[str, deque[Ticket]] = field(default_factory=OrderedDict)
+
+
+class FairQueue:
+    """Shares service between classes by weight, and between sessions evenly."""
+
+    def __init__(self) -> None:
+        self._classes: dict[str, _ClassQueue] = {}
+        self._clock = 0.0
+        self._count = 0
+
+    def __len__(self) -> int:
+        return self._count
+
+    def push(self, ticket: Ticket) -> None:
+        """Add a ticket."""
+        cls = ticket.request_class
+        queue = self._classes.setdefault(cls.name, _ClassQueue(cls.weight))
+        queue.weight = cls.weight
+        if not queue.count:
+            # An idle class earns no credit for the time it was idle.
+            queue.finish = max(queue.finish, self._clock)
+        queue.count += 1
+        queue.sessions.setdefault(ticket.session, deque()).append(ticket)
+        self._count += 1
+
+    def remove(self, ticket: Ticket) -> None:
+        """Take a ticket out, whether served or not."""
+        queue = self._classes[ticket.request_class.name]
+        waiting = queue.sessions.get(ticket.session)
+        if waiting is None or ticket not in waiting:
+            return
+        waiting.remove(ticket)
+        queue.count -= 1
+        self._count -= 1
+        if not waiting:
+            del queue.sessions[ticket.session]
+
+    def served(self, ticket: Ticket, cost_s: float) -> None:
+        """Charge a class for the service that a ticket takes."""
+        queue = self._classes[ticket.request_class.name]
+        self._clock = max(self._clock, queue.finish)
+        queue.finish += cost_s / queue.weight
+        if ticket.session in queue.sessions:
+            queue.sessions.move_to_end(ticket.session)
+
+    def heads(self) -> Iterator[Ticket]:
+        """Yield each session's first ticket, the most entitled class first."""
+        waiting = [q for q in self._classes.values() if q.count]
+        for queue in sorted(waiting, key=lambda q: q.finish):
+            for tickets in queue.sessions.values():
+                yield tickets[0]
+
+    def count_ahead(self, ticket: Ticket) -> float:
+        """Return how many tickets run before one that arrives now."""
+        cls = ticket.request_class
+        own = self._classes.get(cls.name)
+        own_count = own.count if own else 0
+        others = [
+            q for name, q in self._classes.items() if q.count and name != cls.name
+        ]
+        ahead = float(own_count)
+        for queue in others:
+            ahead += min(queue.count, (own_count + 1) * queue.weight / cls.weight)
+        return ahead
+
+
+class Grant:
+    """A slot of an instance, held until it is released.
+
+    Args:
+        instance: whose slot it is.
+    """
+
+    def __init__(self, scheduler: "Scheduler", instance: str, ticket: Ticket) -> None:
+        self.instance = instance
+        self._scheduler = scheduler
+        self._ticket = ticket
+        self._since_s = time.monotonic()
+        self._released = False
+
+    def release(self) -> None:
+        """Give the slot back; a second call does nothing."""
+        if self._released:
+            return
+        self._released = True
+        service_s = time.monotonic() - self._since_s
+        self._scheduler.free(self.instance, self._ticket, service_s)
+
+    def __enter__(self) -> "Grant":
+        return self
+
+    def __exit__(self, *exc_info) -> None:
+        self.release()
+
+
+@dataclass
+class _Slots:
+    total: int
+    running: int = 0
+    long_running: int = 0
+
+    def admits(self, ticket: Ticket, reserve: bool) -> bool:
+        if self.running >= self.total:
+            return False
+        if ticket.long and reserve and self.total > 1:
+            return self.long_running < self.total - 1
+        return True
+
+
+class Scheduler:
+    """Grants the slots of a group's instances to waiting tickets.
+
+    Args:
+        slots: of each instance, by name.
+        policy: which parts of the policy are on.
+        prefer: orders the instances that may serve a ticket, the best first.
+        is_primary: whether the named instance is the primary now.
+    """
+
+    def __init__(
+        self,
+        slots: Mapping[str, int],
+        policy: Policy,
+        prefer: Callable[[Iterable[str]], list[str]],
+        is_primary: Callable[[str], bool],
+    ) -> None:
+        self._slots = {name: _Slots(total) for name, total in slots.items()}
+        self._policy = policy
+        self._prefer = prefer
+        self._is_primary = is_primary
+        make = FairQueue if policy.fair_queue else FirstComeQueue
+        self._lanes = {lane: make() for lane in Lane}
+        self._pinned: dict[str, deque[Ticket]] = {name: deque() for name in slots}
+        self._service_s = dict.fromkeys(Lane, FIRST_SERVICE_S)
+
+    @property
+    def queued(self) -> int:
+        """How many tickets wait, transactions in progress included."""
+        lanes = sum(len(queue) for queue in self._lanes.values())
+        return lanes + sum(len(tickets) for tickets in self._pinned.values())
+
+    @property
+    def running(self) -> int:
+        """How many slots are held."""
+        return sum(s.running for s in self._slots.values())
+
+    def running_on(self, instance: str) -> int:
+        """Return how many slots of an instance are held."""
+        return self._slots[instance].running
+
+    def expected_wait_s(self, ticket: Ticket) -> float:
+        """Return how long a ticket that arrives now is expected to wait."""
+        usable = [n for n in self._slots if self._serves(n, ticket.lane)]
+        slots = [self._slots[n] for n in usable]
+        total = sum(s.total - s.long_running for s in slots)
+        if not total:
+            return 0.0
+        free = sum(s.total - s.running for s in slots)
+        ahead = self._lanes[ticket.lane].count_ahead(ticket)
+        if ahead < free:
+            return 0.0
+        return (ahead + 1) * self._service_s[ticket.lane] / total
+
+    async def acquire(self, ticket: Ticket) -> Grant:
+        """Wait for a slot.
+
+        Raises:
+            Overloaded: if the queue is full, the expected wait passes the
+                deadline, or the deadline passes while it waits.
+        """
+        self._admit(ticket)
+        queue = self._enqueue(ticket)
+        self.dispatch()
+        try:
+            async with asyncio.timeout(ticket.deadline_s - time.monotonic()):
+                return await ticket.granted
+        except TimeoutError:
+            self._abandon(ticket)
+            raise Overloaded("the deadline passed while waiting for a slot") from None
+        except asyncio.CancelledError:
+            self._abandon(ticket)
+            raise
+        finally:
+            queue.remove(ticket)
+
+    def dispatch(self) -> None:
+        """Grant free slots; called whenever something has changed."""
+        for name in self._prefer(self._slots):
+            while self._slots[name].running < self._slots[name].total:
+                ticket = self._choose(name)
+                if ticket is None:
+                    break
+                self._grant(name, ticket)
+
+    def free(self, instance: str, ticket: Ticket, service_s: float) -> None:
+        """Take a slot back after a service time in seconds."""
+        slots = self._slots[instance]
+        slots.running -= 1
+        if ticket.long:
+            slots.long_running -= 1
+        else:
+            lane = ticket.lane
+            old_s = self._service_s[lane]
+            self._service_s[lane] = old_s + EWMA_WEIGHT * (service_s - old_s)
+        self.dispatch()
+
+    def _serves(self, instance: str, lane: Lane) -> bool:
+        return self._is_primary(instance) == (lane is Lane.PRIMARY)
+
+    def _admit(self, ticket: Ticket) -> None:
+        if self.queued >= MAX_QUEUED:
+            raise Overloaded(f"{MAX_QUEUED} requests wait already")
+        left_s = ticket.deadline_s - time.monotonic()
+        if left_s <= 0:
+            raise Overloaded("the deadline has passed")
+        if not self._policy.refuse_early or ticket.pinned:
+            return
+        wait_s = self.expected_wait_s(ticket)
+        if wait_s > left_s * WAIT_SHARE:
+            raise Overloaded(f"the expected wait of {wait_s:.3f} s passes the deadline")
+
+    def _enqueue(self, ticket: Ticket):
+        if ticket.pinned:
+            queue = _PinnedQueue(self._pinned[ticket.pinned])
+        else:
+            queue = self._lanes[ticket.lane]
+        queue.push(ticket)
+        return queue
+
+    def _choose(self, name: str) -> Ticket | None:
+        pinned = self._pinned[name]
+        if pinned:
+            return pinned[0]
+        lanes = [Lane.REPLICA]
+        if self._is_primary(name):
+            lanes = [Lane.PRIMARY, Lane.REPLICA]
+        for lane in lanes:
+            ticket = self._choose_from(name, lane)
+            if ticket is not None:
+                return ticket
+        return None
+
+    def _choose_from(self, name: str, lane: Lane) -> Ticket | None:
+        slots = self._slots[name]
+        reserve = self._policy.reserve_slot
+        for scanned, ticket in enumerate(self._lanes[lane].heads()):
+            if scanned >= MAX_SCANNED:
+                return None
+            if slots.admits(ticket, reserve) and ticket.may_run_on(name):
+                return ticket
+        return None
+
+    def _grant(self, name: str, ticket: Ticket) -> None:
+        slots = self._slots[name]
+        slots.running += 1
+        if ticket.long:
+            slots.long_running += 1
+        if ticket.pinned:
+            self._pinned[name].popleft()
+        else:
+            queue = self._lanes[ticket.lane]
+            factor = LONG_SERVICE_FACTOR if ticket.long else 1.0
+            queue.remove(ticket)
+            queue.served(ticket, self._service_s[ticket.lane] * factor)
+        ticket.granted.set_result(Grant(self, name, ticket))
+
+    def _abandon(self, ticket: Ticket) -> None:
+        if ticket.granted.done() and not ticket.granted.cancelled():
+            ticket.granted.result().release()
+
+
+class _PinnedQueue:
+    def __init__(self, tickets: deque[Ticket]) -> None:
+        self._tickets = tickets
+
+    def push(self, ticket: Ticket) -> None:
+        self._tickets.append(ticket)
+
+    def remove(self, ticket: Ticket) -> None:
+        if ticket in self._tickets:
+            self._tickets.remove(ticket)
--- a/src/wasabipitch/messages.py
+++ b/src/wasabipitch/messages.py
@@ -26,6 +26,10 @@
         session: unique to one caller connection.
         deadline_ms: the time left when the message is sent.
         floor: the session's floor for the group, or None if it has none yet.
+        in_transaction: whether the entry holds that the session is in a
+            transaction; the pool refuses the statement if it isn't.
+        in_doubt: whether an earlier attempt under the same id may have run;
+            "not run" is then said only once that can't happen any more.
     """
 
     group: str
@@ -36,6 +40,8 @@
     request_id: str = ""
     deadline_ms: int = 5000
     floor: Position | None = None
+    in_transaction: bool = False
+    in_doubt: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- /dev/null
+++ b/src/wasabipitch/pool.py
@@ -0,0 +1,335 @@
+"""The pool process: serves the groups that it owns."""
+
+import asyncio
+import contextlib
+import logging
+import random
+import time
+import uuid
+from dataclasses import dataclass
+
+from wasabipitch.configuration import ConfigurationKeeper
+from wasabipitch.control import ControlServer
+from wasabipitch.deployment import Deployment, Group
+from wasabipitch.events import Timeline
+from wasabipitch.exceptions import NotOwner, Stopping, WasabipitchError
+from wasabipitch.groups import GroupContext, GroupServer
+from wasabipitch.hosts import Membership
+from wasabipitch.links import Cuts, Exchange, LinkConnection, LinkServer
+from wasabipitch.messages import (
+    AskOpinion,
+    Done,
+    Drain,
+    EndSession,
+    Execute,
+    Opinion,
+    ProcessState,
+    Switchover,
+)
+from wasabipitch.metrics import StatsdMetrics
+from wasabipitch.models import Address, Host
+from wasabipitch.mysql_targets import MysqlConnector
+from wasabipitch.settings import PoolSettings
+from wasabipitch.store import PlatformStore, Store
+
+OPINION_TIMEOUT_S = 0.3
+MAX_OPINIONS = 2
+# The first two owners serve a group; others send the request on its way.
+SERVING_RANKS = 2
+RECONCILE_S = 1.0
+
+logger = logging.getLogger(__name__)
+
+
+@dataclass
+class Served:
+    """A group server and the task that runs it."""
+
+    server: GroupServer
+    task: asyncio.Task
+
+
+class Pool:
+    """One pool process, from start to graceful stop.
+
+    Args:
+        cfg: its settings.
+    """
+
+    def __init__(self, cfg: PoolSettings) -> None:
+        self.cfg = cfg
+        self.cuts = Cuts()
+        self.timeline = Timeline(cfg.host)
+        self.metrics = _make_metrics(cfg)
+        self.incarnation = uuid.uuid4().hex[:12]
+        self._stack = contextlib.AsyncExitStack()
+        self._served: dict[str, Served] = {}
+        self._stopping = False
+        self._started_s = time.monotonic()
+        self._changed = asyncio.Event()
+        self._rng = random.Random()
+
+    async def start(self) -> Host:
+        """Start serving and return this process as others see it."""
+        cfg = self.cfg
+        self._links = LinkServer(
+            self._handle,
+            self.timeline.clock,
+            on_peer_lost=self._lose_peer,
+            cuts=self.cuts,
+        )
+        address = await self._links.start(cfg.link_address)
+        self._stack.push_async_callback(self._links.close)
+        self.host = Host(cfg.host, "pool", str(address), cfg.data_centre)
+        self._store = PlatformStore(Address.parse(cfg.platform), metrics=self.metrics)
+        self._stack.push_async_callback(self._store.close)
+        self._join_peers(self._store)
+        self._start_task(self._reconcile())
+        return self.host
+
+    async def stop(self) -> None:
+        """Take no new work, finish what is in progress, then close."""
+        self._stopping = True
+        self.timeline.record("process.stopping")
+        await self._membership.leave()
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(self.cfg.stop_timeout_s):
+                await asyncio.gather(*(s.server.drain() for s in self._served.values()))
+        for name in list(self._served):
+            await self._stop_group(name)
+        await self._stack.aclose()
+
+    def describe_ready(self) -> dict[str, str]:
+        """Return what the ready line says besides."""
+        return {"data_centre": self.cfg.data_centre}
+
+    def describe(self) -> ProcessState:
+        """Return this process's state for ``ctl status``."""
+        groups = []
+        for name, served in self._served.items():
+            owners = self._membership.owners(name)
+            owner = owners[0].name if owners else ""
+            rank = self._membership.rank(name)
+            groups.append(served.server.describe(owner, rank))
+        return ProcessState(
+            host=self.host,
+            revision=self._keeper.revision,
+            uptime_s=round(time.monotonic() - self._started_s, 3),
+            stopping=self._stopping,
+            groups=tuple(groups),
+            counters=dict(self.metrics.counters),
+        )
+
+    def _join_peers(self, store: Store) -> None:
+        self._membership = Membership(
+            self.host,
+            store,
+            timeline=self.timeline,
+            cuts=self.cuts,
+            incarnation=self.incarnation,
+            metrics=self.metrics,
+        )
+        self._keeper = ConfigurationKeeper(
+            store,
+            self.cfg.configuration_key,
+            timeline=self.timeline,
+            membership=self._membership,
+        )
+        self._control = ControlServer(
+            self.timeline,
+            describe=self.describe,
+            keeper=self._keeper,
+            membership=self._membership,
+            cuts=self.cuts if self.cfg.fault_injection else None,
+        )
+        self._control.register(AskOpinion, self._give_opinion)
+        self._control.register(EndSession, self._end_session)
+        self._control.register(Switchover, self._switch_over)
+        self._control.register(Drain, self._drain_target)
+        self._keeper.subscribe(lambda *_: self._changed.set())
+        self._membership.subscribe(lambda *_: self._changed.set())
+        self._start_task(self._membership.run())
+        self._start_task(self._keeper.run())
+
+    def _start_task(self, work) -> None:
+        task = asyncio.create_task(work)
+        self._stack.push_async_callback(_cancel, task)
+
+    async def _handle(self, exchange: Exchange):
+        if isinstance(exchange.message, Execute):
+            await self._execute(exchange, exchange.message)
+            return None
+        return await self._control.handle(exchange)
+
+    async def _execute(self, exchange: Exchange, req: Execute) -> None:
+        deployment = self._keeper.current
+        if deployment is None:
+            raise NotOwner(f"{self.host.name} has no configuration yet")
+        group = deployment.group(req.group)
+        cls = deployment.request_class(req.request_class)
+        server = self._find_server(group, deployment, req)
+        await server.execute(exchange, req, cls)
+
+    def _find_server(
+        self, group: Group, deployment: Deployment, req: Execute
+    ) -> GroupServer:
+        served = self._served.get(group.name)
+        if served is not None and self._continues(served.server, req):
+            return served.server
+        if self._stopping:
+            raise Stopping(f"{self.host.name} is stopping")
+        if served is None:
+            if not self._serves(group.name, deployment):
+                raise NotOwner(f"{self.host.name} does not serve group {group.name}")
+            served = self._start_group(group, deployment)
+        return served.server
+
+    def _continues(self, server: GroupServer, req: Execute) -> bool:
+        """Whether a request belongs to a transaction that is open here."""
+        return server.parts.transactions.find(req.session) is not None
+
+    def _serves(self, name: str, deployment: Deployment) -> bool:
+        if deployment.policy.pooling == "entry":
+            return True
+        return self._membership.rank(name) < SERVING_RANKS
+
+    async def _reconcile(self) -> None:
+        while True:
+            self._changed.clear()
+            deployment = self._keeper.current
+            if deployment is not None and not self._stopping:
+                try:
+                    await self._apply(deployment)
+                except Exception:
+                    logger.exception("can't apply revision %d", self._keeper.revision)
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(RECONCILE_S):
+                    await self._changed.wait()
+
+    async def _apply(self, deployment: Deployment) -> None:
+        wanted = {
+            group.name: group
+            for group in deployment.groups
+            if self._serves(group.name, deployment)
+        }
+        for name, served in list(self._served.items()):
+            group = wanted.get(name)
+            changed = group is not None and _differs(served.server, group, deployment)
+            if group is None or changed or served.task.done():
+                await self._retire_group(name)
+        for name, group in wanted.items():
+            if name not in self._served:
+                self._start_group(group, deployment)
+            self._served[name].server.set_leaving(self._find_leaving(group))
+
+    def _find_leaving(self, group: Group) -> frozenset[str]:
+        leaving = {h.name for h in self._membership.leaving("target")}
+        declared = {i.name for i in group.instances if i.leaving}
+        return frozenset(leaving | declared)
+
+    def _start_group(self, group: Group, deployment: Deployment) -> Served:
+        ctx = GroupContext(
+            host=self.host,
+            connector=MysqlConnector(
+                self.cfg.target_user or self.cfg.host, self.cfg.target_password
+            ),
+            store=self._store,
+            ask_opinions=self._ask_opinions,
+            read_rank=self._membership.rank,
+            timeline=self.timeline,
+            metrics=self.metrics,
+            rng=self._rng,
+        )
+        server = GroupServer(group, deployment.policy, ctx)
+        served = Served(server, asyncio.create_task(server.run()))
+        self._served[group.name] = served
+        self.timeline.record("group.served", group=group.name)
+        return served
+
+    async def _retire_group(self, name: str) -> None:
+        served = self._served[name]
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(self.cfg.stop_timeout_s):
+                await served.server.drain()
+        await self._stop_group(name)
+
+    async def _stop_group(self, name: str) -> None:
+        served = self._served.pop(name)
+        await _cancel(served.task)
+        self.timeline.record("group.released", group=name)
+
+    async def _lose_peer(self, connection: LinkConnection) -> None:
+        for served in self._served.values():
+            served.server.drop_peer(connection)
+
+    async def _ask_opinions(self, group: str, instance: str) -> list[Opinion]:
+        peers = [h for h in self._membership.owners(group) if h.name != self.host.name]
+        # Another data centre sees another part of the network.
+        peers.sort(key=lambda h: h.data_centre == self.host.data_centre)
+        questions = [
+            self._ask_opinion(peer, group, instance) for peer in peers[:MAX_OPINIONS]
+        ]
+        answers = await asyncio.gather(*questions)
+        return [a for a in answers if a is not None]
+
+    async def _ask_opinion(
+        self, peer: Host, group: str, instance: str
+    ) -> Opinion | None:
+        link = self._membership.links.find(peer)
+        try:
+            return await link.call(AskOpinion(group, instance), OPINION_TIMEOUT_S)
+        except WasabipitchError:
+            return None
+
+    async def _give_opinion(self, exchange: Exchange) -> Opinion:
+        ask = exchange.message
+        served = self._served.get(ask.group)
+        if served is None:
+            raise NotOwner(f"{self.host.name} does not serve group {ask.group}")
+        return await served.server.form_opinion(ask.instance)
+
+    async def _end_session(self, exchange: Exchange) -> Done:
+        for served in self._served.values():
+            served.server.end_session(exchange.message.session)
+        return Done()
+
+    async def _switch_over(self, exchange: Exchange) -> Done:
+        order = exchange.message
+        served = self._served.get(order.group)
+        if served is None:
+            raise NotOwner(f"{self.host.name} does not serve group {order.group}")
+        return Done(await served.server.switch_over(order.to))
+
+    async def _drain_target(self, exchange: Exchange) -> Done:
+        order = exchange.message
+        for served in self._served.values():
+            server = served.server
+            if order.target in server.view.instances:
+                leaving = {n for n, v in server.view.instances.items() if v.leaving}
+                leaving.discard(order.target)
+                server.set_leaving(
+                    frozenset(leaving | (set() if order.undo else {order.target}))
+                )
+                return Done(f"{order.target} gets no new work")
+        raise NotOwner(f"{self.host.name} serves no target {order.target}")
+
+
+def _differs(server: GroupServer, group: Group, deployment: Deployment) -> bool:
+    if server.policy != deployment.policy:
+        return True
+    return _without_leaving(server.group) != _without_leaving(group)
+
+
+def _without_leaving(group: Group) -> tuple:
+    instances = tuple((i.name, i.address, i.data_centre) for i in group.instances)
+    return group.name, group.slots, group.connections, instances
+
+
+async def _cancel(task: asyncio.Task) -> None:
+    task.cancel()
+    await asyncio.gather(task, return_exceptions=True)
+
+
+def _make_metrics(cfg: PoolSettings) -> StatsdMetrics:
+    address = cfg.statsd.address
+    return StatsdMetrics(Address.parse(address) if address else None, cfg.statsd.prefix)
--- a/src/wasabipitch/protocol.capnp
+++ b/src/wasabipitch/protocol.capnp
@@ -24,6 +24,8 @@
   deadlineMs @6 :UInt32;     # time left, from arrival at the pool
   hasFloor @7 :Bool;
   floor @8 :Position;
+  inTransaction @9 :Bool;    # the entry holds that the session is in one
+  inDoubt @10 :Bool;         # an earlier attempt under this id may have run
 }
 
 # The first frame of a reply; `rows` frames follow while the envelope says more.
--- /dev/null
+++ b/src/wasabipitch/reads.py
@@ -0,0 +1,183 @@
+"""Runs reads outside transactions."""
+
+import asyncio
+import contextlib
+import time
+from collections.abc import AsyncIterator
+from functools import partial
+
+from wasabipitch.contracts import pack_rows
+from wasabipitch.deployment import RequestClass
+from wasabipitch.exceptions import TargetDown, TargetLost, WasabipitchError
+from wasabipitch.limits import Lane, Ticket
+from wasabipitch.links import Exchange
+from wasabipitch.messages import Execute, Result, Rows
+from wasabipitch.models import Position
+from wasabipitch.parts import GroupParts, Lease
+from wasabipitch.retries import backoff_s
+from wasabipitch.sampling import SAMPLE_ERRORS
+from wasabipitch.targets import Answer
+from wasabipitch.workload import fingerprint
+
+MAX_ATTEMPTS = 4
+
+
+class ReadRunner:
+    """Routes a read to an instance at or above its floor and streams the answer."""
+
+    def __init__(self, parts: GroupParts) -> None:
+        self._parts = parts
+
+    async def run(
+        self, exchange: Exchange, req: Execute, cls: RequestClass, deadline_s: float
+    ) -> None:
+        """Answer a read.
+
+        Raises:
+            Overloaded, NoTarget: it did not run.
+            TargetError: the target refused it.
+            TargetLost: the target was lost after a part was sent.
+        """
+        parts = self._parts
+        floor = req.floor
+        if floor is None:
+            floor = await parts.floors.confirm_floor(deadline_s)
+        parts.retry_budget.earn()
+        mark = fingerprint(req.statement)
+        attempt = 1
+        while True:
+            reply = _Reply(exchange, floor)
+            try:
+                await self._attempt(req, cls, deadline_s, mark, reply)
+                return
+            except (TargetDown, TargetLost) as exc:
+                self._check_retry(exc, reply, attempt, deadline_s)
+            except WasabipitchError as exc:
+                await parts.hold(exc, deadline_s)
+                continue
+            await asyncio.sleep(backoff_s(attempt, parts.rng))
+            attempt += 1
+
+    def _check_retry(
+        self, exc: WasabipitchError, reply: "_Reply", attempt: int, deadline_s: float
+    ) -> None:
+        out_of_time = time.monotonic() >= deadline_s
+        if reply.started or out_of_time or attempt >= MAX_ATTEMPTS:
+            raise exc
+        if not self._parts.retry_budget.spend():
+            raise exc
+        self._parts.metrics.count("pool.retries")
+
+    async def _attempt(
+        self,
+        req: Execute,
+        cls: RequestClass,
+        deadline_s: float,
+        mark: str,
+        reply: "_Reply",
+    ) -> None:
+        parts = self._parts
+        ticket = await self._make_ticket(req, cls, deadline_s, mark, reply.floor)
+        async with parts.lease(ticket) as lease:
+            reply.served_by(lease, parts.view.instances[lease.instance].position)
+            started_s = time.monotonic()
+            try:
+                async with asyncio.timeout(deadline_s - started_s):
+                    blocks = lease.conn.stream(req.statement)
+                    async with contextlib.aclosing(blocks):
+                        await reply.forward(blocks)
+            except TimeoutError:
+                lease.conn.close()
+                raise TargetLost("the deadline passed while the read ran") from None
+            parts.workload.observe(mark, time.monotonic() - started_s)
+        self._count(cls, lease)
+
+    async def _make_ticket(
+        self,
+        req: Execute,
+        cls: RequestClass,
+        deadline_s: float,
+        mark: str,
+        floor: Position,
+    ) -> Ticket:
+        router = self._parts.router
+        age_s = cls.max_age_s
+        if age_s is None or not self._parts.policy.replica_reads:
+            lane = Lane.PRIMARY
+            may_run_on = partial(router.may_read, floor=floor)
+            await self._refresh_primary(floor)
+        else:
+            lane = Lane.REPLICA if router.has_replica(floor, age_s) else Lane.PRIMARY
+            may_run_on = partial(router.may_read_aged, floor=floor, max_age_s=age_s)
+        return Ticket(
+            session=req.session,
+            request_class=cls,
+            deadline_s=deadline_s,
+            may_run_on=may_run_on,
+            lane=lane,
+            long=self._parts.is_long(mark, cls),
+        )
+
+    async def _refresh_primary(self, floor: Position) -> None:
+        primary = self._parts.view.primary_view
+        if primary is None or primary.position >= floor:
+            return
+        try:
+            await self._parts.sampler.sample(primary.name)
+        except SAMPLE_ERRORS:
+            return
+
+    def _count(self, cls: RequestClass, lease: Lease) -> None:
+        metrics = self._parts.metrics
+        is_primary = self._parts.router.is_primary(lease.instance)
+        metrics.count("pool.reads.primary" if is_primary else "pool.reads.replica")
+        if cls.max_age_s is not None:
+            metrics.count("pool.reads.aged")
+
+
+class _Reply:
+    """Sends an answer on, one block behind, so that the last one is known."""
+
+    def __init__(self, exchange: Exchange, floor: Position) -> None:
+        self.floor = floor
+        self.started = False
+        self._exchange = exchange
+        self._target = ""
+
+    def served_by(self, lease: Lease, position: Position) -> None:
+        self.floor = max(self.floor, position)
+        self._target = lease.instance
+
+    async def forward(self, blocks: AsyncIterator[Answer]) -> None:
+        pending: Answer | None = None
+        async for block in blocks:
+            if pending is not None:
+                await self._send(pending, more=True)
+            pending = block
+        await self._send(pending or Answer(), more=False)
+
+    async def _send(self, block: Answer, *, more: bool) -> None:
+        message = self._make_message(block)
+        self.started = True
+        await self._exchange.send(message, more=more)
+
+    def _make_message(self, block: Answer) -> Result | Rows:
+        if self.started:
+            return Rows(pack_rows(block.rows))
+        return make_result(block, self.floor, self._target)
+
+
+def make_result(
+    answer: Answer, position: Position, target: str, *, repeated: bool = False
+) -> Result:
+    """Return the message that carries a target's answer."""
+    return Result(
+        columns=answer.columns,
+        rows=pack_rows(answer.rows) if answer.rows else b"",
+        affected_rows=answer.affected_rows,
+        last_insert_id=answer.last_insert_id,
+        in_transaction=answer.in_transaction,
+        position=position,
+        target=target,
+        repeated=repeated,
+    )
--- /dev/null
+++ b/src/wasabipitch/requests.py
@@ -0,0 +1,198 @@
+"""At most once: a request's id is recorded with its work, in one transaction.
+
+A repeat finds the record and gets the first outcome. Where an outcome is in
+doubt, a tombstone under the id makes "not run" true for good.
+"""
+
+import enum
+from dataclasses import dataclass
+
+from wasabipitch.exceptions import Refused, TargetError, TargetLost
+from wasabipitch.targets import Answer, TargetConn
+from wasabipitch.verdict import Verdict
+
+TABLE = "wasabipitch_requests"
+MAX_ID_LENGTH = 200
+
+ER_DUP_ENTRY = 1062
+ER_NO_SUCH_TABLE = 1146
+
+CREATE_TABLE = (
+    f"CREATE TABLE IF NOT EXISTS {TABLE} ("
+    "id VARCHAR(200) PRIMARY KEY, state VARCHAR(8) NOT NULL, "
+    "affected_rows BIGINT NOT NULL, last_insert_id BIGINT NOT NULL)"
+)
+
+
+class RecordState(enum.Enum):
+    """What the record under a request id says."""
+
+    RAN = "ran"
+    VOID = "void"
+
+
+@dataclass(frozen=True, slots=True)
+class Record:
+    """The recorded outcome of a request.
+
+    Args:
+        state: ``VOID`` is a tombstone: the request never ran and never will.
+    """
+
+    state: RecordState
+    affected_rows: int = 0
+    last_insert_id: int = 0
+
+    @property
+    def answer(self) -> Answer:
+        """The first outcome, as an answer."""
+        return Answer(
+            affected_rows=self.affected_rows, last_insert_id=self.last_insert_id
+        )
+
+
+@dataclass(frozen=True, slots=True)
+class Outcome:
+    """What ``run_once`` gave.
+
+    Args:
+        record: the record that stood under the id already, or None.
+    """
+
+    answer: Answer
+    record: Record | None = None
+
+
+def check_id(request_id: str) -> None:
+    """Raise ``Refused`` for an id that can't be recorded."""
+    if not request_id or len(request_id) > MAX_ID_LENGTH:
+        raise Refused(f"a request id has 1 to {MAX_ID_LENGTH} characters")
+    if not request_id.isprintable() or "\\" in request_id or "'" in request_id:
+        raise Refused(f"request id {request_id!r} has characters that are not allowed")
+
+
+async def run_once(conn: TargetConn, request_id: str, statement: str) -> Outcome:
+    """Run a statement and record its id, in one transaction.
+
+    Args:
+        conn: to the primary, outside any transaction.
+        request_id: checked by ``check_id``.
+        statement: a single write.
+
+    Returns:
+        The statement's outcome, or the record that stands under the id.
+
+    Raises:
+        TargetError: the statement failed; nothing is recorded.
+        TargetLost: ``NOT_RUN`` if the commit was never sent, else it may
+            have run.
+    """
+    try:
+        await conn.run("BEGIN")
+        record = await record_id(conn, request_id)
+        if record is not None:
+            await conn.run("ROLLBACK")
+            return Outcome(record.answer, record)
+        answer = await conn.run(statement)
+        await _record_outcome(conn, request_id, answer)
+    except TargetLost as exc:
+        raise TargetLost(exc.message, verdict=Verdict.NOT_RUN) from exc
+    except TargetError:
+        await roll_back(conn)
+        raise
+    await commit(conn)
+    return Outcome(answer)
+
+
+async def commit(conn: TargetConn) -> None:
+    """Commit the open transaction.
+
+    Raises:
+        TargetError: the target refused; the transaction had no effect, and
+            the connection is closed.
+        TargetLost: it may have been committed.
+    """
+    try:
+        await conn.run("COMMIT")
+    except TargetError:
+        conn.close()
+        raise
+
+
+async def roll_back(conn: TargetConn) -> None:
+    """Roll back the open transaction; a broken connection does so by itself."""
+    try:
+        await conn.run("ROLLBACK")
+    except (TargetError, TargetLost):
+        conn.close()
+
+
+async def record_id(conn: TargetConn, request_id: str) -> Record | None:
+    """Record an id in the open transaction.
+
+    Returns:
+        The record that stands under the id already, or None if there was none.
+    """
+    insert = (
+        f"INSERT INTO {TABLE} (id, state, affected_rows, last_insert_id) "
+        f"VALUES ('{request_id}', '{RecordState.RAN.value}', 0, 0)"
+    )
+    try:
+        await conn.run(insert)
+    except TargetError as exc:
+        if exc.code != ER_DUP_ENTRY:
+            raise
+        return await find_record(conn, request_id)
+    return None
+
+
+async def find_record(conn: TargetConn, request_id: str) -> Record | None:
+    """Return the record under an id, or None if there is none."""
+    select = (
+        f"SELECT state, affected_rows, last_insert_id FROM {TABLE} "
+        f"WHERE id = '{request_id}'"
+    )
+    answer = await conn.run(select)
+    if not answer.rows:
+        return None
+    state, affected_rows, last_insert_id = answer.rows[0]
+    return Record(RecordState(state.decode()), int(affected_rows), int(last_insert_id))
+
+
+async def bury(conn: TargetConn, request_id: str) -> Record:
+    """Put a tombstone under an id, unless a record stands there already.
+
+    The tombstone counts only once it is acknowledged like any write.
+
+    Returns:
+        The record that stands under the id now.
+    """
+    insert = (
+        f"INSERT INTO {TABLE} (id, state, affected_rows, last_insert_id) "
+        f"VALUES ('{request_id}', '{RecordState.VOID.value}', 0, 0)"
+    )
+    try:
+        await conn.run(insert)
+    except TargetError as exc:
+        if exc.code != ER_DUP_ENTRY:
+            raise
+        found = await find_record(conn, request_id)
+        if found is None:
+            raise
+        return found
+    return Record(RecordState.VOID)
+
+
+def check_ran(request_id: str, record: Record) -> None:
+    """Raise ``Refused`` if the record is a tombstone."""
+    if record.state is RecordState.VOID:
+        raise Refused(f"request {request_id!r} was given up: it did not run")
+
+
+async def _record_outcome(conn: TargetConn, request_id: str, answer: Answer) -> None:
+    if not answer.affected_rows and not answer.last_insert_id:
+        return
+    await conn.run(
+        f"UPDATE {TABLE} SET affected_rows = {answer.affected_rows}, "
+        f"last_insert_id = {answer.last_insert_id} WHERE id = '{request_id}'"
+    )
--- a/src/wasabipitch/targets.py
+++ b/src/wasabipitch/targets.py
@@ -71,6 +71,10 @@
     def usable(self) -> bool:
         """Whether its state is known and it may be used again."""
 
+    @property
+    def in_transaction(self) -> bool:
+        """Whether a transaction was open when the target last said so."""
+
     async def run(self, statement: str) -> Answer:
         """Run a statement and return its whole answer.
 
--- /dev/null
+++ b/src/wasabipitch/transaction_runner.py
@@ -0,0 +1,265 @@
+"""Runs statements of transactions on the connection that carries them."""
+
+import time
+
+from wasabipitch import requests
+from wasabipitch.deployment import RequestClass
+from wasabipitch.exceptions import (
+    ER_OPTION_PREVENTS_STATEMENT,
+    RequestError,
+    TargetError,
+    TargetLost,
+    TransactionLost,
+    WasabipitchError,
+)
+from wasabipitch.limits import Ticket
+from wasabipitch.messages import Execute, Kind, Result
+from wasabipitch.parts import GroupParts, run_until
+from wasabipitch.reads import make_result
+from wasabipitch.transactions import Transaction
+from wasabipitch.verdict import Verdict
+from wasabipitch.writes import WriteRunner
+
+
+class TransactionRunner:
+    """Begins, carries and ends transactions on the primary."""
+
+    def __init__(self, parts: GroupParts, writes: WriteRunner) -> None:
+        self._parts = parts
+        self._writes = writes
+
+    async def run(
+        self, peer: object, req: Execute, cls: RequestClass, deadline_s: float
+    ) -> Result:
+        """Run a statement that begins, belongs to or ends a transaction.
+
+        Args:
+            peer: the link connection that the session's requests come over.
+            req: the statement; an id on any of them is recorded in the
+                transaction.
+            cls: the request's class.
+            deadline_s: a monotonic time.
+
+        Raises:
+            TransactionLost: the transaction is gone; its work did not run.
+            WasabipitchError: its verdict says whether the work may have run.
+        """
+        transaction = self._parts.transactions.find(req.session)
+        if req.kind is Kind.BEGIN:
+            return await self._begin_anew(peer, req, cls, deadline_s, transaction)
+        if transaction is None:
+            return self._answer_without(req)
+        transaction.busy = True
+        try:
+            return await self._run_in(transaction, req, cls, deadline_s)
+        finally:
+            transaction.busy = False
+            transaction.used_at_s = time.monotonic()
+
+    def _answer_without(self, req: Execute) -> Result:
+        if req.kind is Kind.ROLLBACK or not req.in_transaction:
+            return Result(position=req.floor or Result().position)
+        raise TransactionLost(f"the transaction of session {req.session} is gone")
+
+    async def _begin_anew(
+        self,
+        peer: object,
+        req: Execute,
+        cls: RequestClass,
+        deadline_s: float,
+        open_one: Transaction | None,
+    ) -> Result:
+        if open_one is not None:
+            # As in MySQL, BEGIN commits the transaction that is open.
+            await self._commit(open_one, req, cls, deadline_s)
+        if req.request_id:
+            requests.check_id(req.request_id)
+        while True:
+            try:
+                return await self._begin(peer, req, cls, deadline_s)
+            except WasabipitchError as exc:
+                await self._parts.hold(exc, deadline_s)
+
+    async def _begin(
+        self, peer: object, req: Execute, cls: RequestClass, deadline_s: float
+    ) -> Result:
+        parts = self._parts
+        ticket = self._writes.make_ticket(req, cls, deadline_s)
+        may_write = ticket.may_run_on
+        ticket.may_run_on = lambda name: may_write(name) and self._has_room(name)
+        async with parts.lease(ticket) as lease:
+            try:
+                if req.request_id:
+                    await self._writes.prepare_table(lease)
+                await run_until(lease.conn, "BEGIN", deadline_s)
+                record = None
+                if req.request_id:
+                    record = await requests.record_id(lease.conn, req.request_id)
+            except TargetLost as exc:
+                raise TargetLost(exc.message, verdict=Verdict.NOT_RUN) from exc
+            if record is None:
+                self._pin(peer, req, lease)
+                return Result(in_transaction=True, target=lease.instance)
+            await requests.roll_back(lease.conn)
+        await parts.acks.wait_for_majority(lease.instance, lease.term, deadline_s)
+        requests.check_ran(req.request_id, record)
+        raise RequestError(
+            f"request {req.request_id!r} has run already", verdict=Verdict.RAN
+        )
+
+    def _has_room(self, name: str) -> bool:
+        parts = self._parts
+        # The rest stay free for statements outside transactions.
+        limit = parts.connections[name].limit - parts.view.group.slots
+        return len(parts.transactions) < max(1, limit)
+
+    def _pin(self, peer: object, req: Execute, lease) -> None:
+        connections = self._parts.connections[lease.instance]
+        connections.pin(lease.conn)
+        transaction = Transaction(
+            session=req.session,
+            peer=peer,
+            instance=lease.instance,
+            term=lease.term,
+            conn=lease.conn,
+            connections=connections,
+            request_id=req.request_id,
+        )
+        self._parts.transactions.add(transaction)
+
+    async def _run_in(
+        self,
+        transaction: Transaction,
+        req: Execute,
+        cls: RequestClass,
+        deadline_s: float,
+    ) -> Result:
+        if req.kind is Kind.COMMIT:
+            return await self._commit(transaction, req, cls, deadline_s)
+        if req.kind is Kind.ROLLBACK:
+            return await self._roll_back(transaction, req)
+        try:
+            if req.request_id and not transaction.request_id:
+                await self._record_id(transaction, req)
+            return await self._run_statement(transaction, req, cls, deadline_s)
+        except TargetLost as exc:
+            self._forget(transaction)
+            raise TransactionLost(f"the transaction is gone: {exc.message}") from exc
+        except TargetError as exc:
+            if exc.code == ER_OPTION_PREVENTS_STATEMENT:
+                self._forget(transaction)
+                raise TransactionLost(
+                    f"{transaction.instance} lost its place: {exc.message}"
+                ) from exc
+            raise
+
+    async def _record_id(self, transaction: Transaction, req: Execute) -> None:
+        requests.check_id(req.request_id)
+        record = await requests.record_id(transaction.conn, req.request_id)
+        if record is not None:
+            raise RequestError(
+                f"request {req.request_id!r} has run already, in an earlier one",
+                verdict=Verdict.RAN,
+            )
+        transaction.request_id = req.request_id
+
+    async def _run_statement(
+        self,
+        transaction: Transaction,
+        req: Execute,
+        cls: RequestClass,
+        deadline_s: float,
+    ) -> Result:
+        async with self._slot(transaction, req, cls, deadline_s):
+            answer = await run_until(transaction.conn, req.statement, deadline_s)
+        if req.kind is not Kind.READ:
+            transaction.wrote = True
+        position = self._parts.view.instances[transaction.instance].position
+        floor = max(position, req.floor) if req.floor else position
+        return make_result(answer, floor, transaction.instance)
+
+    async def _commit(
+        self,
+        transaction: Transaction,
+        req: Execute,
+        cls: RequestClass,
+        deadline_s: float,
+    ) -> Result:
+        try:
+            async with self._slot(transaction, req, cls, deadline_s):
+                await run_until(transaction.conn, "COMMIT", deadline_s)
+        except TargetLost as exc:
+            self._forget(transaction)
+            return await self._settle(transaction, req, cls, exc)
+        except TargetError as exc:
+            self._forget(transaction)
+            raise TransactionLost(f"the commit was refused: {exc.message}") from exc
+        self._parts.transactions.remove(transaction, reuse=True)
+        if not transaction.wrote and not transaction.request_id:
+            return Result(target=transaction.instance)
+        try:
+            position = await self._parts.acks.wait_for_majority(
+                transaction.instance, transaction.term, deadline_s
+            )
+        except WasabipitchError as exc:
+            return await self._settle(transaction, req, cls, exc)
+        return Result(position=position, target=transaction.instance)
+
+    async def _settle(
+        self,
+        transaction: Transaction,
+        req: Execute,
+        cls: RequestClass,
+        doubt: WasabipitchError,
+    ) -> Result:
+        if not transaction.wrote and not transaction.request_id:
+            raise TransactionLost(f"the transaction is gone: {doubt.message}")
+        if not transaction.request_id:
+            raise doubt
+        named = Execute(
+            group=req.group,
+            session=req.session,
+            statement="COMMIT",
+            kind=Kind.COMMIT,
+            request_class=req.request_class,
+            request_id=transaction.request_id,
+        )
+        return await self._writes.resolve(named, cls, doubt)
+
+    async def _roll_back(self, transaction: Transaction, req: Execute) -> Result:
+        await requests.roll_back(transaction.conn)
+        self._parts.transactions.remove(transaction, reuse=True)
+        return Result(position=req.floor or Result().position)
+
+    def _slot(
+        self,
+        transaction: Transaction,
+        req: Execute,
+        cls: RequestClass,
+        deadline_s: float,
+    ):
+        ticket = Ticket(
+            session=req.session,
+            request_class=cls,
+            deadline_s=deadline_s,
+            may_run_on=lambda name: name == transaction.instance,
+            pinned=transaction.instance,
+        )
+        return _GrantedSlot(self._parts, ticket)
+
+    def _forget(self, transaction: Transaction) -> None:
+        self._parts.transactions.remove(transaction, reuse=False)
+
+
+class _GrantedSlot:
+    def __init__(self, parts: GroupParts, ticket: Ticket) -> None:
+        self._parts = parts
+        self._ticket = ticket
+        self._grant = None
+
+    async def __aenter__(self):
+        self._grant = await self._parts.scheduler.acquire(self._ticket)
+        return self._grant
+
+    async def __aexit__(self, *exc_info) -> None:
+        self._grant.release()
--- /dev/null
+++ b/src/wasabipitch/workload.py
@@ -0,0 +1,65 @@
+"""Learns which statements run long, by their fingerprint."""
+
+import re
+from collections import OrderedDict
+
+MAX_FINGERPRINTS = 2048
+EWMA_WEIGHT = 0.2
+MIN_SAMPLES = 2
+MIN_LONG_S = 0.05
+LONG_FACTOR = 20.0
+
+_LITERAL = re.compile(r"'(?:[^'\\]|\\.|'')*'|\"(?:[^\"\\]|\\.)*\"|\b\d+(?:\.\d+)?\b")
+_COMMENT = re.compile(r"/\*.*?\*/", re.DOTALL)
+_SPACE = re.compile(r"\s+")
+
+
+def fingerprint(statement: str) -> str:
+    """Return a statement with its literals, comments and spacing taken out."""
+    bare = _COMMENT.sub(" ", statement)
+    bare = _LITERAL.sub("?", bare)
+    return _SPACE.sub(" ", bare).strip().lower()
+
+
+class _Timing:
+    __slots__ = ("count", "mean_s")
+
+    def __init__(self) -> None:
+        self.count = 0
+        self.mean_s = 0.0
+
+    def add(self, seconds: float) -> None:
+        self.count += 1
+        weight = max(EWMA_WEIGHT, 1.0 / self.count)
+        self.mean_s += weight * (seconds - self.mean_s)
+
+
+class Workload:
+    """Service times of a group's statements; the least recent are forgotten."""
+
+    def __init__(self) -> None:
+        self._timings: OrderedDict[str, _Timing] = OrderedDict()
+        self._typical = _Timing()
+
+    def observe(self, mark: str, seconds: float) -> None:
+        """Add a service time.
+
+        Args:
+            mark: the statement's fingerprint.
+            seconds: how long the target took.
+        """
+        timing = self._timings.setdefault(mark, _Timing())
+        self._timings.move_to_end(mark)
+        timing.add(seconds)
+        if not self.is_long(mark):
+            self._typical.add(seconds)
+        if len(self._timings) > MAX_FINGERPRINTS:
+            self._timings.popitem(last=False)
+
+    def is_long(self, mark: str) -> bool:
+        """Return whether statements of a fingerprint run far longer than most."""
+        timing = self._timings.get(mark)
+        if timing is None or timing.count < MIN_SAMPLES:
+            return False
+        threshold_s = max(MIN_LONG_S, LONG_FACTOR * self._typical.mean_s)
+        return timing.mean_s > threshold_s
--- /dev/null
+++ b/src/wasabipitch/writes.py
@@ -0,0 +1,188 @@
+"""Runs writes outside transactions, and settles outcomes in doubt."""
+
+import asyncio
+import time
+
+from wasabipitch import requests
+from wasabipitch.deployment import RequestClass
+from wasabipitch.exceptions import InDoubt, Refused, WasabipitchError
+from wasabipitch.limits import Ticket
+from wasabipitch.messages import Execute, Result
+from wasabipitch.parts import GroupParts, Lease, run_until
+from wasabipitch.reads import make_result
+from wasabipitch.retries import backoff_s
+from wasabipitch.targets import TargetConn
+from wasabipitch.verdict import Verdict
+from wasabipitch.workload import fingerprint
+
+# Time past the deadline to settle an outcome in doubt.
+RESOLVE_GRACE_S = 3.0
+# Of the deadline, what attempts may use before an outcome is settled.
+ATTEMPT_SHARE = 0.8
+
+
+class WriteRunner:
+    """Runs a write on the primary and waits until a majority holds it."""
+
+    def __init__(self, parts: GroupParts) -> None:
+        self._parts = parts
+        self._table_term = 0
+
+    async def run(self, req: Execute, cls: RequestClass, deadline_s: float) -> Result:
+        """Run a write and return its acknowledged outcome.
+
+        Raises:
+            WasabipitchError: its verdict says whether the write may have run.
+        """
+        if req.request_id:
+            return await self._run_with_id(req, cls, deadline_s)
+        while True:
+            try:
+                return await self._attempt(req, cls, deadline_s)
+            except WasabipitchError as exc:
+                await self._parts.hold(exc, deadline_s)
+
+    async def resolve(
+        self, req: Execute, cls: RequestClass, doubt: WasabipitchError
+    ) -> Result:
+        """Settle an outcome in doubt on the present primary.
+
+        Returns:
+            The recorded outcome, if the request ran.
+
+        Raises:
+            Refused: a majority holds a tombstone, so it never runs.
+            InDoubt: neither could be established in time.
+        """
+        deadline_s = time.monotonic() + RESOLVE_GRACE_S
+        attempt = 1
+        while time.monotonic() < deadline_s:
+            try:
+                return await self._bury(req, cls, deadline_s)
+            except WasabipitchError as exc:
+                if isinstance(exc, _Settled):
+                    raise
+                doubt = exc
+            await asyncio.sleep(backoff_s(attempt, self._parts.rng))
+            attempt += 1
+        raise InDoubt(f"request {req.request_id!r} is in doubt: {doubt.message}")
+
+    async def prepare_table(self, lease: Lease) -> None:
+        """Create the table of request ids, once in each term."""
+        if self._table_term < lease.term:
+            await lease.conn.run(requests.CREATE_TABLE)
+            self._table_term = lease.term
+
+    def make_ticket(self, req: Execute, cls: RequestClass, deadline_s: float) -> Ticket:
+        """Return a ticket for a slot on the primary."""
+        return Ticket(
+            session=req.session,
+            request_class=cls,
+            deadline_s=deadline_s,
+            may_run_on=self._parts.router.may_write,
+            long=self._parts.is_long(fingerprint(req.statement), cls),
+        )
+
+    async def _attempt(
+        self, req: Execute, cls: RequestClass, deadline_s: float
+    ) -> Result:
+        parts = self._parts
+        async with parts.lease(self.make_ticket(req, cls, deadline_s)) as lease:
+            started_s = time.monotonic()
+            answer = await run_until(lease.conn, req.statement, deadline_s)
+            parts.workload.observe(
+                fingerprint(req.statement), time.monotonic() - started_s
+            )
+        position = await parts.acks.wait_for_majority(
+            lease.instance, lease.term, deadline_s
+        )
+        return make_result(answer, position, lease.instance)
+
+    async def _run_with_id(
+        self, req: Execute, cls: RequestClass, deadline_s: float
+    ) -> Result:
+        requests.check_id(req.request_id)
+        in_doubt = req.in_doubt
+        now_s = time.monotonic()
+        last_attempt_s = now_s + (deadline_s - now_s) * ATTEMPT_SHARE
+        while True:
+            try:
+                return await self._attempt_once(req, cls, deadline_s)
+            except _Settled:
+                raise
+            except WasabipitchError as exc:
+                in_doubt = in_doubt or exc.verdict is Verdict.MAY_HAVE_RUN
+                try:
+                    await self._hold_with_id(exc, last_attempt_s)
+                except WasabipitchError:
+                    if in_doubt:
+                        return await self.resolve(req, cls, exc)
+                    raise
+
+    async def _hold_with_id(self, exc: WasabipitchError, last_s: float) -> None:
+        if exc.verdict is not Verdict.MAY_HAVE_RUN:
+            await self._parts.hold(exc, last_s)
+            return
+        # The same id may be sent again: its record keeps it to one effect.
+        wait_s = backoff_s(1, self._parts.rng)
+        if time.monotonic() + wait_s >= last_s:
+            raise exc
+        await asyncio.sleep(wait_s)
+
+    async def _attempt_once(
+        self, req: Execute, cls: RequestClass, deadline_s: float
+    ) -> Result:
+        parts = self._parts
+        async with parts.lease(self.make_ticket(req, cls, deadline_s)) as lease:
+            await self.prepare_table(lease)
+            outcome = await self._run_once(lease.conn, req, deadline_s)
+        position = await parts.acks.wait_for_majority(
+            lease.instance, lease.term, deadline_s
+        )
+        repeated = outcome.record is not None
+        if repeated:
+            self._check_ran(req, outcome.record)
+            self._record("request.repeated", req, lease.term)
+        return make_result(outcome.answer, position, lease.instance, repeated=repeated)
+
+    async def _run_once(
+        self, conn: TargetConn, req: Execute, deadline_s: float
+    ) -> requests.Outcome:
+        try:
+            async with asyncio.timeout(deadline_s - time.monotonic()):
+                return await requests.run_once(conn, req.request_id, req.statement)
+        except TimeoutError:
+            conn.close()
+            raise InDoubt("the deadline passed while the request ran") from None
+
+    async def _bury(self, req: Execute, cls: RequestClass, deadline_s: float) -> Result:
+        parts = self._parts
+        async with parts.lease(self.make_ticket(req, cls, deadline_s)) as lease:
+            await self.prepare_table(lease)
+            record = await requests.bury(lease.conn, req.request_id)
+        position = await parts.acks.wait_for_majority(
+            lease.instance, lease.term, deadline_s
+        )
+        self._record("request.resolved", req, lease.term, record.state.value)
+        self._check_ran(req, record)
+        return make_result(record.answer, position, lease.instance, repeated=True)
+
+    def _check_ran(self, req: Execute, record: requests.Record) -> None:
+        try:
+            requests.check_ran(req.request_id, record)
+        except Refused as exc:
+            raise _Settled(exc.message) from exc
+
+    def _record(self, kind: str, req: Execute, term: int, detail: str = "") -> None:
+        self._parts.timeline.record(
+            kind,
+            group=req.group,
+            session=req.session,
+            request=req.request_id,
+            term=term,
+            detail=detail,
+        )
+
+
+class _Settled(Refused):
+    """A majority holds a tombstone under the id: it never runs."""
