--- a/src/wasabipitch/links.py
+++ b/src/wasabipitch/links.py
@@ -284,6 +284,10 @@
             with contextlib.suppress(OSError):
                 await self._writer.drain()
 
+    def close(self) -> None:
+        """Close the connection; what is being served is cancelled."""
+        self._writer.close()
+
     async def run(self) -> None:
         """Serve requests until the peer closes the connection."""
         try:
@@ -378,9 +382,11 @@
         if self._server is None:
             return
         self._server.close()
-        for connection in list(self._connections):
-            connection._writer.close()
         self._server = None
+        for connection in self._connections:
+            connection.close()
+        while self._connections:
+            await asyncio.sleep(0)
 
     async def _accept(self, reader: asyncio.StreamReader, writer) -> None:
         connection = LinkConnection(self, reader, writer)
--- a/src/wasabipitch/workload.py
+++ b/src/wasabipitch/workload.py
@@ -8,6 +8,7 @@
 MIN_SAMPLES = 2
 MIN_LONG_S = 0.05
 LONG_FACTOR = 20.0
+MAX_TYPICAL_STEP = 2.0
 
 _LITERAL = re.compile(r"'(?:[^'\\]|\\.|'')*'|\"(?:[^\"\\]|\\.)*\"|\b\d+(?:\.\d+)?\b")
 _COMMENT = re.compile(r"/\*.*?\*/", re.DOTALL)
@@ -51,8 +52,7 @@
         timing = self._timings.setdefault(mark, _Timing())
         self._timings.move_to_end(mark)
         timing.add(seconds)
-        if not self.is_long(mark):
-            self._typical.add(seconds)
+        self._add_typical(seconds)
         if len(self._timings) > MAX_FINGERPRINTS:
             self._timings.popitem(last=False)
 
@@ -63,3 +63,10 @@
             return False
         threshold_s = max(MIN_LONG_S, LONG_FACTOR * self._typical.mean_s)
         return timing.mean_s > threshold_s
+
+    def _add_typical(self, seconds: float) -> None:
+        typical = self._typical
+        if typical.count:
+            # One straggler must not make the next one look typical.
+            seconds = min(seconds, typical.mean_s * MAX_TYPICAL_STEP)
+        typical.add(seconds)
--- /dev/null
+++ b/tests/wasabipitch/test_links.py
@@ -0,0 +1,100 @@
+import asyncio
+import contextlib
+import unittest
+
+from wasabipitch.events import Clock
+from wasabipitch.exceptions import LinkDown, LinkLost, NoTarget
+from wasabipitch.links import Cuts, Link, LinkServer, RemoteError
+from wasabipitch.messages import AskStatus, Done, EndSession, Hello, Rows
+from wasabipitch.models import Address, Host
+from wasabipitch.verdict import Verdict
+
+HELLO = Hello(Host("entry-1", "entry", "127.0.0.1:1", "rome"), "i")
+
+
+class LinksTest(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self):
+        self.stack = contextlib.AsyncExitStack()
+        self.addAsyncCleanup(self.stack.aclose)
+        self.lost = []
+        self.cuts = Cuts()
+        self.server, self.address = await self.serve(0)
+        self.link = Link(self.address, HELLO, Clock(), peer="pool-1", cuts=self.cuts)
+        self.stack.push_async_callback(self.link.close)
+
+    async def serve(self, port):
+        async def on_lost(conn):
+            self.lost.append(conn.peer.name)
+
+        server = LinkServer(self.handle, Clock(), on_peer_lost=on_lost)
+        address = await server.start(Address("127.0.0.1", port))
+        self.stack.push_async_callback(server.close)
+        return server, address
+
+    async def handle(self, exchange):
+        match exchange.message:
+            case EndSession(session="slow"):
+                await asyncio.sleep(0.05)
+            case EndSession(session="never"):
+                await asyncio.Event().wait()
+            case EndSession(session="refused"):
+                raise NoTarget("no target")
+            case EndSession(session="broken"):
+                raise RuntimeError("defect")
+            case AskStatus():
+                await exchange.send(Rows(b"1"), more=True)
+                return Rows(b"2")
+        return Done(exchange.message.session)
+
+    async def test_replies_find_their_requests_out_of_order(self):
+        slow = asyncio.create_task(self.link.call(EndSession("slow")))
+        fast = await self.link.call(EndSession("fast"))
+        self.assertFalse(slow.done())
+        self.assertEqual((fast.detail, (await slow).detail), ("fast", "slow"))
+
+    async def test_a_reply_of_several_messages_ends(self):
+        replies = [m.rows async for m in self.link.stream(AskStatus())]
+        self.assertEqual(replies, [b"1", b"2"])
+
+    async def test_failures_carry_their_verdict(self):
+        with self.assertRaises(RemoteError) as refused:
+            await self.link.call(EndSession("refused"))
+        self.assertEqual(refused.exception.verdict, Verdict.NOT_RUN)
+        self.assertEqual(refused.exception.sqlstate, "WPNRN")
+        with self.assertRaises(RemoteError) as broken:
+            await self.link.call(EndSession("broken"))
+        self.assertIn("defect", broken.exception.message)
+
+    async def test_no_reply_in_time_may_have_run(self):
+        with self.assertRaises(LinkLost) as lost:
+            await self.link.call(EndSession("never"), timeout_s=0.05)
+        self.assertEqual(lost.exception.verdict, Verdict.MAY_HAVE_RUN)
+
+    async def test_a_broken_link_fails_what_is_in_flight_and_reconnects(self):
+        call = asyncio.create_task(self.link.call(EndSession("never")))
+        await self.link.call(EndSession("fast"))
+        await self.server.close()
+        with self.assertRaises(LinkLost):
+            await call
+        await asyncio.sleep(0.06)
+        with self.assertRaises(LinkDown) as down:
+            await self.link.call(EndSession("fast"))
+        self.assertEqual(down.exception.verdict, Verdict.NOT_RUN)
+        await self.serve(self.address.port)
+        await asyncio.sleep(0.06)
+        self.assertEqual((await self.link.call(EndSession("fast"))).detail, "fast")
+        self.assertEqual(self.link.generation, 2)
+
+    async def test_a_lost_peer_is_told_to_the_server(self):
+        await self.link.call(EndSession("fast"))
+        await self.link.close()
+        await asyncio.sleep(0.02)
+        self.assertEqual(self.lost, ["entry-1"])
+
+    async def test_a_cut_drops_both_directions(self):
+        await self.link.call(EndSession("fast"))
+        self.cuts.peers = frozenset({"pool-1"})
+        with self.assertRaises(LinkLost):
+            await self.link.call(EndSession("fast"), timeout_s=0.05)
+        self.cuts.peers = frozenset()
+        await self.link.call(EndSession("fast"))
--- a/tools/run_tests.py
+++ b/tools/run_tests.py
@@ -23,10 +23,16 @@
 
     def testOutcome(self, event: TestOutcomeEvent) -> None:  # noqa: N802
         """Record one outcome; nose2 calls this hook by its own name."""
-        name = event.test.id()
-        self.ran.add(name)
-        if event.outcome != "skipped" and not event.expected:
-            self.failed.add(name)
+        if event.outcome == "subtest":
+            failed = event.exc_info is not None
+        else:
+            self.ran.add(event.test.id())
+            failed = event.outcome != "skipped" and not event.expected
+        if failed:
+            # A failed subtest fails its test, under the test's own id.
+            test = getattr(event.test, "test_case", event.test)
+            self.ran.add(test.id())
+            self.failed.add(test.id())
 
 
 def read_known_red() -> set[str]:
@@ -41,6 +47,7 @@
     """Run the named tests, or all of them, and return their outcomes."""
     recorder = OutcomeRecorder()
     PluggableTestProgram(
+        module=None,
         argv=["nose2", "-s", str(ROOT / "tests"), "-t", str(ROOT), *names],
         exit=False,
         extraHooks=[("testOutcome", recorder)],
