--- /dev/null
+++ b/src/wasabipitch/health.py
@@ -0,0 +1,239 @@
+"""Probes the instances of a group, and judges what their reports tell."""
+
+import asyncio
+import time
+from collections.abc import Iterator
+from dataclasses import dataclass
+
+from wasabipitch.events import Timeline
+from wasabipitch.exceptions import RequestError
+from wasabipitch.metrics import Metrics
+from wasabipitch.targets import InstanceStatus
+from wasabipitch.view import GroupView, InstanceView, PrimarySample
+
+PROBE_INTERVAL_S = 0.2
+PROBE_TIMEOUT_S = 0.25
+RETRY_INTERVAL_S = 0.1  # after a miss, so that a lost primary is known sooner
+
+# A probe that took this much longer than its timeout says that this process
+# was paused, and nothing about the instance.
+PAUSE_S = 0.1
+
+SUSPECT_MISSES = 2  # one slow probe never deposes a primary
+MAX_SAMPLES = 512  # 102 s of positions at one sample a probe
+
+
+@dataclass(frozen=True, slots=True)
+class Leadership:
+    """An instance that is, or claims to be, the primary of a term."""
+
+    name: str
+    term: int
+
+
+class Monitor:
+    """Keeps the view of a group up to date, with one task an instance.
+
+    Args:
+        view: gets every report and every miss.
+        timeline: records when an instance is lost and when it is back.
+        metrics: counts the probes that were missed.
+    """
+
+    def __init__(self, view: GroupView, timeline: Timeline, metrics: Metrics) -> None:
+        self._view = view
+        self._timeline = timeline
+        self._metrics = metrics
+
+    async def run(self) -> None:
+        """Probe all instances until cancelled."""
+        async with asyncio.TaskGroup() as tasks:
+            for view in self._view.instances.values():
+                tasks.create_task(self._probe_forever(view))
+
+    async def probe(self, view: InstanceView) -> None:
+        """Ask one instance for its status, and keep the report or the miss."""
+        asked_at_s = time.monotonic()
+        try:
+            status = await view.channel.status(PROBE_TIMEOUT_S)
+        except RequestError as exc:
+            if time.monotonic() - asked_at_s < PROBE_TIMEOUT_S + PAUSE_S:
+                self._note_miss(view, str(exc))
+            return
+        self._note_report(view, status, asked_at_s)
+
+    async def _probe_forever(self, view: InstanceView) -> None:
+        while True:
+            started_s = time.monotonic()
+            await self.probe(view)
+            interval_s = RETRY_INTERVAL_S if view.misses else PROBE_INTERVAL_S
+            elapsed_s = time.monotonic() - started_s
+            await asyncio.sleep(max(RETRY_INTERVAL_S / 2, interval_s - elapsed_s))
+
+    def _note_report(
+        self, view: InstanceView, status: InstanceStatus, asked_at_s: float
+    ) -> None:
+        if view.misses >= SUSPECT_MISSES:
+            self._record("health.back", view, "")
+        self._view.update(view.name, status, asked_at_s)
+        if self._view.primary == view.name and status.term == self._view.term:
+            add_sample(self._view, PrimarySample(asked_at_s, status.position))
+
+    def _note_miss(self, view: InstanceView, reason: str) -> None:
+        self._metrics.count("health.misses")
+        self._view.miss(view.name)
+        if view.misses == SUSPECT_MISSES:
+            self._record("health.lost", view, reason)
+
+    def _record(self, kind: str, view: InstanceView, detail: str) -> None:
+        self._timeline.record(
+            kind,
+            group=self._view.group.name,
+            term=self._view.term,
+            detail=f"{view.name}: {detail}" if detail else view.name,
+        )
+
+
+def add_sample(view: GroupView, sample: PrimarySample) -> None:
+    """Keep where the primary's log ended when it was asked at a moment.
+
+    Of samples with the same position only the latest says anything.
+    """
+    samples = view.samples
+    if samples and samples[-1].position == sample.position:
+        samples[-1] = sample
+        return
+    samples.append(sample)
+    if len(samples) > MAX_SAMPLES:
+        del samples[: len(samples) - MAX_SAMPLES]
+
+
+def age_s(view: GroupView, name: str, now_s: float) -> float | None:
+    """Return how old the data of an instance may be at most, in seconds.
+
+    An instance at or past the position that the primary had at t holds all
+    that was acknowledged before t. A sample counts only once a majority, asked
+    no earlier, showed no greater term: an old primary that is cut off would
+    otherwise make stale data look fresh.
+
+    Returns:
+        None if nothing is known.
+    """
+    instance = view.instances[name]
+    confirmed_s = _confirmed_at_s(view)
+    if confirmed_s is None or instance.status is None:
+        return None
+    if instance.position.term != view.term:
+        return None
+    for sample in reversed(view.samples):
+        if sample.at_s <= confirmed_s and _covers(instance, sample, view.term):
+            return max(0.0, now_s - sample.at_s)
+    return None
+
+
+def _covers(instance: InstanceView, sample: PrimarySample, term: int) -> bool:
+    return sample.position.term == term and instance.position >= sample.position
+
+
+def _confirmed_at_s(view: GroupView) -> float | None:
+    """Return since when a majority has shown no term above the primary's."""
+    if view.primary_view is None:
+        return None
+    heard = sorted(
+        (
+            v.heard_at_s
+            for v in view.instances.values()
+            if v.status is not None and v.status.member and v.status.fence <= view.term
+        ),
+        reverse=True,
+    )
+    return heard[view.majority - 1] if len(heard) >= view.majority else None
+
+
+def find_claimant(view: GroupView) -> Leadership | None:
+    """Return the reachable primary of the greatest term that still takes writes."""
+    claims = [
+        Leadership(v.name, v.status.term)
+        for v in view.instances.values()
+        if v.reachable and v.status.member and v.status.is_primary
+    ]
+    return max(claims, key=lambda c: c.term, default=None)
+
+
+def find_established(view: GroupView) -> Leadership | None:
+    """Return the primary whose opening entry a majority holds, if one does.
+
+    The majority counts the primary itself, and none of it is fenced at a
+    greater term.
+    """
+    claim = find_claimant(view)
+    if claim is None:
+        return None
+    holders = [
+        v
+        for v in _unfenced_members(view, claim.term)
+        if v.status.position.term == claim.term
+    ]
+    return claim if len(holders) >= view.majority else None
+
+
+def find_pending(view: GroupView) -> Leadership | None:
+    """Return a promoted primary whose opening entry may still reach a majority."""
+    claim = find_claimant(view)
+    if claim is None:
+        return None
+    able = list(_unfenced_members(view, claim.term))
+    return claim if len(able) >= view.majority else None
+
+
+def guess_primary(view: GroupView) -> Leadership | None:
+    """Return the primary that reachable replicas name as their leader.
+
+    A pool that takes a group over while its primary does not answer learns
+    from this whom to ask other pools about.
+    """
+    names = {str(v.instance.endpoint): v.name for v in view.instances.values()}
+    claims = [
+        Leadership(names[v.status.leader], v.status.term)
+        for v in view.instances.values()
+        if v.reachable and v.status.leader in names
+    ]
+    return max(claims, key=lambda c: c.term, default=None)
+
+
+def find_doubt(view: GroupView) -> str:
+    """Return why the established primary can no longer be taken for it, or ''."""
+    primary = view.primary_view
+    if primary is None or primary.status is None:
+        return ""
+    if primary.misses >= SUSPECT_MISSES:
+        return f"{primary.name} missed {primary.misses} probes"
+    if primary.status.fence > view.term:
+        return f"{primary.name} is fenced at term {primary.status.fence}"
+    if not primary.status.is_primary or primary.status.term != view.term:
+        return f"{primary.name} is no longer the primary of term {view.term}"
+    claim = find_claimant(view)
+    if claim is not None and claim.term > view.term:
+        return f"{claim.name} was promoted at term {claim.term}"
+    if count_fenced_above(view, view.term) >= view.majority:
+        return f"a majority is fenced above term {view.term}"
+    return ""
+
+
+def count_fenced_above(view: GroupView, term: int) -> int:
+    """Return how many reachable members are fenced at a greater term."""
+    return sum(
+        v.reachable and v.status.member and v.status.fence > term
+        for v in view.instances.values()
+    )
+
+
+def count_members(view: GroupView) -> int:
+    """Return how many instances answer and count in majorities."""
+    return sum(v.reachable and v.status.member for v in view.instances.values())
+
+
+def _unfenced_members(view: GroupView, term: int) -> Iterator[InstanceView]:
+    for v in view.instances.values():
+        if v.reachable and v.status.member and v.status.fence <= term:
+            yield v
