--- /dev/null
+++ b/src/wasabipitch/failover.py
@@ -0,0 +1,392 @@
+"""Supervises a group: finds its primary, and replaces it when it is lost."""
+
+import asyncio
+import random
+import time
+from collections.abc import Awaitable, Callable
+from contextlib import AbstractAsyncContextManager, AsyncExitStack, suppress
+from dataclasses import dataclass
+
+from wasabipitch import health
+from wasabipitch.events import Timeline
+from wasabipitch.exceptions import NoTarget, WasabipitchError
+from wasabipitch.health import Leadership
+from wasabipitch.messages import Opinion
+from wasabipitch.metrics import Metrics
+from wasabipitch.promotion import Change, Promoter
+from wasabipitch.terms import TermAllocator
+from wasabipitch.view import GroupView, InstanceView
+
+LOOK_INTERVAL_S = 0.2
+START_WAIT_S = 1.0  # for the first reports of a group that is taken over
+RANK_DELAY_S = 1.5  # for each pool that comes earlier in the order of owners
+PENDING_WAIT_S = 1.0  # for a primary that was promoted but is not yet followed
+OVERTAKEN_WAIT_S = 0.5  # for the pool that fenced the primary to promote another
+
+OPINION_TIMEOUT_S = 0.15
+OPINION_INTERVAL_S = 0.2
+CONTRADICTED_WAIT_S = 3.0  # while another pool still reaches the primary
+
+BACKOFF_MIN_S = 0.1
+BACKOFF_MAX_S = 2.0
+QUIESCE_TIMEOUT_S = 2.0
+
+MEND_DELAY_S = 0.3  # and between orders to the same instance
+RENEW_DELAY_S = 1.0
+RENEW_INTERVAL_S = 10.0
+
+AskOpinions = Callable[[str], Awaitable[list[Opinion]]]
+Quiesce = Callable[[], AbstractAsyncContextManager[None]]
+
+
+@dataclass(frozen=True, slots=True)
+class Suspicion:
+    """Why a primary is taken for lost.
+
+    Args:
+        primary: the one that is suspected.
+        since_s: the monotonic time at which it was suspected.
+        heard_at_s: the monotonic time at which it was last heard of.
+        silent: whether it gave no answer, so that others are asked about it.
+    """
+
+    primary: Leadership
+    reason: str
+    since_s: float
+    heard_at_s: float
+    silent: bool
+
+
+class Failover:
+    """Supervises one group.
+
+    Args:
+        view: of the group; a ``Monitor`` keeps it up to date.
+        terms: allots the terms of the group.
+        ask_opinions: asks pools in other data centres whether they reach an
+            instance; an empty answer means that none could be asked.
+        rank: returns this pool's place in the order of the group's owners.
+        timeline: gets an event for each step.
+        metrics: gets the gap, and the counts of failovers and false alarms.
+        enabled: returns whether this pool changes anything, or only watches.
+        quiesce: entered before a planned change: holds back new writes, waits
+            until the running ones have ended, and lets writes go on leaving.
+            A wait beyond ``QUIESCE_TIMEOUT_S`` is cancelled.
+        rng: spreads the retries of pools that duel.
+    """
+
+    def __init__(
+        self,
+        view: GroupView,
+        terms: TermAllocator,
+        ask_opinions: AskOpinions,
+        rank: Callable[[], int],
+        timeline: Timeline,
+        metrics: Metrics,
+        *,
+        enabled: Callable[[], bool] = lambda: True,
+        quiesce: Quiesce | None = None,
+        rng: random.Random | None = None,
+    ) -> None:
+        self._view = view
+        self._promoter = Promoter(view, terms, timeline)
+        self._ask_opinions = ask_opinions
+        self.rank = rank
+        self._timeline = timeline
+        self._metrics = metrics
+        self._enabled = enabled
+        self._quiesce = quiesce
+        self._rng = rng or random.Random()
+        self._mender = Mender(view, self._promoter, rank)
+        self._turn = asyncio.Lock()  # one change of term at a time
+        self._suspicion: Suspicion | None = None
+        self._last_primary = ""
+        self._absent_since_s = time.monotonic()
+        self._not_before_s = 0.0
+        self._failures = 0
+        self._pending: Leadership | None = None
+        self._pending_since_s = 0.0
+
+    async def run(self) -> None:
+        """Supervise the group until cancelled."""
+        await self._wait_first_reports()
+        self._absent_since_s = time.monotonic()
+        while True:
+            async with self._turn:
+                await self.look()
+            await self._view.wait_changed(LOOK_INTERVAL_S)
+
+    async def look(self) -> None:
+        """Judge the latest reports once, and act on them."""
+        found = health.find_established(self._view)
+        if found is not None:
+            self._adopt(found)
+        elif reason := health.find_doubt(self._view):
+            self.suspect_primary(reason)
+        if not self._enabled():
+            return
+        if self._view.primary_view is None:
+            if self._may_act():
+                await self._replace_primary()
+        else:
+            await self._mend()
+
+    async def change_primary(self, change: Change) -> Leadership:
+        """Carry out a change of term and return the primary that it established.
+
+        Raises:
+            NoTarget: the change was abandoned; ``run`` goes on from there.
+        """
+        async with self._turn:
+            return await self._change(change)
+
+    def suspect_primary(self, reason: str) -> None:
+        """Take the established primary for lost, and depose it in the view."""
+        view = self._view.instances[self._view.primary]
+        now_s = time.monotonic()
+        silent = view.misses >= health.SUSPECT_MISSES
+        self._suspicion = Suspicion(
+            primary=Leadership(view.name, self._view.term),
+            reason=reason,
+            since_s=now_s,
+            heard_at_s=view.heard_at_s,
+            silent=silent,
+        )
+        self._record("failover.suspected", self._view.term, reason)
+        self._depose()
+        if not silent:
+            self._not_before_s = now_s + OVERTAKEN_WAIT_S
+
+    async def _replace_primary(self) -> None:
+        if await self._support_pending():
+            return
+        members = health.count_members(self._view)
+        if members < self._view.majority:
+            self._abandon(f"only {members} members of the group answer")
+            return
+        suspicion = self._suspicion or self._guess_suspicion()
+        if suspicion is not None and await self._is_contradicted(suspicion):
+            self._not_before_s = time.monotonic() + OPINION_INTERVAL_S
+            return
+        reason = suspicion.reason if suspicion else "the group has no primary"
+        old = suspicion.primary.name if suspicion else self._last_primary
+        with suppress(NoTarget):
+            await self._change(Change(reason, old=old))
+
+    async def _change(self, change: Change) -> Leadership:
+        async with AsyncExitStack() as stack:
+            stack.callback(self._clear_activity)
+            if change.planned:
+                await self._enter_quiesce(stack)
+            self._depose()
+            try:
+                found = await self._promoter.carry_out(change)
+            except NoTarget as exc:
+                self._abandon(str(exc))
+                raise
+            self._metrics.count("failover.count")
+            self._establish(found, change.reason)
+        return found
+
+    async def _enter_quiesce(self, stack: AsyncExitStack) -> None:
+        if self._quiesce is None:
+            return
+        self._view.activity = "waiting for running writes to end"
+        with suppress(TimeoutError):
+            async with asyncio.timeout(QUIESCE_TIMEOUT_S):
+                await stack.enter_async_context(self._quiesce())
+
+    async def _support_pending(self) -> bool:
+        """Help a promoted primary to be followed; return whether to wait for it."""
+        pending = health.find_pending(self._view)
+        now_s = time.monotonic()
+        if pending != self._pending:
+            self._pending = pending
+            self._pending_since_s = now_s
+        if pending is None or now_s - self._pending_since_s >= PENDING_WAIT_S:
+            return False
+        await self._mender.correct_followers(pending)
+        return True
+
+    async def _is_contradicted(self, suspicion: Suspicion) -> bool:
+        """Return whether a pool elsewhere still reaches a silent primary."""
+        waited_s = time.monotonic() - suspicion.since_s
+        if not suspicion.silent or waited_s >= CONTRADICTED_WAIT_S:
+            return False
+        opinions: list[Opinion] = []
+        with suppress(WasabipitchError, TimeoutError):
+            async with asyncio.timeout(OPINION_TIMEOUT_S):
+                opinions = await self._ask_opinions(suspicion.primary.name)
+        return any(o.reachable and o.term == suspicion.primary.term for o in opinions)
+
+    def _guess_suspicion(self) -> Suspicion | None:
+        """Suspect the primary that the replicas name, where it never answered."""
+        guess = health.guess_primary(self._view)
+        if guess is None or self._view.instances[guess.name].reachable:
+            return None
+        now_s = time.monotonic()
+        reason = f"{guess.name}, which the replicas follow, does not answer"
+        self._suspicion = Suspicion(guess, reason, now_s, now_s, silent=True)
+        self._record("failover.suspected", guess.term, reason)
+        return self._suspicion
+
+    async def _mend(self) -> None:
+        """Correct the followers, and renew the term where one can't follow."""
+        primary = Leadership(self._view.primary, self._view.term)
+        await self._mender.correct_followers(primary)
+        reason = self._mender.find_renewal(primary)
+        if not reason:
+            return
+        outsiders = self._mender.find_outsiders()
+        change = Change(reason, old=primary.name, prefer=primary.name, planned=True)
+        with suppress(NoTarget):
+            found = await self._change(change)
+            await self._mender.admit(outsiders, found.term)
+
+    def _adopt(self, found: Leadership) -> None:
+        if found.term < self._view.term:
+            return
+        if found == Leadership(self._view.primary, self._view.term):
+            return
+        if self._suspicion is not None and self._suspicion.primary == found:
+            self._metrics.count("failover.false_alarm")
+            self._record("failover.abandoned", found.term, f"{found.name} is well")
+        self._establish(found, "found in the reports")
+
+    def _establish(self, found: Leadership, reason: str) -> None:
+        self._record("failover.established", found.term, f"{found.name}: {reason}")
+        if self._last_primary and not self._view.primary:
+            since_s = self._absent_since_s
+            if self._suspicion is not None:
+                since_s = self._suspicion.heard_at_s
+            gap_ms = (time.monotonic() - since_s) * 1000
+            self._metrics.timing("failover.gap_ms", gap_ms)
+        self._view.establish(found.name, found.term)
+        self._last_primary = found.name
+        self._suspicion = None
+        self._pending = None
+        self._failures = 0
+        self._not_before_s = 0.0
+
+    def _depose(self) -> None:
+        if self._view.primary:
+            self._absent_since_s = time.monotonic()
+        self._view.depose()
+
+    def _abandon(self, reason: str) -> None:
+        """Record why no primary was promoted, and wait before the next try."""
+        self._record("failover.abandoned", self._view.greatest_term(), reason)
+        limit_s = min(BACKOFF_MAX_S, BACKOFF_MIN_S * 2**self._failures)
+        self._failures += 1
+        wait_s = limit_s * self._rng.uniform(0.5, 1.0)
+        self._not_before_s = time.monotonic() + wait_s
+
+    def _may_act(self) -> bool:
+        now_s = time.monotonic()
+        delay_s = self.rank() * RANK_DELAY_S
+        return now_s >= max(self._not_before_s, self._absent_since_s + delay_s)
+
+    def _clear_activity(self) -> None:
+        self._view.activity = ""
+
+    async def _wait_first_reports(self) -> None:
+        deadline_s = time.monotonic() + START_WAIT_S
+        while time.monotonic() < deadline_s:
+            views = self._view.instances.values()
+            if all(v.status is not None or v.misses for v in views):
+                return
+            await self._view.wait_changed(LOOK_INTERVAL_S)
+
+    def _record(self, kind: str, term: int, detail: str) -> None:
+        self._timeline.record(
+            kind, group=self._view.group.name, term=term, detail=detail
+        )
+
+
+class Mender:
+    """Leads instances back under the established primary.
+
+    Args:
+        view: of the group.
+        promoter: gives the orders.
+        rank: returns this pool's place in the order of the group's owners.
+    """
+
+    def __init__(
+        self, view: GroupView, promoter: Promoter, rank: Callable[[], int]
+    ) -> None:
+        self._view = view
+        self._promoter = promoter
+        self._rank = rank
+        self._astray_since_s: dict[str, float] = {}
+        self._blocked_since_s: float | None = None
+        self._renewed_at_s = float("-inf")
+
+    async def correct_followers(self, primary: Leadership) -> None:
+        """Order those that follow another leader or term to follow the primary.
+
+        A stale primary that returns is among them: it takes the fence with the
+        order, and drops what was not acknowledged.
+        """
+        now_s = time.monotonic()
+        for view in self._view.instances.values():
+            if not self._is_astray(view, primary):
+                self._astray_since_s.pop(view.name, None)
+                continue
+            since_s = self._astray_since_s.setdefault(view.name, now_s)
+            if now_s - since_s >= MEND_DELAY_S + self._rank() * RANK_DELAY_S:
+                self._astray_since_s[view.name] = now_s
+                await self._promoter.order_follow(view.name, primary.name, primary.term)
+
+    def find_renewal(self, primary: Leadership) -> str:
+        """Return why the primary needs a new term, or '' if it needs none.
+
+        An instance that a later term has fenced takes no log of this one. One
+        that restarted empty counts again only from a term opened since.
+        """
+        now_s = time.monotonic()
+        reasons = [self._describe_block(v, primary) for v in self._others(primary)]
+        reason = next(filter(None, reasons), "")
+        if not reason or health.count_members(self._view) < self._view.majority:
+            self._blocked_since_s = None
+            return ""
+        if self._blocked_since_s is None:
+            self._blocked_since_s = now_s
+        delay_s = RENEW_DELAY_S + self._rank() * RANK_DELAY_S
+        if now_s - self._blocked_since_s < delay_s:
+            return ""
+        if now_s - self._renewed_at_s < RENEW_INTERVAL_S:
+            return ""
+        self._renewed_at_s = now_s
+        return reason
+
+    def find_outsiders(self) -> list[str]:
+        """Return the instances that answer but count in no majority."""
+        views = self._view.instances.values()
+        return [v.name for v in views if v.reachable and not v.status.member]
+
+    async def admit(self, names: list[str], term: int) -> None:
+        """Have instances count again, from a term opened since they restarted."""
+        for name in names:
+            await self._promoter.order(name, lambda ch: ch.join(term))
+
+    def _others(self, primary: Leadership) -> list[InstanceView]:
+        views = self._view.instances.values()
+        return [v for v in views if v.reachable and v.name != primary.name]
+
+    def _is_astray(self, view: InstanceView, primary: Leadership) -> bool:
+        if not view.reachable or view.name == primary.name:
+            return False
+        status = view.status
+        leader = str(self._view.instances[primary.name].instance.endpoint)
+        follows = status.role == "replica" and status.leader == leader
+        is_current = follows and status.term == primary.term
+        return not is_current and status.fence <= primary.term
+
+    def _describe_block(self, view: InstanceView, primary: Leadership) -> str:
+        status = view.status
+        if status.fence > primary.term:
+            return f"{view.name} is fenced at term {status.fence}"
+        if not status.member and status.position.term == primary.term:
+            return f"{view.name} restarted empty and counts in no majority"
+        return ""
--- /dev/null
+++ b/src/wasabipitch/promotion.py
@@ -0,0 +1,281 @@
+"""The steps that make another instance, or the same one, primary of a new term.
+
+No step relies on being the only process that takes it: every order carries a
+term, and the instances refuse what a later term has overtaken.
+"""
+
+import asyncio
+import time
+from collections.abc import Awaitable, Callable, Collection, Mapping
+from dataclasses import dataclass
+
+from wasabipitch.events import Timeline
+from wasabipitch.exceptions import NoTarget, RequestError
+from wasabipitch.health import Leadership
+from wasabipitch.models import Position
+from wasabipitch.targets import ControlChannel, InstanceStatus
+from wasabipitch.terms import TermAllocator
+from wasabipitch.view import GroupView
+
+FENCE_TIMEOUT_S = 0.25
+PROMOTE_TIMEOUT_S = 0.5
+FOLLOW_TIMEOUT_S = 0.5
+OPENING_TIMEOUT_S = 1.0
+CATCH_UP_TIMEOUT_S = 1.0
+GRACE_S = 0.02  # for the other instances, once a majority has answered
+
+Order = Callable[[ControlChannel], Awaitable[InstanceStatus]]
+Counts = Callable[[InstanceStatus], bool]
+
+
+@dataclass(frozen=True, slots=True)
+class Change:
+    """A change of term to carry out.
+
+    Args:
+        old: the last known primary, or empty.
+        prefer: the instance to promote if none is ahead of it.
+        planned: whether the old primary is well and may finish its work.
+    """
+
+    reason: str
+    old: str = ""
+    prefer: str = ""
+    planned: bool = False
+
+
+class Promoter:
+    """Carries out changes of term in one group.
+
+    Args:
+        view: of the group; keeps every report that answers an order.
+        terms: allots the terms of the group.
+        timeline: gets an event for each step.
+    """
+
+    def __init__(
+        self, view: GroupView, terms: TermAllocator, timeline: Timeline
+    ) -> None:
+        self._view = view
+        self._terms = terms
+        self._timeline = timeline
+
+    async def carry_out(self, change: Change) -> Leadership:
+        """Open a new term and return its primary, once a majority follows it.
+
+        Raises:
+            NoTarget: the change was abandoned; the instances may be fenced.
+        """
+        term = await self._terms.allot(self._view.greatest_term())
+        stopped: set[str] = set()
+        if change.planned and change.prefer != change.old:
+            await self._stop_old(change, term)
+            stopped.add(change.old)
+        fenced = await self.fence_majority(term, stopped)
+        successor = self.choose_successor(fenced, change)
+        await self.promote(successor, term)
+        await self.follow(successor, term)
+        return Leadership(successor, term)
+
+    async def fence_majority(
+        self, term: int, already: Collection[str] = ()
+    ) -> Mapping[str, InstanceStatus]:
+        """Fence all instances that answer, and return what a majority then holds.
+
+        An instance that restarts empty forgets its fence. So those that took it
+        are read once more after the last one did: only a majority that holds the
+        fence at one moment meets every majority that acknowledges.
+
+        Args:
+            term: greater than any that was seen.
+            already: instances that have taken the fence before.
+
+        Raises:
+            NoTarget: no majority of members holds the fence.
+        """
+        self._say(f"fencing a majority at term {term}")
+        others = [n for n in self._view.instances if n not in already]
+        missing = self._view.majority - len(already)
+        answers = await self._order_all(
+            others, lambda ch: ch.fence(term, FENCE_TIMEOUT_S), _took_fence, missing
+        )
+        taken = [n for n, status in answers.items() if _took_fence(status)]
+        self._check_majority([*taken, *already], term, answers)
+
+        def holds_fence(status: InstanceStatus) -> bool:
+            return status.member and status.fence == term
+
+        held = await self._order_all(
+            [*taken, *already],
+            lambda ch: ch.status(FENCE_TIMEOUT_S),
+            holds_fence,
+            self._view.majority,
+        )
+        fenced = {n: status for n, status in held.items() if holds_fence(status)}
+        self._check_majority(fenced, term, held)
+        self._record("failover.fenced", term, ", ".join(sorted(fenced)))
+        return fenced
+
+    def choose_successor(
+        self, fenced: Mapping[str, InstanceStatus], change: Change
+    ) -> str:
+        """Return the fenced instance to promote: one with the greatest position.
+
+        Every acknowledged entry is at or below that position. Of several, the
+        preferred one goes first, then those that stay, then those in the data
+        centre of the old primary.
+        """
+        greatest = max(status.position for status in fenced.values())
+        instances = self._view.instances
+        old = instances.get(change.old)
+        data_centre = old.instance.data_centre if old else ""
+
+        def preference(name: str) -> tuple[bool, bool, bool]:
+            view = instances[name]
+            return (
+                name != change.prefer,
+                view.leaving,
+                view.instance.data_centre != data_centre,
+            )
+
+        ahead = [n for n, status in fenced.items() if status.position == greatest]
+        return min(sorted(ahead), key=preference)
+
+    async def promote(self, name: str, term: int) -> None:
+        """Promote a fenced instance.
+
+        Raises:
+            NoTarget: it refused, or gave no answer. It may then be the primary of
+                the term, so no other one is promoted at the same term.
+        """
+        self._say(f"promoting {name} at term {term}")
+        status = await self.order(name, lambda ch: ch.promote(term, PROMOTE_TIMEOUT_S))
+        if status is None:
+            raise NoTarget(f"{name} gave no answer to its promotion at term {term}")
+        if not status.accepted:
+            raise NoTarget(f"{name} refused promotion at {term}: {status.reason}")
+        self._record("failover.promoted", term, name)
+
+    async def follow(self, leader: str, term: int) -> None:
+        """Have the others follow, until a majority holds the opening entry.
+
+        Raises:
+            NoTarget: no majority held it in time.
+        """
+        self._say(f"waiting until a majority holds the first entry of term {term}")
+
+        def holds_opening(status: InstanceStatus) -> bool:
+            return (
+                status.member and status.fence <= term and status.position.term == term
+            )
+
+        async def follow_and_wait(name: str) -> InstanceStatus | None:
+            if not await self.order_follow(name, leader, term):
+                return None
+            opening = Position(term, 0)
+            return await self.order(
+                name, lambda ch: ch.wait(opening, OPENING_TIMEOUT_S)
+            )
+
+        others = [n for n in self._view.instances if n != leader]
+        missing = self._view.majority - 1
+        answers = await _gather(
+            {n: follow_and_wait(n) for n in others}, holds_opening, missing
+        )
+        if sum(map(holds_opening, answers.values())) < missing:
+            raise NoTarget(f"no majority holds the first entry of term {term} in time")
+
+    async def order_follow(self, name: str, leader: str, term: int) -> bool:
+        """Order one instance to follow, and return whether it took the order."""
+        address = self._view.instances[leader].instance.endpoint
+        status = await self.order(
+            name, lambda ch: ch.follow(address, term, FOLLOW_TIMEOUT_S)
+        )
+        if status is None or not status.accepted:
+            return False
+        self._record("failover.followed", term, f"{name} follows {leader}")
+        return True
+
+    async def order(self, name: str, order: Order) -> InstanceStatus | None:
+        """Give an order and keep the report that answers it; None: no answer."""
+        asked_at_s = time.monotonic()
+        try:
+            status = await order(self._view.instances[name].channel)
+        except RequestError:
+            return None
+        self._view.update(name, status, asked_at_s)
+        return status
+
+    async def _stop_old(self, change: Change, term: int) -> None:
+        """Fence the old primary first, and let the preferred one catch up.
+
+        A fenced primary still serves its log to followers of its own term.
+        """
+        self._say(f"waiting until {change.prefer} has caught up with {change.old}")
+        status = await self.order(
+            change.old, lambda ch: ch.fence(term, FENCE_TIMEOUT_S)
+        )
+        if status is None or not _took_fence(status):
+            raise NoTarget(f"{change.old} did not take the fence of term {term}")
+        await self.order(
+            change.prefer, lambda ch: ch.wait(status.position, CATCH_UP_TIMEOUT_S)
+        )
+
+    async def _order_all(
+        self, names: Collection[str], order: Order, counts: Counts, enough: int
+    ) -> dict[str, InstanceStatus]:
+        return await _gather({n: self.order(n, order) for n in names}, counts, enough)
+
+    def _check_majority(
+        self, names: Collection[str], term: int, answers: Mapping[str, InstanceStatus]
+    ) -> None:
+        if len(names) >= self._view.majority:
+            return
+        refusals = [f"{n}: {s.reason}" for n, s in answers.items() if s.reason]
+        reasons = "; ".join(refusals) or "the others gave no answer"
+        raise NoTarget(
+            f"term {term} is fenced on {len(names)} of {self._view.majority} "
+            f"needed instances ({reasons})"
+        )
+
+    def _say(self, activity: str) -> None:
+        self._view.activity = activity
+
+    def _record(self, kind: str, term: int, detail: str) -> None:
+        self._timeline.record(
+            kind, group=self._view.group.name, term=term, detail=detail
+        )
+
+
+def _took_fence(status: InstanceStatus) -> bool:
+    return status.accepted and status.member
+
+
+async def _gather(
+    work: Mapping[str, Awaitable[InstanceStatus | None]], counts: Counts, enough: int
+) -> dict[str, InstanceStatus]:
+    """Return the answers by name; once enough count, the rest get a short grace.
+
+    Without that, an instance that is down would hold up those that are not.
+    """
+    names = {asyncio.ensure_future(task): name for name, task in work.items()}
+    answers: dict[str, InstanceStatus] = {}
+    waiting = set(names)
+    try:
+        while waiting:
+            counted = sum(map(counts, answers.values()))
+            done, waiting = await asyncio.wait(
+                waiting,
+                timeout=GRACE_S if counted >= enough else None,
+                return_when=asyncio.FIRST_COMPLETED,
+            )
+            if not done:
+                break
+            for task in done:
+                if (status := task.result()) is not None:
+                    answers[names[task]] = status
+    finally:
+        for task in waiting:
+            task.cancel()
+        await asyncio.gather(*waiting, return_exceptions=True)
+    return answers
--- /dev/null
+++ b/src/wasabipitch/switchover.py
@@ -0,0 +1,123 @@
+"""Planned changes of primary: on an operator's order, or when one is leaving."""
+
+import asyncio
+import time
+
+from wasabipitch.exceptions import NoTarget
+from wasabipitch.failover import Failover
+from wasabipitch.models import Position
+from wasabipitch.promotion import Change
+from wasabipitch.view import GroupView, InstanceView
+
+CATCH_UP_TIMEOUT_S = 10.0
+CATCH_UP_STEP_S = 0.5
+LEAVING_INTERVAL_S = 0.5
+LEAVING_RETRY_S = 5.0
+
+
+async def switch_primary(view: GroupView, failover: Failover, to: str = "") -> str:
+    """Make another instance the primary and return its name.
+
+    The replica first catches up while writes go on; then they are held back,
+    the old primary is fenced, and the replica takes the last entries from it.
+    ``view.activity`` says at each moment what is waited for.
+
+    Args:
+        view: of the group.
+        failover: supervises the group.
+        to: the instance to promote, or empty for the best one.
+
+    Raises:
+        NoTarget: nothing was changed, or another instance than ``to`` was
+            promoted since it was ahead; the message says which and why.
+    """
+    old = view.primary_view
+    if old is None:
+        raise NoTarget(f"group {view.group.name} has no primary now; try again")
+    if to == old.name:
+        return old.name
+    replica = choose_replica(view, to)
+    try:
+        await _wait_caught_up(view, old, replica)
+    finally:
+        view.activity = ""
+    change = Change(
+        f"switchover from {old.name} to {replica.name}",
+        old=old.name,
+        prefer=replica.name,
+        planned=True,
+    )
+    found = await failover.change_primary(change)
+    if found.name != replica.name:
+        raise NoTarget(
+            f"{found.name} was promoted at term {found.term} in place of "
+            f"{replica.name}, which had not caught up"
+        )
+    return found.name
+
+
+def choose_replica(view: GroupView, to: str = "") -> InstanceView:
+    """Return the replica to promote: the named one, or the best one that stays.
+
+    Raises:
+        NoTarget: no replica of that name may be promoted.
+    """
+    candidates = [v for v in view.instances.values() if _may_lead(view, v)]
+    if to:
+        candidates = [v for v in candidates if v.name == to]
+    if not candidates:
+        raise NoTarget(
+            f"instance {to or 'other than the primary'} of group {view.group.name} "
+            "can't be promoted: it must answer, count in majorities and not be leaving"
+        )
+    old = view.primary_view
+    data_centre = old.instance.data_centre if old else ""
+
+    def preference(replica: InstanceView) -> tuple[Position, bool]:
+        return replica.position, replica.instance.data_centre == data_centre
+
+    return max(candidates, key=preference)
+
+
+async def watch_leaving(view: GroupView, failover: Failover) -> None:
+    """Switch over whenever the primary is leaving, until cancelled."""
+    while True:
+        await asyncio.sleep(LEAVING_INTERVAL_S)
+        primary = view.primary_view
+        if primary is None or not primary.leaving or failover.rank() > 0:
+            continue
+        try:
+            await switch_primary(view, failover)
+        except NoTarget:
+            # Its reason is on the time line; the primary serves until it works.
+            await asyncio.sleep(LEAVING_RETRY_S)
+
+
+def _may_lead(view: GroupView, replica: InstanceView) -> bool:
+    return (
+        replica.name != view.primary
+        and replica.reachable
+        and replica.status.member
+        and not replica.leaving
+    )
+
+
+async def _wait_caught_up(
+    view: GroupView, old: InstanceView, replica: InstanceView
+) -> None:
+    deadline_s = time.monotonic() + CATCH_UP_TIMEOUT_S
+    goal = old.position
+    while replica.position < goal:
+        if time.monotonic() >= deadline_s:
+            raise NoTarget(
+                f"{replica.name} is at {replica.position} and did not reach {goal} "
+                f"within {CATCH_UP_TIMEOUT_S} s"
+            )
+        behind = goal.index - replica.position.index
+        view.activity = (
+            f"switchover: waiting until {replica.name}, {behind} entries behind, "
+            f"has caught up with {old.name}"
+        )
+        asked_at_s = time.monotonic()
+        status = await replica.channel.wait(goal, CATCH_UP_STEP_S)
+        view.update(replica.name, status, asked_at_s)
