--- a/src/wasabipitch/acks.py
+++ b/src/wasabipitch/acks.py
@@ -1,7 +1,9 @@
 """Acknowledges writes: only once a majority of the instances holds them."""
 
 import asyncio
+import contextlib
 import time
+from collections.abc import Iterator
 
 from wasabipitch.exceptions import InDoubt
 from wasabipitch.models import Position
@@ -28,6 +30,21 @@
         self._sampler = sampler
         self._waiting = 0
         self._followers: dict[str, asyncio.Task] = {}
+        self._writing = 0
+
+    @property
+    def idle(self) -> bool:
+        """Whether no write runs or waits to be acknowledged."""
+        return not self._writing
+
+    @contextlib.contextmanager
+    def writing(self) -> Iterator[None]:
+        """Count a write from before it is sent until it is acknowledged."""
+        self._writing += 1
+        try:
+            yield
+        finally:
+            self._writing -= 1
 
     async def wait_for_majority(
         self, primary: str, term: int, deadline_s: float
--- a/src/wasabipitch/groups.py
+++ b/src/wasabipitch/groups.py
@@ -4,7 +4,7 @@
 import contextlib
 import random
 import time
-from collections.abc import Awaitable, Callable
+from collections.abc import AsyncIterator, Awaitable, Callable
 from dataclasses import dataclass
 from functools import partial
 
@@ -30,7 +30,7 @@
 from wasabipitch.routing import Router
 from wasabipitch.sampling import SAMPLE_ERRORS, Sampler
 from wasabipitch.store import Store
-from wasabipitch.switchover import switch_primary
+from wasabipitch.switchover import switch_primary, watch_leaving
 from wasabipitch.targets import Connector
 from wasabipitch.terms import TermAllocator
 from wasabipitch.transaction_runner import TransactionRunner
@@ -39,7 +39,6 @@
 
 WAKE_INTERVAL_S = 0.1
 REAP_INTERVAL_S = 1.0
-LEAVING_CHECK_S = 0.5
 DRAIN_POLL_S = 0.02
 # Connections opened ahead on each instance, beyond its slots.
 SPARE_CONNECTIONS = 1
@@ -93,7 +92,9 @@
             rank=partial(ctx.read_rank, group.name),
             timeline=ctx.timeline,
             metrics=ctx.metrics,
-            enabled=policy.failover,
+            enabled=lambda: policy.failover,
+            quiesce=self._quiesce,
+            rng=ctx.rng,
         )
         self._running = 0
 
@@ -196,7 +197,7 @@
         yield self._failover.run()
         yield self._wake()
         yield self._reap()
-        yield self._move_off_leaving()
+        yield watch_leaving(self.view, self._failover)
         if self.policy.open_ahead:
             for name in self.view.instances:
                 wanted = partial(self._read_wanted, name)
@@ -213,19 +214,17 @@
             for session in self.parts.transactions.abort_idle(time.monotonic()):
                 self._record("transaction.aborted", session, "idle too long")
 
-    async def _move_off_leaving(self) -> None:
-        while True:
-            await asyncio.sleep(LEAVING_CHECK_S)
-            primary = self.view.primary_view
-            if primary is None or not primary.leaving or self._is_second():
-                continue
-            try:
-                await self.switch_over()
-            except WasabipitchError as exc:
-                self._record("switchover.failed", "", exc.message)
-
-    def _is_second(self) -> bool:
-        return self._ctx.read_rank(self.group.name) > 0
+    @contextlib.asynccontextmanager
+    async def _quiesce(self) -> AsyncIterator[None]:
+        """Hold new writes back and wait until the running ones have ended."""
+        self.parts.router.holding_writes = True
+        try:
+            while not self.parts.acks.idle or len(self.parts.transactions):
+                await asyncio.sleep(DRAIN_POLL_S)
+            yield
+        finally:
+            self.parts.router.holding_writes = False
+            self.parts.scheduler.dispatch()
 
     def _read_wanted(self, name: str) -> int:
         view = self.view.instances[name]
--- a/src/wasabipitch/routing.py
+++ b/src/wasabipitch/routing.py
@@ -33,6 +33,8 @@
         self._data_centre = data_centre
         self._read_load = read_load
         self._rng = rng
+        # New writes and transactions wait while a planned change goes on.
+        self.holding_writes = False
 
     def is_primary(self, name: str) -> bool:
         """Return whether an instance is the established primary."""
@@ -40,7 +42,7 @@
 
     def may_write(self, name: str) -> bool:
         """Return whether a write or a transaction may start on an instance."""
-        return self.is_primary(name) and not self._view.activity
+        return self.is_primary(name) and not self.holding_writes
 
     def may_read(self, name: str, floor: Position) -> bool:
         """Return whether an undeclared read may run on an instance."""
--- a/src/wasabipitch/writes.py
+++ b/src/wasabipitch/writes.py
@@ -1,17 +1,22 @@
 """Runs writes outside transactions, and settles outcomes in doubt."""
 
 import asyncio
+import contextlib
 import time
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass
+from typing import Generic, TypeVar
 
 from wasabipitch import requests
 from wasabipitch.deployment import RequestClass
 from wasabipitch.exceptions import InDoubt, Refused, WasabipitchError
 from wasabipitch.limits import Ticket
 from wasabipitch.messages import Execute, Result
+from wasabipitch.models import Position
 from wasabipitch.parts import GroupParts, Lease, run_until
 from wasabipitch.reads import make_result
 from wasabipitch.retries import backoff_s
-from wasabipitch.targets import TargetConn
+from wasabipitch.targets import Answer, TargetConn
 from wasabipitch.verdict import Verdict
 from wasabipitch.workload import fingerprint
 
@@ -20,6 +25,16 @@
 # Of the deadline, what attempts may use before an outcome is settled.
 ATTEMPT_SHARE = 0.8
 
+T = TypeVar("T")
+
+
+@dataclass(frozen=True)
+class _Acknowledged(Generic[T]):
+    value: T
+    instance: str
+    term: int
+    position: Position
+
 
 class WriteRunner:
     """Runs a write on the primary and waits until a majority holds it."""
@@ -86,17 +101,33 @@
     async def _attempt(
         self, req: Execute, cls: RequestClass, deadline_s: float
     ) -> Result:
-        parts = self._parts
-        async with parts.lease(self.make_ticket(req, cls, deadline_s)) as lease:
+        async def run_statement(lease: Lease) -> Answer:
             started_s = time.monotonic()
             answer = await run_until(lease.conn, req.statement, deadline_s)
-            parts.workload.observe(
-                fingerprint(req.statement), time.monotonic() - started_s
+            service_s = time.monotonic() - started_s
+            self._parts.workload.observe(fingerprint(req.statement), service_s)
+            return answer
+
+        done = await self._carry_out(req, cls, deadline_s, run_statement)
+        return make_result(done.value, done.position, done.instance)
+
+    async def _carry_out(
+        self,
+        req: Execute,
+        cls: RequestClass,
+        deadline_s: float,
+        work: Callable[[Lease], Awaitable[T]],
+    ) -> _Acknowledged[T]:
+        """Do a piece of work on the primary and wait until a majority holds it."""
+        parts = self._parts
+        with contextlib.ExitStack() as stack:
+            async with parts.lease(self.make_ticket(req, cls, deadline_s)) as lease:
+                stack.enter_context(parts.acks.writing())
+                value = await work(lease)
+            position = await parts.acks.wait_for_majority(
+                lease.instance, lease.term, deadline_s
             )
-        position = await parts.acks.wait_for_majority(
-            lease.instance, lease.term, deadline_s
-        )
-        return make_result(answer, position, lease.instance)
+        return _Acknowledged(value, lease.instance, lease.term, position)
 
     async def _run_with_id(
         self, req: Execute, cls: RequestClass, deadline_s: float
@@ -132,18 +163,19 @@
     async def _attempt_once(
         self, req: Execute, cls: RequestClass, deadline_s: float
     ) -> Result:
-        parts = self._parts
-        async with parts.lease(self.make_ticket(req, cls, deadline_s)) as lease:
+        async def run_recorded(lease: Lease) -> requests.Outcome:
             await self.prepare_table(lease)
-            outcome = await self._run_once(lease.conn, req, deadline_s)
-        position = await parts.acks.wait_for_majority(
-            lease.instance, lease.term, deadline_s
-        )
+            return await self._run_once(lease.conn, req, deadline_s)
+
+        done = await self._carry_out(req, cls, deadline_s, run_recorded)
+        outcome = done.value
         repeated = outcome.record is not None
         if repeated:
             self._check_ran(req, outcome.record)
-            self._record("request.repeated", req, lease.term)
-        return make_result(outcome.answer, position, lease.instance, repeated=repeated)
+            self._record("request.repeated", req, done.term)
+        return make_result(
+            outcome.answer, done.position, done.instance, repeated=repeated
+        )
 
     async def _run_once(
         self, conn: TargetConn, req: Execute, deadline_s: float
@@ -156,16 +188,15 @@
             raise InDoubt("the deadline passed while the request ran") from None
 
     async def _bury(self, req: Execute, cls: RequestClass, deadline_s: float) -> Result:
-        parts = self._parts
-        async with parts.lease(self.make_ticket(req, cls, deadline_s)) as lease:
+        async def put_tombstone(lease: Lease) -> requests.Record:
             await self.prepare_table(lease)
-            record = await requests.bury(lease.conn, req.request_id)
-        position = await parts.acks.wait_for_majority(
-            lease.instance, lease.term, deadline_s
-        )
-        self._record("request.resolved", req, lease.term, record.state.value)
+            return await requests.bury(lease.conn, req.request_id)
+
+        done = await self._carry_out(req, cls, deadline_s, put_tombstone)
+        record = done.value
+        self._record("request.resolved", req, done.term, record.state.value)
         self._check_ran(req, record)
-        return make_result(record.answer, position, lease.instance, repeated=True)
+        return make_result(record.answer, done.position, done.instance, repeated=True)
 
     def _check_ran(self, req: Execute, record: requests.Record) -> None:
         try:
