--- /dev/null
+++ b/src/wasabipitch/hostlist.py
@@ -0,0 +1,51 @@
+"""Follows the platform's list of hosts, within a share of bytes."""
+
+import asyncio
+import logging
+import random
+from collections.abc import Callable
+
+from wasabipitch.exceptions import StoreError
+from wasabipitch.store import HostList, Store
+
+LIST_WATCH_S = 16.0
+LIST_BYTES_PER_S = 1024
+LISTED_HOST_BYTES = 150
+MIN_LIST_INTERVAL_S = 0.5
+MIN_BACKOFF_S = 0.5
+MAX_BACKOFF_S = 8.0
+
+logger = logging.getLogger(__name__)
+
+
+async def watch_hosts(
+    store: Store, take: Callable[[HostList], None], rng: random.Random
+) -> None:
+    """Hand each new list of hosts on until cancelled; outages are waited out."""
+    failures = 0
+    after = None
+    interval_s = MIN_LIST_INTERVAL_S
+    while True:
+        try:
+            hosts = await store.hosts(after, LIST_WATCH_S if after else 0)
+        except StoreError as exc:
+            failures += 1
+            logger.debug("host list: %s", exc)
+            await asyncio.sleep(_backoff_s(failures, rng))
+            continue
+        failures = 0
+        if hosts is not None:
+            after = hosts.revision
+            interval_s = _interval_s(len(hosts.hosts))
+            take(hosts)
+        await asyncio.sleep(interval_s)
+
+
+def _interval_s(count: int) -> float:
+    """Return how often a list of so many hosts may be fetched."""
+    return max(MIN_LIST_INTERVAL_S, count * LISTED_HOST_BYTES / LIST_BYTES_PER_S)
+
+
+def _backoff_s(failures: int, rng: random.Random) -> float:
+    limit_s = min(MAX_BACKOFF_S, MIN_BACKOFF_S * 2 ** min(failures, 10))
+    return rng.uniform(limit_s / 2, limit_s)
--- /dev/null
+++ b/src/wasabipitch/hosts.py
@@ -0,0 +1,392 @@
+"""Membership: which processes are live, and which pool owns a group.
+
+The platform's list of hosts lags, so processes find out for themselves. Each
+round a process exchanges digests with a few peers taken at random. One that
+does not answer is tried again, then through another peer; if nobody reaches it,
+it is suspect, and dead if it has not refuted that in time. All of this works
+without the platform.
+
+Cost: a digest packs into at most 600 bytes, and an exchange is two of them,
+some 1.4 KB with TCP and IP headers. A process starts ``peers_per_round``
+exchanges a second and answers as many. In a fleet of 780 nodes, each of two
+processes, that is 2 processes x 2 exchanges x 1.4 KB/s = 5.6 KB/s a node, of
+the 7 KB/s allowed. The platform's list adds at most 1 KB/s a process, and only
+while it changes.
+"""
+
+import asyncio
+import contextlib
+import logging
+import random
+import time
+from collections.abc import Callable, Sequence
+from typing import Protocol
+
+from wasabipitch.events import Timeline
+from wasabipitch.exceptions import WasabipitchError
+from wasabipitch.hostlist import watch_hosts
+from wasabipitch.linkbook import LinkBook
+from wasabipitch.links import Exchange, RemoteError
+from wasabipitch.members import DEAD, LEAVING, LIVE, SUSPECT, UNHEARD, MemberTable
+from wasabipitch.messages import Digest, HostFact
+from wasabipitch.metrics import Metrics, StatsdMetrics
+from wasabipitch.models import Host
+from wasabipitch.owners import order_owners, put_local_first
+from wasabipitch.store import HostList, Store
+
+ROUND_S = 1.0
+# A small fleet can afford more exchanges a process, and finds failures sooner.
+SMALL_FLEET = 100
+SMALL_FLEET_PEERS = 3
+LARGE_FLEET_PEERS = 1
+PROBE_TRIES = 2
+PROBE_TIMEOUT_S = 0.5
+PROBE_RETRY_S = 0.1
+INDIRECT_TIMEOUT_S = 1.5
+# Every so many rounds a process tries a host that it holds for dead.
+ROUNDS_PER_DEAD_PROBE = 5
+# A process that missed this much of its own rounds was paused itself, and
+# gives those it suspects their time again.
+PAUSE_S = 3.0
+LEAVE_PEERS = 5
+FORGET_DEAD_S = 600.0
+
+POOL_ROLE = "pool"
+TARGET_ROLE = "target"
+
+logger = logging.getLogger(__name__)
+
+
+def peers_per_round(fleet: int) -> int:
+    """Return how many peers a process of a fleet of that size probes a round."""
+    return SMALL_FLEET_PEERS if fleet <= SMALL_FLEET else LARGE_FLEET_PEERS
+
+
+class RevisionKeeper(Protocol):
+    """What the membership passes on of the configuration."""
+
+    revision: int
+
+    def hear_of(self, revision: int, peer: Host) -> None:
+        """Note that a peer holds a configuration revision."""
+
+
+class Membership:
+    """Who is live: the platform's list, and direct evidence above it.
+
+    Args:
+        host: this process.
+        book: the links to peers; its hello holds this process's incarnation.
+        store: gives the platform's list of hosts.
+        keeper: hears of the peers' configuration revisions.
+        timeline: gets an event for each change of a host's state.
+        metrics: gets the gauge ``hosts.known_live``, and counts the changes to
+            each state, such as ``hosts.suspect``.
+        rng: picks peers and facts.
+    """
+
+    def __init__(
+        self,
+        host: Host,
+        book: LinkBook,
+        store: Store,
+        keeper: RevisionKeeper,
+        timeline: Timeline,
+        *,
+        metrics: Metrics | None = None,
+        rng: random.Random | None = None,
+    ) -> None:
+        self.host = host
+        self.book = book
+        self._store = store
+        self._keeper = keeper
+        self._timeline = timeline
+        self._metrics = metrics or StatsdMetrics()
+        self._rng = rng or random.Random()
+        self.table = MemberTable(host, book.hello.incarnation, self._rng)
+        self._listed: dict[str, Host] = {}
+        self._subscribers: list[Callable[[], None]] = []
+        self._owners: dict[str, tuple[Host, ...]] = {}
+        self._queue: list[str] = []
+        self._rounds = 0
+
+    def subscribe(self, callback: Callable[[], None]) -> None:
+        """Call back after every change of a host's state or of the list."""
+        self._subscribers.append(callback)
+
+    def live(self, role: str) -> tuple[Host, ...]:
+        """Return the hosts of a role that are neither leaving nor dead.
+
+        Hosts that are merely suspect come last. Targets, which are not probed,
+        are live as the platform lists them.
+        """
+        if role == TARGET_ROLE:
+            listed = self._listed.values()
+            return tuple(h for h in listed if h.role == role and h.state == LIVE)
+        hosts = [self.host] if self.host.role == role and self._is_own_live() else []
+        suspects = []
+        for member in self.table.others.values():
+            if member.host.role != role or self._is_leaving(member.host.name):
+                continue
+            if member.state == LIVE:
+                hosts.append(member.host)
+            elif member.state == SUSPECT and not member.left:
+                suspects.append(member.host)
+        return (*hosts, *suspects)
+
+    def leaving(self, role: str) -> tuple[Host, ...]:
+        """Return the hosts of a role that are leaving."""
+        known = [m.host for m in self.table.others.values() if m.state == LEAVING]
+        listed = [h for h in self._listed.values() if h.state == LEAVING]
+        hosts = {h.name: h for h in (*known, *listed) if h.role == role}
+        return tuple(hosts.values())
+
+    def owners(self, group: str, *, local: bool = False) -> tuple[Host, ...]:
+        """Return the live pools in the order in which they serve a group.
+
+        Args:
+            group: the group's name.
+            local: put the pool on this process's own machine first: the one of
+                the same data centre whose name ends in the same number.
+        """
+        owners = self._owners.get(group)
+        if owners is None:
+            owners = self._owners[group] = self._order_owners(group)
+        if local:
+            return put_local_first(owners, self.host)
+        return owners
+
+    def rank(self, group: str, *, local: bool = False) -> int:
+        """Return this process's place among a group's owners.
+
+        A process that is none of them comes after the last.
+        """
+        owners = self.owners(group, local=local)
+        names = [host.name for host in owners]
+        return names.index(self.host.name) if self.host.name in names else len(names)
+
+    def state(self, name: str) -> str:
+        """Return a host's state, or an empty text if it is unknown."""
+        if name == self.host.name:
+            return self.table.own.state
+        member = self.table.others.get(name)
+        if member is None:
+            return self._listed[name].state if name in self._listed else ""
+        if member.state == LIVE and self._is_leaving(name):
+            return LEAVING
+        return member.state
+
+    def pick_peers(self, count: int) -> Sequence[Host]:
+        """Return up to so many processes at random that are not dead."""
+        names = [n for n, m in self.table.others.items() if m.state != DEAD]
+        picked = self._rng.sample(names, min(count, len(names)))
+        return [self._address_of(name) for name in picked]
+
+    def doubt(self, name: str) -> None:
+        """Probe a host in the next round, because work sent to it failed."""
+        if name in self.table.others:
+            self._queue.append(name)
+
+    async def run(self) -> None:
+        """Watch the platform's list and probe peers until cancelled."""
+        async with asyncio.TaskGroup() as tasks:
+            tasks.create_task(watch_hosts(self._store, self.take_list, self._rng))
+            await self._run_rounds(tasks)
+
+    async def leave(self) -> None:
+        """Tell some peers, who tell the rest, that this process is stopping."""
+        self.table.leave()
+        self._changed()
+        peers = self.pick_peers(LEAVE_PEERS)
+        await asyncio.gather(*(self._exchange(peer) for peer in peers))
+
+    async def answer_digest(self, exchange: Exchange) -> Digest:
+        """Merge a peer's digest and answer with one.
+
+        A digest of one suspect fact and no other asks to probe that host.
+        """
+        digest: Digest = exchange.message
+        facts = digest.facts
+        if len(facts) == 1 and facts[0].state == SUSPECT:
+            return await self._probe_for_peer(facts[0])
+        peer = exchange.peer
+        self._merge(digest, peer)
+        return self.table.digest(self._keeper.revision, peer.name if peer else "")
+
+    def _merge(self, digest: Digest, peer: Host | None) -> None:
+        now_s = time.monotonic()
+        for fact in digest.facts:
+            before = self.table.merge(fact, now_s)
+            if before is not None:
+                self._note_change(before, fact)
+        if peer is not None:
+            self._keeper.hear_of(digest.revision, peer)
+
+    def _note_change(self, before: HostFact, fact: HostFact) -> None:
+        is_new = before is fact or before.incarnation != fact.incarnation
+        if is_new or before.state != fact.state:
+            self._note_state(fact.host.name, fact.state)
+
+    def _note_state(self, name: str, state: str) -> None:
+        self._timeline.record(f"host.{state}", detail=name)
+        self._metrics.count(f"hosts.{state}")
+        self._changed()
+
+    def _changed(self) -> None:
+        self._owners.clear()
+        count = 1 + sum(m.state == LIVE for m in self.table.others.values())
+        self._metrics.gauge("hosts.known_live", count)
+        for callback in self._subscribers:
+            try:
+                callback()
+            except Exception:
+                logger.exception("a membership subscriber failed")
+
+    def _is_own_live(self) -> bool:
+        return self.table.own.state == LIVE
+
+    def _is_leaving(self, name: str) -> bool:
+        listed = self._listed.get(name)
+        return listed is not None and listed.state == LEAVING
+
+    def _order_owners(self, group: str) -> tuple[Host, ...]:
+        pools = self.live(POOL_ROLE)
+        suspects = [h.name for h in pools if self.state(h.name) == SUSPECT]
+        return order_owners(group, pools, suspects)
+
+    def _address_of(self, name: str) -> Host:
+        """Return a host as it is best known: a dead one may have moved."""
+        member = self.table.others[name]
+        heard = member.fact.incarnation != UNHEARD
+        if heard and member.state != DEAD:
+            return member.host
+        return self._listed.get(name, member.host)
+
+    async def _run_rounds(self, tasks: asyncio.TaskGroup) -> None:
+        last_s = time.monotonic()
+        while True:
+            now_s = time.monotonic()
+            self._expire_suspects(now_s, paused=now_s - last_s > PAUSE_S)
+            last_s = now_s
+            self._rounds += 1
+            for peer in self._next_peers():
+                tasks.create_task(self._probe(peer))
+            await asyncio.sleep(ROUND_S * self._rng.uniform(0.9, 1.1))
+
+    def _next_peers(self) -> list[Host]:
+        """Return the peers of this round: each in turn, in a shuffled order."""
+        others = self.table.others
+        dead = [name for name, m in others.items() if m.state == DEAD]
+        alive = len(others) - len(dead)
+        picked = []
+        for _ in range(min(peers_per_round(len(others) + 1), alive)):
+            name = self._take_from_queue()
+            if name is not None and name not in picked:
+                picked.append(name)
+        if dead and (alive == 0 or self._rounds % ROUNDS_PER_DEAD_PROBE == 0):
+            picked.append(self._rng.choice(dead))
+        return [self._address_of(name) for name in picked]
+
+    def _take_from_queue(self) -> str | None:
+        others = self.table.others
+        for _ in range(2):
+            while self._queue:
+                name = self._queue.pop()
+                if name in others and others[name].state != DEAD:
+                    return name
+            self._queue = list(others)
+            self._rng.shuffle(self._queue)
+        return None
+
+    async def _probe(self, peer: Host) -> None:
+        for attempt in range(PROBE_TRIES):
+            if attempt:
+                await asyncio.sleep(PROBE_RETRY_S)
+            if await self._exchange(peer):
+                return
+        if self.state(peer.name) not in (LIVE, LEAVING):
+            return
+        if not await self._ask_another(peer):
+            self._suspect(peer.name)
+
+    async def _exchange(self, peer: Host) -> bool:
+        """Exchange digests with a peer; return whether it answered."""
+        digest = self.table.digest(self._keeper.revision, peer.name)
+        try:
+            reply = await self.book.get(peer).call(digest, PROBE_TIMEOUT_S)
+        except RemoteError:
+            return True
+        except WasabipitchError as exc:
+            logger.debug("digest to %s: %s", peer.name, exc)
+            return False
+        if isinstance(reply, Digest):
+            self._merge(reply, peer)
+        return True
+
+    async def _ask_another(self, suspect: Host) -> bool:
+        """Ask one other peer to probe a host; return whether it is alive."""
+        others = [p for p in self.pick_peers(2) if p.name != suspect.name]
+        member = self.table.others.get(suspect.name)
+        if not others or member is None:
+            return False
+        fact = HostFact(
+            suspect, member.fact.incarnation, member.fact.heartbeat, SUSPECT
+        )
+        ask = Digest((fact,), self._keeper.revision)
+        try:
+            reply = await self.book.get(others[0]).call(ask, INDIRECT_TIMEOUT_S)
+        except WasabipitchError:
+            return False
+        self._merge(reply, others[0])
+        return any(
+            f.host.name == suspect.name and f.state in (LIVE, LEAVING)
+            for f in reply.facts
+        )
+
+    async def _probe_for_peer(self, fact: HostFact) -> Digest:
+        """Probe a host that a peer can't reach, and answer with its own fact."""
+        revision = self._keeper.revision
+        ask = Digest((self.table.own, fact), revision)
+        with contextlib.suppress(WasabipitchError):
+            reply = await self.book.get(fact.host).call(ask, PROBE_TIMEOUT_S)
+            self._merge(reply, fact.host)
+            about = [f for f in reply.facts if f.host.name == fact.host.name]
+            return Digest((self.table.own, *about), revision)
+        return Digest((self.table.own, fact), revision)
+
+    def _suspect(self, name: str) -> None:
+        if self.table.set_state(name, SUSPECT, time.monotonic()):
+            self._note_state(name, SUSPECT)
+
+    def _expire_suspects(self, now_s: float, *, paused: bool) -> None:
+        limit_s = self.table.suspect_s()
+        for name, member in list(self.table.others.items()):
+            waited_s = now_s - member.since_s
+            if member.state == SUSPECT and paused:
+                member.since_s = now_s
+            elif member.state == SUSPECT and waited_s > limit_s:
+                self.table.set_state(name, DEAD, now_s)
+                self._note_state(name, DEAD)
+            elif self._is_forgotten(name, waited_s):
+                del self.table.others[name]
+                self.book.drop(name)
+
+    def _is_forgotten(self, name: str, waited_s: float) -> bool:
+        member = self.table.others[name]
+        return (
+            member.state == DEAD
+            and name not in self._listed
+            and waited_s > FORGET_DEAD_S
+        )
+
+    def take_list(self, hosts: HostList) -> None:
+        """Take the platform's list; direct evidence goes before it."""
+        listed = {host.name: host for host in hosts.hosts}
+        if listed == self._listed:
+            return
+        self._listed = listed
+        now_s = time.monotonic()
+        for host in hosts.hosts:
+            if host.role != TARGET_ROLE:
+                self.table.add_listed(host, now_s)
+        self._changed()
--- /dev/null
+++ b/src/wasabipitch/linkbook.py
@@ -0,0 +1,67 @@
+"""The links of one process to its peers."""
+
+import asyncio
+
+from wasabipitch.events import Timeline
+from wasabipitch.links import Cuts, Link
+from wasabipitch.messages import Hello
+from wasabipitch.models import Address, Host
+
+
+class LinkBook:
+    """One link for each peer, made on demand.
+
+    Args:
+        hello: says who this process is.
+        timeline: gives the clock that messages carry.
+        cuts: the peers whose traffic is dropped, in fault injection.
+    """
+
+    def __init__(
+        self, hello: Hello, timeline: Timeline, cuts: Cuts | None = None
+    ) -> None:
+        self.hello = hello
+        self.cuts = cuts or Cuts()
+        self._clock = timeline.clock
+        self._links: dict[str, Link] = {}
+        self._closing: set[asyncio.Task] = set()
+
+    async def __aenter__(self) -> "LinkBook":
+        return self
+
+    async def __aexit__(self, *exc_info: object) -> None:
+        await self.close()
+
+    def get(self, host: Host) -> Link:
+        """Return the link to a host; a new one if its address has changed."""
+        address = Address.parse(host.address)
+        link = self._links.get(host.name)
+        if link is not None and link.address != address:
+            self._close_later(link)
+            link = None
+        if link is None:
+            link = Link(
+                address, self.hello, self._clock, peer=host.name, cuts=self.cuts
+            )
+            self._links[host.name] = link
+        return link
+
+    def drop(self, name: str) -> None:
+        """Close the link to a host that is gone."""
+        link = self._links.pop(name, None)
+        if link is not None:
+            self._close_later(link)
+
+    async def close(self) -> None:
+        """Close every link."""
+        links = list(self._links.values())
+        self._links.clear()
+        for link in links:
+            await link.close()
+        for task in list(self._closing):
+            await task
+
+    def _close_later(self, link: Link) -> None:
+        task = asyncio.get_running_loop().create_task(link.close())
+        self._closing.add(task)
+        task.add_done_callback(self._closing.discard)
--- /dev/null
+++ b/src/wasabipitch/members.py
@@ -0,0 +1,188 @@
+"""What a process knows of the other processes, as a mergeable table of facts.
+
+Of two facts about a host the newer one counts: the one of the later
+incarnation, then the greater heartbeat, then the worse state. Only the host
+itself starts an incarnation or counts its heartbeat up, so a host that is
+wrongly called dead refutes it with a greater heartbeat.
+"""
+
+import heapq
+import math
+import random
+import time
+from dataclasses import dataclass, field, replace
+
+import msgspec
+
+from wasabipitch.messages import Digest, HostFact
+from wasabipitch.models import Host
+
+LIVE = "live"
+LEAVING = "leaving"
+SUSPECT = "suspect"
+DEAD = "dead"
+_RANKS = {LIVE: 0, LEAVING: 0, SUSPECT: 1, DEAD: 2}
+
+# The size of a packed digest, with its frame, and of the frame alone.
+MAX_DIGEST_BYTES = 600
+DIGEST_FRAME_BYTES = 128
+# A fact counts as news until it was sent this often, times log2 of the fleet.
+SENDS_PER_DOUBLING = 3
+MIN_SUSPECT_S = 2.0
+SUSPECT_S_PER_DOUBLING = 0.5
+UNHEARD = ""
+
+
+def new_incarnation() -> str:
+    """Return a text that sorts after that of any earlier start of the process."""
+    return f"{time.time_ns():016x}"
+
+
+def age_key(fact: HostFact) -> tuple[str, int, int]:
+    """Return what orders two facts about one host, the newer one greater."""
+    return (fact.incarnation, fact.heartbeat, _RANKS.get(fact.state, 0))
+
+
+def fact_bytes(fact: HostFact) -> int:
+    """Return the size of a packed fact."""
+    return len(msgspec.msgpack.encode(fact))
+
+
+@dataclass
+class Member:
+    """The latest fact about another host, and what is done with it.
+
+    Args:
+        fact: the latest fact.
+        sends: how many digests have carried it.
+        since_s: the monotonic time at which it came.
+        left: whether this incarnation has said that it is leaving.
+    """
+
+    fact: HostFact
+    sends: int
+    since_s: float
+    left: bool = False
+    size: int = field(init=False)
+
+    def __post_init__(self) -> None:
+        self.size = fact_bytes(self.fact)
+
+    @property
+    def host(self) -> Host:
+        """The host."""
+        return self.fact.host
+
+    @property
+    def state(self) -> str:
+        """Its state."""
+        return self.fact.state
+
+
+class MemberTable:
+    """The facts about this host and all others.
+
+    Args:
+        host: this process.
+        incarnation: of this process.
+        rng: picks the facts of a digest.
+    """
+
+    def __init__(self, host: Host, incarnation: str, rng: random.Random) -> None:
+        self.own = HostFact(host, incarnation, 0, LIVE)
+        self.others: dict[str, Member] = {}
+        self._rng = rng
+
+    def merge(self, fact: HostFact, now_s: float) -> HostFact | None:
+        """Take a fact if it is newer than what is known.
+
+        Returns:
+            The fact that it replaced, the fact itself if the host was unknown,
+            or None if it was not taken.
+        """
+        if fact.host.name == self.own.host.name:
+            self._refute(fact)
+            return None
+        known = self.others.get(fact.host.name)
+        if known is not None and age_key(fact) <= age_key(known.fact):
+            return None
+        left = fact.state == LEAVING
+        if known is not None and known.fact.incarnation == fact.incarnation:
+            left = left or known.left
+        self.others[fact.host.name] = Member(fact, 0, now_s, left)
+        return known.fact if known else fact
+
+    def add_listed(self, host: Host, now_s: float) -> bool:
+        """Add a host that only the platform's list names so far."""
+        if host.name == self.own.host.name or host.name in self.others:
+            return False
+        fact = HostFact(replace(host, state=LIVE), UNHEARD, 0, LIVE)
+        sends = self.news_sends()
+        self.others[host.name] = Member(fact, sends, now_s)
+        return True
+
+    def set_state(self, name: str, state: str, now_s: float) -> bool:
+        """Change the state of a host's latest fact; return whether it changed."""
+        member = self.others.get(name)
+        if member is None or member.state == state:
+            return False
+        fact = replace(member.fact, state=state)
+        self.others[name] = Member(fact, 0, now_s, member.left)
+        return True
+
+    def leave(self) -> None:
+        """Say from now on that this process is leaving."""
+        self.own = replace(self.own, heartbeat=self.own.heartbeat + 1, state=LEAVING)
+
+    def suspect_s(self) -> float:
+        """Return how long a host is suspect before it counts as dead.
+
+        The time grows with the rounds that a refutation takes to come around.
+        """
+        doublings = math.log2(len(self.others) + 2)
+        return max(MIN_SUSPECT_S, SUSPECT_S_PER_DOUBLING * doublings)
+
+    def news_sends(self) -> int:
+        """Return how many digests carry a fact before it is no longer news."""
+        return math.ceil(SENDS_PER_DOUBLING * math.log2(len(self.others) + 2))
+
+    def digest(self, revision: int, peer: str = "") -> Digest:
+        """Return a digest of bounded size: this host, then the least sent facts.
+
+        Args:
+            revision: the configuration revision in force here.
+            peer: the receiver; a fact that it is suspect or dead comes along,
+                so that it can refute it.
+        """
+        facts = [self.own]
+        left = MAX_DIGEST_BYTES - DIGEST_FRAME_BYTES - fact_bytes(self.own)
+        about_peer = self.others.get(peer)
+        if about_peer is not None and about_peer.state in (SUSPECT, DEAD):
+            facts.append(about_peer.fact)
+            left -= about_peer.size
+        for member in self._least_sent(peer):
+            if member.size <= left:
+                facts.append(member.fact)
+                left -= member.size
+                member.sends += 1
+        return Digest(tuple(facts), revision)
+
+    def _least_sent(self, peer: str) -> list[Member]:
+        heard = [
+            m
+            for name, m in self.others.items()
+            if name != peer and m.fact.incarnation != UNHEARD
+        ]
+        most = MAX_DIGEST_BYTES // fact_bytes(self.own) + 1
+        return heapq.nsmallest(most, heard, key=lambda m: (m.sends, self._rng.random()))
+
+    def _refute(self, fact: HostFact) -> None:
+        own = self.own
+        if fact.incarnation > own.incarnation:
+            if fact.host.address != own.host.address:
+                # Another process has taken this one's place and name.
+                return
+            # The clock went back between two starts of this process.
+            self.own = replace(own, incarnation=fact.incarnation + "+")
+        elif fact.incarnation == own.incarnation and age_key(fact) > age_key(own):
+            self.own = replace(own, heartbeat=fact.heartbeat + 1)
--- /dev/null
+++ b/tests/wasabipitch/processes.py
@@ -0,0 +1,85 @@
+"""Processes of the system in small, for tests: control, links, membership."""
+
+import asyncio
+import contextlib
+import random
+
+from wasabipitch.configuration import ConfigurationKeeper
+from wasabipitch.control import ControlServer
+from wasabipitch.events import Timeline
+from wasabipitch.hosts import Membership
+from wasabipitch.linkbook import LinkBook
+from wasabipitch.links import Cuts, LinkServer
+from wasabipitch.members import new_incarnation
+from wasabipitch.messages import Hello, ProcessState
+from wasabipitch.models import Address, Host
+
+KEY = "wasabipitch/configuration"
+
+
+class Process:
+    """One process, on a port from the kernel."""
+
+    def __init__(self, name, store, role="pool", data_centre="thonburi", seed=1):
+        self.name = name
+        self.role = role
+        self.data_centre = data_centre
+        self.store = store
+        self.seed = seed
+        self.describe = lambda ask: ProcessState(self.host, self.keeper.revision, 1.0)
+        self._stack = contextlib.AsyncExitStack()
+
+    async def start(self, port=0):
+        self.timeline = Timeline(self.name)
+        self.cuts = Cuts()
+        self.server = LinkServer(self._handle, self.timeline.clock, cuts=self.cuts)
+        address = await self.server.start(Address("127.0.0.1", port))
+        self._stack.push_async_callback(self.server.close)
+        self.host = Host(self.name, self.role, str(address), self.data_centre)
+        hello = Hello(self.host, new_incarnation())
+        self.book = LinkBook(hello, self.timeline, self.cuts)
+        await self._stack.enter_async_context(self.book)
+        rng = random.Random(self.seed)
+        self.keeper = ConfigurationKeeper(
+            self.store, KEY, self.timeline, self.book.get, rng=rng
+        )
+        self.membership = Membership(
+            self.host, self.book, self.store, self.keeper, self.timeline, rng=rng
+        )
+        self.control = ControlServer(
+            self.timeline,
+            self.describe,
+            self.keeper,
+            self.membership,
+            cuts=self.cuts,
+        )
+        return self
+
+    def run(self):
+        """Start the loops; separate from ``start`` so that all hosts are known."""
+        for loop in (
+            self.keeper.run(self.membership.pick_peers),
+            self.membership.run(),
+        ):
+            task = asyncio.create_task(loop)
+            self._stack.push_async_callback(_stop, task)
+
+    async def kill(self):
+        await self._stack.aclose()
+        self._stack = contextlib.AsyncExitStack()
+
+    async def _handle(self, exchange):
+        return await self.control(exchange)
+
+
+async def _stop(task):
+    task.cancel()
+    with contextlib.suppress(asyncio.CancelledError):
+        await task
+
+
+async def wait_until(predicate, timeout_s=20.0):
+    """Wait until a condition holds, or fail the test."""
+    async with asyncio.timeout(timeout_s):
+        while not predicate():
+            await asyncio.sleep(0.02)
