--- a/src/wasabipitch/configuration.py
+++ b/src/wasabipitch/configuration.py
@@ -11,7 +11,7 @@
 import logging
 import random
 import time
-from collections.abc import Callable, Sequence
+from collections.abc import Callable
 from dataclasses import dataclass
 
 from wasabipitch import deployment as deployments
@@ -34,7 +34,7 @@
     StoreUnavailable,
     WasabipitchError,
 )
-from wasabipitch.links import Link
+from wasabipitch.hosts import Membership
 from wasabipitch.messages import HoldConfiguration, OfferConfiguration
 from wasabipitch.metrics import Metrics, StatsdMetrics
 from wasabipitch.models import Host
@@ -55,8 +55,6 @@
 APPLY_RETRY_S = 0.25
 
 Subscriber = Callable[[Deployment, int], None]
-PickPeers = Callable[[int], Sequence[Host]]
-GetLink = Callable[[Host], Link]
 
 logger = logging.getLogger(__name__)
 
@@ -68,7 +66,7 @@
         store: holds the head key.
         key: the head key.
         timeline: gets an event for each revision taken.
-        get_link: returns the link to a peer.
+        membership: knows the peers; its digests carry the revision.
         metrics: gets the revision as ``configuration.revision``.
         rng: for jitter.
     """
@@ -78,7 +76,7 @@
         store: Store,
         key: str,
         timeline: Timeline,
-        get_link: GetLink,
+        membership: Membership,
         *,
         metrics: Metrics | None = None,
         rng: random.Random | None = None,
@@ -90,7 +88,8 @@
         self._rejected = 0
         self._store = store
         self._timeline = timeline
-        self._get_link = get_link
+        self._membership = membership
+        membership.carry(self)
         self._metrics = metrics or StatsdMetrics()
         self._rng = rng or random.Random()
         self._subscribers: list[Subscriber] = []
@@ -112,16 +111,12 @@
             await self._taken_event.wait()
         return self.current
 
-    async def run(self, pick_peers: PickPeers) -> None:
-        """Watch the store and talk to peers until cancelled.
-
-        Args:
-            pick_peers: returns up to so many live peers at random.
-        """
+    async def run(self) -> None:
+        """Watch the store and talk to peers until cancelled."""
         async with asyncio.TaskGroup() as tasks:
             tasks.create_task(self._watch_store())
             tasks.create_task(self._ask_peers())
-            tasks.create_task(self._tell_peers(pick_peers))
+            tasks.create_task(self._tell_peers())
 
     def take(self, revision: int, document: str) -> bool:
         """Put a document in force if its revision is greater than the current.
@@ -222,20 +217,20 @@
     async def _fetch_from(self, peer: Host) -> None:
         ask = OfferConfiguration(self.revision, "")
         try:
-            held = await self._get_link(peer).call(ask, FETCH_TIMEOUT_S)
+            held = await self._membership.links.find(peer).call(ask, FETCH_TIMEOUT_S)
         except WasabipitchError as exc:
             logger.debug("configuration of %s: %s", peer.name, exc)
             return
         if isinstance(held, HoldConfiguration) and held.document:
             self.take(held.revision, held.document)
 
-    async def _tell_peers(self, pick_peers: PickPeers) -> None:
+    async def _tell_peers(self) -> None:
         told = 0
         while True:
             taken = self._taken_event
             if told < self.revision:
                 told = self.revision
-                peers = pick_peers(OFFER_PEERS)
+                peers = self._membership.pick_peers(OFFER_PEERS)
                 await asyncio.gather(*(self._tell_peer(peer) for peer in peers))
             else:
                 await taken.wait()
@@ -243,7 +238,7 @@
     async def _tell_peer(self, peer: Host) -> None:
         offer = OfferConfiguration(self.revision, "")
         with contextlib.suppress(WasabipitchError):
-            held = await self._get_link(peer).call(offer, OFFER_TIMEOUT_S)
+            held = await self._membership.links.find(peer).call(offer, OFFER_TIMEOUT_S)
             if isinstance(held, HoldConfiguration):
                 self.hear_of(held.revision, peer)
 
--- a/src/wasabipitch/control.py
+++ b/src/wasabipitch/control.py
@@ -1,6 +1,6 @@
 """Answers the requests on links, by the type of their message."""
 
-from collections.abc import Awaitable, Callable
+from collections.abc import Callable
 
 from wasabipitch.configuration import ConfigurationKeeper
 from wasabipitch.events import Timeline
@@ -19,11 +19,11 @@
     SetCut,
 )
 
-DescribeProcess = Callable[[AskStatus], ProcessState | Awaitable[ProcessState]]
+DescribeProcess = Callable[[], ProcessState]
 
 
 class ControlServer:
-    """The handler of a ``LinkServer``: finds the handler for each message.
+    """Finds the handler for each message; ``handle`` suits a ``LinkServer``.
 
     Entry and pool answer the same questions, which are built in; each
     registers its own messages besides.
@@ -60,7 +60,7 @@
         """Let a handler answer the messages of a type, in place of any before."""
         self._handlers[kind] = handler
 
-    async def __call__(self, exchange: Exchange) -> Message | None:
+    async def handle(self, exchange: Exchange) -> Message | None:
         """Answer one request.
 
         Raises:
@@ -73,10 +73,7 @@
         return await handler(exchange)
 
     async def _answer_status(self, exchange: Exchange) -> ProcessState:
-        state = self._describe(exchange.message)
-        if isinstance(state, ProcessState):
-            return state
-        return await state
+        return self._describe()
 
     async def _answer_events(self, exchange: Exchange) -> Events:
         events = self._timeline.select(exchange.message)
--- a/src/wasabipitch/hosts.py
+++ b/src/wasabipitch/hosts.py
@@ -26,25 +26,28 @@
 from wasabipitch.exceptions import WasabipitchError
 from wasabipitch.hostlist import watch_hosts
 from wasabipitch.linkbook import LinkBook
-from wasabipitch.links import Exchange, RemoteError
-from wasabipitch.members import DEAD, LEAVING, LIVE, SUSPECT, UNHEARD, MemberTable
-from wasabipitch.messages import Digest, HostFact
+from wasabipitch.links import Cuts, Exchange, RemoteError
+from wasabipitch.members import (
+    DEAD,
+    LEAVING,
+    LIVE,
+    SUSPECT,
+    UNHEARD,
+    MemberTable,
+    ProbeOrder,
+    new_incarnation,
+)
+from wasabipitch.messages import Digest, Hello, HostFact
 from wasabipitch.metrics import Metrics, StatsdMetrics
 from wasabipitch.models import Host
 from wasabipitch.owners import order_owners, put_local_first
 from wasabipitch.store import HostList, Store
 
 ROUND_S = 1.0
-# A small fleet can afford more exchanges a process, and finds failures sooner.
-SMALL_FLEET = 100
-SMALL_FLEET_PEERS = 3
-LARGE_FLEET_PEERS = 1
 PROBE_TRIES = 2
 PROBE_TIMEOUT_S = 0.5
 PROBE_RETRY_S = 0.1
 INDIRECT_TIMEOUT_S = 1.5
-# Every so many rounds a process tries a host that it holds for dead.
-ROUNDS_PER_DEAD_PROBE = 5
 # A process that missed this much of its own rounds was paused itself, and
 # gives those it suspects their time again.
 PAUSE_S = 3.0
@@ -57,11 +60,6 @@
 logger = logging.getLogger(__name__)
 
 
-def peers_per_round(fleet: int) -> int:
-    """Return how many peers a process of a fleet of that size probes a round."""
-    return SMALL_FLEET_PEERS if fleet <= SMALL_FLEET else LARGE_FLEET_PEERS
-
-
 class RevisionKeeper(Protocol):
     """What the membership passes on of the configuration."""
 
@@ -71,15 +69,24 @@
         """Note that a peer holds a configuration revision."""
 
 
+class NoRevision:
+    """Stands for the keeper while there is none."""
+
+    revision = 0
+
+    def hear_of(self, revision: int, peer: Host) -> None:
+        """Ignore the peer's revision."""
+
+
 class Membership:
     """Who is live: the platform's list, and direct evidence above it.
 
     Args:
         host: this process.
-        book: the links to peers; its hello holds this process's incarnation.
         store: gives the platform's list of hosts.
-        keeper: hears of the peers' configuration revisions.
         timeline: gets an event for each change of a host's state.
+        cuts: the peers whose traffic is dropped, in fault injection.
+        incarnation: unique to this start of the process, for its hello.
         metrics: gets the gauge ``hosts.known_live``, and counts the changes to
             each state, such as ``hosts.suspect``.
         rng: picks peers and facts.
@@ -88,27 +95,31 @@
     def __init__(
         self,
         host: Host,
-        book: LinkBook,
         store: Store,
-        keeper: RevisionKeeper,
         timeline: Timeline,
         *,
+        cuts: Cuts | None = None,
+        incarnation: str = "",
         metrics: Metrics | None = None,
         rng: random.Random | None = None,
     ) -> None:
         self.host = host
-        self.book = book
+        hello = Hello(host, incarnation or new_incarnation())
+        self.links = LinkBook(hello, timeline.clock, cuts)
         self._store = store
-        self._keeper = keeper
+        self._keeper: RevisionKeeper = NoRevision()
         self._timeline = timeline
         self._metrics = metrics or StatsdMetrics()
         self._rng = rng or random.Random()
-        self.table = MemberTable(host, book.hello.incarnation, self._rng)
+        self.table = MemberTable(host, new_incarnation(), self._rng)
         self._listed: dict[str, Host] = {}
         self._subscribers: list[Callable[[], None]] = []
         self._owners: dict[str, tuple[Host, ...]] = {}
-        self._queue: list[str] = []
-        self._rounds = 0
+        self._order = ProbeOrder(self.table, self._rng)
+
+    def carry(self, keeper: RevisionKeeper) -> None:
+        """Carry a keeper's revision in the digests, and tell it the peers'."""
+        self._keeper = keeper
 
     def subscribe(self, callback: Callable[[], None]) -> None:
         """Call back after every change of a host's state or of the list."""
@@ -184,12 +195,14 @@
 
     def doubt(self, name: str) -> None:
         """Probe a host in the next round, because work sent to it failed."""
-        if name in self.table.others:
-            self._queue.append(name)
+        self._order.put_first(name)
 
     async def run(self) -> None:
-        """Watch the platform's list and probe peers until cancelled."""
-        async with asyncio.TaskGroup() as tasks:
+        """Watch the platform's list and probe peers until cancelled.
+
+        The links are closed at the end.
+        """
+        async with self.links, asyncio.TaskGroup() as tasks:
             tasks.create_task(watch_hosts(self._store, self.take_list, self._rng))
             await self._run_rounds(tasks)
 
@@ -268,36 +281,10 @@
             now_s = time.monotonic()
             self._expire_suspects(now_s, paused=now_s - last_s > PAUSE_S)
             last_s = now_s
-            self._rounds += 1
-            for peer in self._next_peers():
-                tasks.create_task(self._probe(peer))
+            for name in self._order.next_names():
+                tasks.create_task(self._probe(self._address_of(name)))
             await asyncio.sleep(ROUND_S * self._rng.uniform(0.9, 1.1))
 
-    def _next_peers(self) -> list[Host]:
-        """Return the peers of this round: each in turn, in a shuffled order."""
-        others = self.table.others
-        dead = [name for name, m in others.items() if m.state == DEAD]
-        alive = len(others) - len(dead)
-        picked = []
-        for _ in range(min(peers_per_round(len(others) + 1), alive)):
-            name = self._take_from_queue()
-            if name is not None and name not in picked:
-                picked.append(name)
-        if dead and (alive == 0 or self._rounds % ROUNDS_PER_DEAD_PROBE == 0):
-            picked.append(self._rng.choice(dead))
-        return [self._address_of(name) for name in picked]
-
-    def _take_from_queue(self) -> str | None:
-        others = self.table.others
-        for _ in range(2):
-            while self._queue:
-                name = self._queue.pop()
-                if name in others and others[name].state != DEAD:
-                    return name
-            self._queue = list(others)
-            self._rng.shuffle(self._queue)
-        return None
-
     async def _probe(self, peer: Host) -> None:
         for attempt in range(PROBE_TRIES):
             if attempt:
@@ -313,7 +300,7 @@
         """Exchange digests with a peer; return whether it answered."""
         digest = self.table.digest(self._keeper.revision, peer.name)
         try:
-            reply = await self.book.get(peer).call(digest, PROBE_TIMEOUT_S)
+            reply = await self.links.find(peer).call(digest, PROBE_TIMEOUT_S)
         except RemoteError:
             return True
         except WasabipitchError as exc:
@@ -334,7 +321,7 @@
         )
         ask = Digest((fact,), self._keeper.revision)
         try:
-            reply = await self.book.get(others[0]).call(ask, INDIRECT_TIMEOUT_S)
+            reply = await self.links.find(others[0]).call(ask, INDIRECT_TIMEOUT_S)
         except WasabipitchError:
             return False
         self._merge(reply, others[0])
@@ -348,7 +335,7 @@
         revision = self._keeper.revision
         ask = Digest((self.table.own, fact), revision)
         with contextlib.suppress(WasabipitchError):
-            reply = await self.book.get(fact.host).call(ask, PROBE_TIMEOUT_S)
+            reply = await self.links.find(fact.host).call(ask, PROBE_TIMEOUT_S)
             self._merge(reply, fact.host)
             about = [f for f in reply.facts if f.host.name == fact.host.name]
             return Digest((self.table.own, *about), revision)
@@ -369,7 +356,7 @@
                 self._note_state(name, DEAD)
             elif self._is_forgotten(name, waited_s):
                 del self.table.others[name]
-                self.book.drop(name)
+                self.links.drop(name)
 
     def _is_forgotten(self, name: str, waited_s: float) -> bool:
         member = self.table.others[name]
--- a/src/wasabipitch/linkbook.py
+++ b/src/wasabipitch/linkbook.py
@@ -2,7 +2,7 @@
 
 import asyncio
 
-from wasabipitch.events import Timeline
+from wasabipitch.events import Clock
 from wasabipitch.links import Cuts, Link
 from wasabipitch.messages import Hello
 from wasabipitch.models import Address, Host
@@ -13,16 +13,14 @@
 
     Args:
         hello: says who this process is.
-        timeline: gives the clock that messages carry.
+        clock: carried on every message.
         cuts: the peers whose traffic is dropped, in fault injection.
     """
 
-    def __init__(
-        self, hello: Hello, timeline: Timeline, cuts: Cuts | None = None
-    ) -> None:
+    def __init__(self, hello: Hello, clock: Clock, cuts: Cuts | None = None) -> None:
         self.hello = hello
         self.cuts = cuts or Cuts()
-        self._clock = timeline.clock
+        self._clock = clock
         self._links: dict[str, Link] = {}
         self._closing: set[asyncio.Task] = set()
 
@@ -32,7 +30,7 @@
     async def __aexit__(self, *exc_info: object) -> None:
         await self.close()
 
-    def get(self, host: Host) -> Link:
+    def find(self, host: Host) -> Link:
         """Return the link to a host; a new one if its address has changed."""
         address = Address.parse(host.address)
         link = self._links.get(host.name)
--- a/src/wasabipitch/members.py
+++ b/src/wasabipitch/members.py
@@ -32,6 +32,13 @@
 SUSPECT_S_PER_DOUBLING = 0.5
 UNHEARD = ""
 
+# A small fleet can afford more exchanges a process, and finds failures sooner.
+SMALL_FLEET = 100
+SMALL_FLEET_PEERS = 3
+LARGE_FLEET_PEERS = 1
+# Every so many rounds a process tries a host that it holds for dead.
+ROUNDS_PER_DEAD_PROBE = 5
+
 
 def new_incarnation() -> str:
     """Return a text that sorts after that of any earlier start of the process."""
@@ -186,3 +193,53 @@
             self.own = replace(own, incarnation=fact.incarnation + "+")
         elif fact.incarnation == own.incarnation and age_key(fact) > age_key(own):
             self.own = replace(own, heartbeat=fact.heartbeat + 1)
+
+
+def peers_per_round(fleet: int) -> int:
+    """Return how many peers a process of a fleet of that size probes a round."""
+    return SMALL_FLEET_PEERS if fleet <= SMALL_FLEET else LARGE_FLEET_PEERS
+
+
+class ProbeOrder:
+    """Which hosts to probe in each round: each in turn, in a shuffled order.
+
+    Args:
+        table: the hosts.
+        rng: shuffles them.
+    """
+
+    def __init__(self, table: MemberTable, rng: random.Random) -> None:
+        self._table = table
+        self._rng = rng
+        self._queue: list[str] = []
+        self._rounds = 0
+
+    def put_first(self, name: str) -> None:
+        """Probe a host in the next round."""
+        self._queue.append(name)
+
+    def next_names(self) -> list[str]:
+        """Return the hosts to probe in the next round."""
+        self._rounds += 1
+        others = self._table.others
+        dead = [name for name, m in others.items() if m.state == DEAD]
+        alive = len(others) - len(dead)
+        picked = []
+        for _ in range(min(peers_per_round(len(others) + 1), alive)):
+            name = self._take()
+            if name is not None and name not in picked:
+                picked.append(name)
+        if dead and (alive == 0 or self._rounds % ROUNDS_PER_DEAD_PROBE == 0):
+            picked.append(self._rng.choice(dead))
+        return picked
+
+    def _take(self) -> str | None:
+        others = self._table.others
+        for _ in range(2):
+            while self._queue:
+                name = self._queue.pop()
+                if name in others and others[name].state != DEAD:
+                    return name
+            self._queue = list(others)
+            self._rng.shuffle(self._queue)
+        return None
--- a/tests/wasabipitch/processes.py
+++ b/tests/wasabipitch/processes.py
@@ -8,10 +8,8 @@
 from wasabipitch.control import ControlServer
 from wasabipitch.events import Timeline
 from wasabipitch.hosts import Membership
-from wasabipitch.linkbook import LinkBook
 from wasabipitch.links import Cuts, LinkServer
-from wasabipitch.members import new_incarnation
-from wasabipitch.messages import Hello, ProcessState
+from wasabipitch.messages import ProcessState
 from wasabipitch.models import Address, Host
 
 KEY = "wasabipitch/configuration"
@@ -26,7 +24,7 @@
         self.data_centre = data_centre
         self.store = store
         self.seed = seed
-        self.describe = lambda ask: ProcessState(self.host, self.keeper.revision, 1.0)
+        self.describe = lambda: ProcessState(self.host, self.keeper.revision, 1.0)
         self._stack = contextlib.AsyncExitStack()
 
     async def start(self, port=0):
@@ -36,15 +34,12 @@
         address = await self.server.start(Address("127.0.0.1", port))
         self._stack.push_async_callback(self.server.close)
         self.host = Host(self.name, self.role, str(address), self.data_centre)
-        hello = Hello(self.host, new_incarnation())
-        self.book = LinkBook(hello, self.timeline, self.cuts)
-        await self._stack.enter_async_context(self.book)
         rng = random.Random(self.seed)
-        self.keeper = ConfigurationKeeper(
-            self.store, KEY, self.timeline, self.book.get, rng=rng
-        )
         self.membership = Membership(
-            self.host, self.book, self.store, self.keeper, self.timeline, rng=rng
+            self.host, self.store, self.timeline, cuts=self.cuts, rng=rng
+        )
+        self.keeper = ConfigurationKeeper(
+            self.store, KEY, self.timeline, self.membership, rng=rng
         )
         self.control = ControlServer(
             self.timeline,
@@ -58,7 +53,7 @@
     def run(self):
         """Start the loops; separate from ``start`` so that all hosts are known."""
         for loop in (
-            self.keeper.run(self.membership.pick_peers),
+            self.keeper.run(),
             self.membership.run(),
         ):
             task = asyncio.create_task(loop)
@@ -69,7 +64,7 @@
         self._stack = contextlib.AsyncExitStack()
 
     async def _handle(self, exchange):
-        return await self.control(exchange)
+        return await self.control.handle(exchange)
 
 
 async def _stop(task):
