--- a/src/wasabipitch/switchover.py
+++ b/src/wasabipitch/switchover.py
@@ -3,7 +3,7 @@
 import asyncio
 import time
 
-from wasabipitch.exceptions import NoTarget
+from wasabipitch.exceptions import NoTarget, RequestError
 from wasabipitch.failover import Failover
 from wasabipitch.models import Position
 from wasabipitch.promotion import Change
@@ -88,9 +88,10 @@
             continue
         try:
             await switch_primary(view, failover)
-        except NoTarget:
-            # Its reason is on the time line; the primary serves until it works.
+        except RequestError as exc:
+            view.activity = f"{primary.name} is leaving, but stays primary: {exc}"
             await asyncio.sleep(LEAVING_RETRY_S)
+            view.activity = ""
 
 
 def _may_lead(view: GroupView, replica: InstanceView) -> bool:
@@ -119,5 +120,8 @@
             f"has caught up with {old.name}"
         )
         asked_at_s = time.monotonic()
-        status = await replica.channel.wait(goal, CATCH_UP_STEP_S)
+        try:
+            status = await replica.channel.wait(goal, CATCH_UP_STEP_S)
+        except RequestError as exc:
+            raise NoTarget(f"{replica.name} was lost before it caught up") from exc
         view.update(replica.name, status, asked_at_s)
