--- a/src/wasabipitch/mysql_targets.py
+++ b/src/wasabipitch/mysql_targets.py
@@ -76,7 +76,7 @@
                 f"target {address} did not accept a connection "
                 f"within {CONNECT_TIMEOUT_S} s"
             ) from exc
-        except (errors.MySQLError, OSError, AssertionError) as exc:
+        except Exception as exc:  # the library raises many kinds on malformed bytes
             raise TargetDown(f"target {address} can't be connected to: {exc}") from exc
         return MysqlConn(conn, address)
 
@@ -165,8 +165,8 @@
             self._idle = True
         except errors.MySQLError as exc:
             raise self._translate(exc) from exc
-        except (OSError, AssertionError) as exc:
-            raise self._lose(str(exc)) from exc
+        except Exception as exc:  # the library raises many kinds on malformed bytes
+            raise self._lose(repr(exc)) from exc
         finally:
             # Left in the middle of an answer: cancelled, or an unforeseen error.
             if not self._idle:
