--- a/src/wasabipitch/health.py
+++ b/src/wasabipitch/health.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import time
+from bisect import bisect_right
 from collections.abc import Iterator
 from dataclasses import dataclass
 
@@ -97,11 +98,11 @@
 def add_sample(view: GroupView, sample: PrimarySample) -> None:
     """Keep where the primary's log ended when it was asked at a moment.
 
-    Of samples with the same position only the latest says anything.
+    Samples stay sorted by time and by position; one that is out of order is
+    dropped.
     """
     samples = view.samples
-    if samples and samples[-1].position == sample.position:
-        samples[-1] = sample
+    if samples and _is_out_of_order(samples[-1], sample):
         return
     samples.append(sample)
     if len(samples) > MAX_SAMPLES:
@@ -125,14 +126,17 @@
         return None
     if instance.position.term != view.term:
         return None
-    for sample in reversed(view.samples):
-        if sample.at_s <= confirmed_s and _covers(instance, sample, view.term):
-            return max(0.0, now_s - sample.at_s)
-    return None
+    samples = view.samples
+    reached = bisect_right(samples, instance.position, key=lambda s: s.position)
+    confirmed = bisect_right(samples, confirmed_s, key=lambda s: s.at_s)
+    latest = min(reached, confirmed) - 1
+    if latest < 0 or samples[latest].position.term != view.term:
+        return None
+    return max(0.0, now_s - samples[latest].at_s)
 
 
-def _covers(instance: InstanceView, sample: PrimarySample, term: int) -> bool:
-    return sample.position.term == term and instance.position >= sample.position
+def _is_out_of_order(last: PrimarySample, sample: PrimarySample) -> bool:
+    return sample.at_s <= last.at_s or sample.position < last.position
 
 
 def _confirmed_at_s(view: GroupView) -> float | None:
