--- a/src/wasabipitch/failover.py
+++ b/src/wasabipitch/failover.py
@@ -255,12 +255,8 @@
 
     def _establish(self, found: Leadership, reason: str) -> None:
         self._record("failover.established", found.term, f"{found.name}: {reason}")
-        if self._last_primary and not self._view.primary:
-            since_s = self._absent_since_s
-            if self._suspicion is not None:
-                since_s = self._suspicion.heard_at_s
-            gap_ms = (time.monotonic() - since_s) * 1000
-            self._metrics.timing("failover.gap_ms", gap_ms)
+        if self._last_primary and not self._view.primary and self.rank() == 0:
+            self._measure_gap()
         self._view.establish(found.name, found.term)
         self._last_primary = found.name
         self._suspicion = None
@@ -268,6 +264,12 @@
         self._failures = 0
         self._not_before_s = 0.0
 
+    def _measure_gap(self) -> None:
+        since_s = self._absent_since_s
+        if self._suspicion is not None:
+            since_s = self._suspicion.heard_at_s
+        self._metrics.timing("failover.gap_ms", (time.monotonic() - since_s) * 1000)
+
     def _depose(self) -> None:
         if self._view.primary:
             self._absent_since_s = time.monotonic()
--- a/tests/wasabipitch/test_failover.py
+++ b/tests/wasabipitch/test_failover.py
@@ -20,9 +20,9 @@
 from wasabipitch.metrics import StatsdMetrics
 from wasabipitch.models import Address, Position
 from wasabipitch.mysql_targets import MysqlConnector
-from wasabipitch.promotion import Change, Promoter
+from wasabipitch.promotion import Change, Order, Promoter
 from wasabipitch.switchover import switch_primary, watch_leaving
-from wasabipitch.targets import Answer
+from wasabipitch.targets import Answer, ControlChannel, InstanceStatus
 from wasabipitch.terms import TermAllocator
 from wasabipitch.view import GroupView, InstanceView
 
@@ -384,6 +384,81 @@
         return {"c": status}
 
 
+class SingleReadPromoter(Promoter):
+    """Takes the answers to the fence as they came, without reading again."""
+
+    def __init__(self, *args) -> None:
+        super().__init__(*args)
+        self._first: dict[str, InstanceStatus] = {}
+
+    async def order(self, name: str, order: Order) -> InstanceStatus | None:
+        if name not in self._first:
+            self._first[name] = await super().order(name, order)
+        return self._first[name]
+
+
+class LateChannel:
+    """Passes a fence on late, as a paused process or a full link does."""
+
+    def __init__(self, inner: ControlChannel) -> None:
+        self._inner = inner
+        self.released = asyncio.Event()
+
+    async def fence(self, term: int, timeout_s: float) -> InstanceStatus:
+        await self.released.wait()
+        return await self._inner.fence(term, timeout_s)
+
+    def __getattr__(self, name: str):
+        return getattr(self._inner, name)
+
+
+class RestartDuringFenceTest(GroupTest):
+    """One instance takes a fence, forgets it in a restart, and is readmitted.
+
+    The fence of another instance arrives only then, so that the two never held
+    it at the same time, and a write was acknowledged in between.
+    """
+
+    TERM = 5
+
+    async def fence_across_restart(self, kind: type[Promoter]) -> set[str]:
+        slow = Pool(self.cluster, MemoryStore(), "p1")
+        late = LateChannel(slow.view.instances["b"].channel)
+        slow.view.instances["b"].channel = late
+        self.cluster.cut("a", "p1")
+        promoter = kind(slow.view, slow.terms, slow.timeline)
+        fencing = asyncio.ensure_future(promoter.fence_majority(self.TERM))
+        c = self.cluster.targets["c"].instance
+        await eventually(lambda: c.fence_term == self.TERM, "the first fence")
+        await self.restart_and_readmit("c")
+        self.cluster.cut("b", "a")
+        await self.cluster.insert_acknowledged("a", 1)
+        late.released.set()
+        return set(await fencing)
+
+    async def restart_and_readmit(self, name: str) -> None:
+        await self.cluster.kill(name)
+        await self.cluster.launch(name, initial=False)
+        pool = Pool(self.cluster, self.store, "p2")
+        await pool.observe()
+        found = await pool.promoter.carry_out(Change("renewal", old="a", prefer="a"))
+        self.assertLess(found.term, self.TERM)
+        await pool.promoter.order(name, lambda ch: ch.join(found.term))
+        instance = self.cluster.targets[name].instance
+        await eventually(lambda: instance.member, "membership")
+
+    async def test_forgotten_fence_does_not_count(self) -> None:
+        with self.assertRaises(NoTarget):
+            await self.fence_across_restart(Promoter)
+
+    async def test_without_the_second_reading_a_write_is_lost(self) -> None:
+        fenced = await self.fence_across_restart(SingleReadPromoter)
+        self.assertEqual(fenced, {"b", "c"})
+        await self.cluster.run("b", f"CALL wasabipitch_promote({self.TERM})")
+        self.assertEqual(self.cluster.targets["b"].instance.term, self.TERM)
+        self.assertEqual(await self.cluster.keys("b"), set())
+
+
 class FencedMajorityTest(GroupTest):
     async def lag_behind(self) -> None:
         """Have an acknowledged entry on a and b only, then lose sight of both."""
