--- a/tests/wasabipitch/test_failover.py
+++ b/tests/wasabipitch/test_failover.py
@@ -5,7 +5,7 @@
 import time
 import unittest
 from collections.abc import Callable, Mapping
-from contextlib import AsyncExitStack
+from contextlib import AsyncExitStack, asynccontextmanager
 from dataclasses import replace
 
 from standins.instance import TargetConfig
@@ -49,6 +49,7 @@
         self.addresses: dict[str, Address] = {}
 
     async def start(self) -> None:
+        self._stack.push_async_callback(self.stop)
         for name in NAMES:
             await self.launch(name, primary=name == "a")
         for name in ("b", "c"):
@@ -63,10 +64,12 @@
         cfg = TargetConfig(name=name, port=port, connect_ms=1, lag_ms=1, connections=60)
         target = Target(replace(cfg, primary=primary, initial=initial))
         await target.__aenter__()
-        self._stack.push_async_callback(self._stop, target)
         self.targets[name] = target
         self.addresses[name] = Address.parse(target.address)
 
+    async def stop(self) -> None:
+        await asyncio.gather(*map(self._stop, self.targets.values()))
+
     async def kill(self, name: str) -> None:
         await self._stop(self.targets.pop(name))
 
@@ -301,6 +304,33 @@
         self.assertEqual(pool.events("failover.promoted"), [])
 
 
+class RenewalTest(GroupTest):
+    async def test_instance_fenced_by_an_abandoned_try_is_led_back(self) -> None:
+        pool = await self.start_pool()
+        await pool.established()
+        await self.cluster.run("c", "CALL wasabipitch_fence(9)")
+        self.assertEqual(await pool.established(above=9), "a")
+        await self.cluster.settled()
+
+    async def test_writes_are_held_back_for_a_bounded_time(self) -> None:
+        steps = []
+
+        @asynccontextmanager
+        async def hold_writes():
+            steps.append("held")
+            try:
+                await asyncio.Event().wait()
+                yield
+            finally:
+                steps.append("released")
+
+        pool = await self.start_pool()
+        pool.failover._quiesce = hold_writes
+        await pool.established()
+        self.assertEqual(await switch_primary(pool.view, pool.failover, "b"), "b")
+        self.assertEqual(steps, ["held", "released"])
+
+
 class FalseAlarmTest(GroupTest):
     async def test_one_missed_probe_deposes_nobody(self) -> None:
         pool = await self.start_pool()
