--- /dev/null
+++ b/src/wasabipitch/declare.py
@@ -0,0 +1,266 @@
+"""The operators' library: declare a deployment in Python and print its YAML.
+
+from wasabipitch import declare
+
+shop = declare.deployment(
+    "shop",
+    groups=[
+        declare.group(
+            "orders",
+            [
+                declare.instance("orders-1", "10.0.1.5:3306", "north"),
+                declare.instance("orders-2", "10.0.2.5:3306", "south"),
+                declare.instance("orders-3", "10.0.3.5:3306", "east"),
+            ],
+        )
+    ],
+    classes=[
+        declare.replica_read("order-status", max_age_s=3),
+        declare.write_once("payment", weight=40),
+    ],
+)
+declare.print_yaml(shop)
+"""
+
+import sys
+from collections.abc import Iterable
+from typing import Any, TextIO
+
+from pydantic import ValidationError
+
+from wasabipitch.deployment import (
+    Deployment,
+    Group,
+    Instance,
+    Policy,
+    RequestClass,
+    describe_errors,
+    dump,
+    parse,
+)
+from wasabipitch.exceptions import SettingsError
+
+DEFAULT_DEADLINE_S = 5.0
+LONG_DEADLINE_S = 600.0
+DEFAULT_WEIGHT = 10
+LONG_WEIGHT = 1
+
+
+def instance(
+    name: str, address: str, data_centre: str, *, leaving: bool = False
+) -> Instance:
+    """Declare a database instance.
+
+    Args:
+        name: unique in the deployment.
+        address: ``ip:port`` of its MySQL port.
+        data_centre: where it stands.
+        leaving: whether it gets no new work, because it will be taken out.
+    """
+    return _make(
+        Instance, name=name, address=address, data_centre=data_centre, leaving=leaving
+    )
+
+
+def group(
+    name: str, instances: Iterable[Instance], *, slots: int = 2, connections: int = 16
+) -> Group:
+    """Declare a database group.
+
+    Args:
+        name: the database name that callers use.
+        instances: three, or a greater odd number.
+        slots: how many statements run at once on an instance.
+        connections: how many connections an instance takes.
+    """
+    return _make(
+        Group,
+        name=name,
+        instances=tuple(instances),
+        slots=slots,
+        connections=connections,
+    )
+
+
+def read(
+    name: str,
+    *,
+    deadline_s: float = DEFAULT_DEADLINE_S,
+    weight: int = DEFAULT_WEIGHT,
+    statements: Iterable[str] = (),
+) -> RequestClass:
+    """Declare reads that need the latest data.
+
+    Args:
+        name: what callers write in their hints.
+        deadline_s: how long a caller waits for an answer.
+        weight: the class's share of a contended queue, against the others.
+        statements: statements that belong to the class without a hint.
+    """
+    return _make_class(
+        name, deadline_s=deadline_s, weight=weight, statements=statements
+    )
+
+
+def replica_read(
+    name: str,
+    *,
+    max_age_s: float,
+    deadline_s: float = DEFAULT_DEADLINE_S,
+    weight: int = DEFAULT_WEIGHT,
+    statements: Iterable[str] = (),
+) -> RequestClass:
+    """Declare reads that accept data up to ``max_age_s`` old; else as ``read``."""
+    return _make_class(
+        name,
+        max_age_s=max_age_s,
+        deadline_s=deadline_s,
+        weight=weight,
+        statements=statements,
+    )
+
+
+def write(
+    name: str,
+    *,
+    deadline_s: float = DEFAULT_DEADLINE_S,
+    weight: int = DEFAULT_WEIGHT,
+    statements: Iterable[str] = (),
+) -> RequestClass:
+    """Declare idempotent writes, which may safely run twice; else as ``read``."""
+    return _make_class(
+        name, deadline_s=deadline_s, weight=weight, statements=statements
+    )
+
+
+def write_once(
+    name: str,
+    *,
+    deadline_s: float = DEFAULT_DEADLINE_S,
+    weight: int = DEFAULT_WEIGHT,
+    statements: Iterable[str] = (),
+) -> RequestClass:
+    """Declare non-idempotent writes; else as ``read``.
+
+    Each runs at most once, and callers give it a request id.
+    """
+    return _make_class(
+        name,
+        idempotent=False,
+        deadline_s=deadline_s,
+        weight=weight,
+        statements=statements,
+    )
+
+
+def payment(
+    name: str = "payment",
+    *,
+    deadline_s: float = DEFAULT_DEADLINE_S,
+    weight: int = 4 * DEFAULT_WEIGHT,
+    statements: Iterable[str] = (),
+) -> RequestClass:
+    """Declare a ``write_once`` class that goes before most others in a queue."""
+    return write_once(name, deadline_s=deadline_s, weight=weight, statements=statements)
+
+
+def report(
+    name: str,
+    *,
+    max_age_s: float | None = None,
+    deadline_s: float = LONG_DEADLINE_S,
+    weight: int = LONG_WEIGHT,
+    statements: Iterable[str] = (),
+) -> RequestClass:
+    """Declare long reads, which run many times longer than the rest.
+
+    They never hold the last slot of an instance. Declare ``max_age_s`` where
+    replicas may answer them; else as ``read``.
+    """
+    return _make_class(
+        name,
+        max_age_s=max_age_s,
+        deadline_s=deadline_s,
+        weight=weight,
+        long=True,
+        statements=statements,
+    )
+
+
+def long_write(
+    name: str,
+    *,
+    idempotent: bool = True,
+    deadline_s: float = LONG_DEADLINE_S,
+    weight: int = LONG_WEIGHT,
+    statements: Iterable[str] = (),
+) -> RequestClass:
+    """Declare long writes; callers give a non-idempotent one a request id."""
+    return _make_class(
+        name,
+        idempotent=idempotent,
+        deadline_s=deadline_s,
+        weight=weight,
+        long=True,
+        statements=statements,
+    )
+
+
+def deployment(
+    name: str,
+    *,
+    groups: Iterable[Group],
+    classes: Iterable[RequestClass] = (),
+    **policy: Any,
+) -> Deployment:
+    """Declare a whole deployment.
+
+    Args:
+        name: the deployment's name.
+        groups: its database groups.
+        classes: its request classes.
+        policy: switches of ``Policy``, such as ``fair_queue=False``.
+
+    Raises:
+        SettingsError: with every error and its path, one a line.
+    """
+    declared = _make(
+        Deployment,
+        name=name,
+        groups=tuple(groups),
+        classes=tuple(classes),
+        policy=_make(Policy, **policy),
+    )
+    return parse(dump(declared))
+
+
+def print_yaml(declared: Deployment, file: TextIO | None = None) -> None:
+    """Print a deployment as the YAML that ``wasabipitch-ctl apply`` reads."""
+    (file or sys.stdout).write(dump(declared))
+
+
+def _make_class(name: str, *, statements: Iterable[str], **fields: Any) -> RequestClass:
+    return _make(RequestClass, name=name, statements=tuple(statements), **fields)
+
+
+def _make(kind: type, **fields: Any) -> Any:
+    try:
+        return kind(**fields)
+    except ValidationError as exc:
+        title = f"{kind.__name__.lower()} {fields.get('name', '')}".strip()
+        raise SettingsError(f"{title}: {describe_errors(exc)}") from exc
+
+
+__all__ = [
+    "deployment",
+    "group",
+    "instance",
+    "long_write",
+    "payment",
+    "print_yaml",
+    "read",
+    "replica_read",
+    "report",
+    "write",
+    "write_once",
+]
