--- /dev/null
+++ b/src/wasabipitch/cli/ctl.py
@@ -0,0 +1,31 @@
+"""The program ``wasabipitch-ctl``."""
+
+import sys
+
+import fire
+
+from wasabipitch.ctl import Command, Commands, execute
+from wasabipitch.exceptions import SettingsError
+from wasabipitch.outcomes import EXIT_USAGE
+
+NAME = "wasabipitch-ctl"
+SWITCHES = ("--json", "--undo")
+
+
+def main() -> None:
+    """Read the command line, carry the command out and exit with its code."""
+    # ``fire`` would take the word after a switch for its value.
+    args = [f"{arg}=True" if arg in SWITCHES else arg for arg in sys.argv[1:]]
+    try:
+        command = fire.Fire(Commands, args, name=NAME, serialize=lambda _: None)
+    except SettingsError as exc:
+        print(exc.message, file=sys.stderr)
+        sys.exit(EXIT_USAGE)
+    if not isinstance(command, Command):
+        print(f"no command was given; see {NAME} --help", file=sys.stderr)
+        sys.exit(EXIT_USAGE)
+    sys.exit(execute(command))
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/src/wasabipitch/ctl.py
@@ -0,0 +1,201 @@
+"""The operators' commands: check, plan, apply, status, timeline, and the rest."""
+
+import getpass
+import os
+from collections.abc import Awaitable, Callable
+from types import UnionType
+
+from wasabipitch import changes, orders, outcomes
+from wasabipitch.exceptions import SettingsError
+from wasabipitch.messages import AskEvents
+from wasabipitch.models import Address
+from wasabipitch.outcomes import Outcome, Session, run_session
+
+DEFAULT_KEY = "wasabipitch/configuration"
+PLATFORM_VARIABLE = "WASABIPITCH_PLATFORM"
+DEFAULT_TIMEOUT_S = 10.0
+
+Work = Callable[[Session], Awaitable[Outcome]]
+
+
+class Command:
+    """A command line that was understood, and not yet carried out.
+
+    It has no public attributes, so that ``fire`` refuses whatever follows it on
+    the command line, before anything is done.
+    """
+
+    def __init__(self, commands: "Commands", work: Work, needs_platform: bool) -> None:
+        self._commands = commands
+        self._work = work
+        self._needs_platform = needs_platform
+
+
+def execute(command: Command) -> int:
+    """Carry a command out, print its outcome and return the exit code."""
+    commands = command._commands
+    try:
+        options = commands._read_options(command._needs_platform)
+    except SettingsError as exc:
+        outcome = outcomes.fail_usage(exc)
+    else:
+        outcome = run_session(options, command._work)
+    outcomes.print_outcome(outcome, as_json=commands._json is True)
+    return outcome.exit_code
+
+
+class Commands:
+    """Operates a wasabipitch deployment.
+
+    check FILE: report every error of a configuration file.
+    plan FILE: show what applying it would do.
+    apply FILE: put it in force.
+    status: show groups, instances and processes.
+    timeline: show the events of all processes.
+    switchover GROUP: change a group's primary as planned.
+    drain TARGET: give an instance no new work.
+
+    COMMAND --help tells more. All commands take the flags below. Exit
+    codes: 0 done; 1 failed, nothing was changed; 2 wrong usage or a bad
+    file; 3 conflict with another operator's change, nothing was changed;
+    4 in doubt, the change may have taken effect: repeat the command.
+
+    Args:
+        platform: ip:port of the platform's key-value service; by default from
+            the environment variable WASABIPITCH_PLATFORM.
+        key: the key that holds the configuration.
+        json: print JSON in place of text.
+        processes: ip:port of processes to ask, separated by commas, when the
+            platform does not list them.
+        timeout: how many seconds to try for.
+    """
+
+    def __init__(
+        self,
+        platform: str = "",
+        key: str = DEFAULT_KEY,
+        json: bool = False,
+        processes: str = "",
+        timeout: float = DEFAULT_TIMEOUT_S,
+    ) -> None:
+        self._platform = platform or os.environ.get(PLATFORM_VARIABLE, "")
+        self._key = key
+        self._json = json
+        self._processes = processes
+        self._timeout = timeout
+
+    def check(self, file: str) -> Command:
+        """Check a configuration file and report every error with its path.
+
+        Args:
+            file: the YAML file.
+        """
+        return Command(self, lambda s: changes.check(s, str(file)), False)
+
+    def plan(self, file: str) -> Command:
+        """Show what applying a file would change, and its effect on running work.
+
+        Args:
+            file: the YAML file.
+        """
+        return Command(self, lambda s: changes.plan(s, str(file)), True)
+
+    def apply(self, file: str, expect: int = -1, author: str = "") -> Command:
+        """Put a file in force, unless another change came first.
+
+        A conflict shows the other change. After a lost answer the command is
+        safe to repeat.
+
+        Args:
+            file: the YAML file.
+            expect: the revision that the file was made from, as ``plan`` shows
+                it; by default the one in force when the command starts.
+            author: who makes the change; by default the login name.
+        """
+        _check_number("expect", expect, int)
+        name = str(author) or _read_login()
+        return Command(self, lambda s: changes.apply(s, str(file), expect, name), True)
+
+    def status(self) -> Command:
+        """Show each group's primary, replicas and owners, and every process."""
+        return Command(self, orders.status, True)
+
+    def timeline(
+        self,
+        group: str = "",
+        session: str = "",
+        request: str = "",
+        term: int = 0,
+        limit: int = 1000,
+    ) -> Command:
+        """Show the events of all processes in their order.
+
+        Args:
+            group: only events of this group.
+            session: only events of this session.
+            request: only events of this request id.
+            term: only events of this term.
+            limit: at most so many, the latest.
+        """
+        _check_number("term", term, int)
+        _check_number("limit", limit, int)
+        ask = AskEvents(str(group), str(session), str(request), term, limit)
+        return Command(self, lambda s: orders.timeline(s, ask), True)
+
+    def switchover(self, group: str, to: str = "") -> Command:
+        """Change a group's primary as planned, and show what it waits for.
+
+        Args:
+            group: the group.
+            to: the instance that becomes the primary; by default the best one.
+        """
+        return Command(self, lambda s: orders.switch_over(s, str(group), str(to)), True)
+
+    def drain(self, target: str, undo: bool = False) -> Command:
+        """Give an instance no new work, and wait until its work has finished.
+
+        This is a change of the configuration: it outlives every process.
+
+        Args:
+            target: the instance.
+            undo: give it work again.
+        """
+        return Command(
+            self, lambda s: changes.drain(s, str(target), undo, _read_login()), True
+        )
+
+    def _read_options(self, needs_platform: bool) -> outcomes.Options:
+        if not isinstance(self._json, bool):
+            raise SettingsError("--json takes no value; put it last")
+        if needs_platform and not self._platform:
+            raise SettingsError(
+                f"no platform: give --platform ip:port or set {PLATFORM_VARIABLE}"
+            )
+        _check_number("timeout", self._timeout, int | float)
+        address = Address.parse(str(self._platform)) if self._platform else None
+        return outcomes.Options(
+            platform=address,
+            key=str(self._key),
+            processes=_read_addresses(self._processes),
+            timeout_s=float(self._timeout),
+            show_progress=not self._json,
+        )
+
+
+def _read_addresses(processes: object) -> tuple[str, ...]:
+    """Return the addresses in a flag, which ``fire`` may have split already."""
+    parts = processes if isinstance(processes, tuple | list) else [processes]
+    texts = [t.strip() for part in parts for t in str(part).split(",")]
+    return tuple(str(Address.parse(text)) for text in texts if text)
+
+
+def _check_number(flag: str, value: object, kind: type | UnionType) -> None:
+    if not isinstance(value, kind) or isinstance(value, bool):
+        raise SettingsError(f"--{flag} {value} is not a number of the right kind")
+
+
+def _read_login() -> str:
+    try:
+        return getpass.getuser()
+    except (KeyError, OSError):
+        return "unknown"
--- /dev/null
+++ b/src/wasabipitch/fleet.py
@@ -0,0 +1,144 @@
+"""Asks all processes of the system the same question, for ``wasabipitch-ctl``."""
+
+import asyncio
+import os
+from collections.abc import Iterable, Sequence
+from dataclasses import dataclass
+
+from wasabipitch.events import Clock
+from wasabipitch.exceptions import StoreError, WasabipitchError
+from wasabipitch.linkbook import LinkBook
+from wasabipitch.members import new_incarnation
+from wasabipitch.messages import (
+    AskEvents,
+    AskStatus,
+    Event,
+    Events,
+    GroupState,
+    Hello,
+    Message,
+    ProcessState,
+)
+from wasabipitch.models import Host
+from wasabipitch.store import Store
+
+ASK_TIMEOUT_S = 3.0
+MAX_ASKED_AT_ONCE = 100
+PROCESS_ROLES = ("entry", "pool")
+
+
+@dataclass(frozen=True, slots=True)
+class Silent:
+    """A process that did not answer, and why."""
+
+    host: str
+    reason: str
+
+
+@dataclass(frozen=True, slots=True)
+class FleetState:
+    """The states of the processes that answered, and who did not."""
+
+    processes: tuple[ProcessState, ...]
+    silent: tuple[Silent, ...]
+
+    def behind(self, revision: int) -> tuple[ProcessState, ...]:
+        """Return the processes whose configuration is older than a revision."""
+        return tuple(p for p in self.processes if p.revision < revision)
+
+    def group_states(self, name: str) -> tuple[GroupState, ...]:
+        """Return what each pool that serves a group says, the first owner first."""
+        states = [g for p in self.processes for g in p.groups if g.name == name]
+        return tuple(sorted(states, key=lambda g: g.rank))
+
+    def servers(self, group: str) -> tuple[ProcessState, ...]:
+        """Return the pools that serve a group, the first owner first."""
+        serving = [
+            (g.rank, p.host.name, p)
+            for p in self.processes
+            for g in p.groups
+            if g.name == group
+        ]
+        return tuple(p for _, _, p in sorted(serving, key=lambda s: s[:2]))
+
+
+@dataclass(frozen=True, slots=True)
+class FleetEvents:
+    """The events of the processes that answered, and who did not."""
+
+    events: tuple[Event, ...]
+    silent: tuple[Silent, ...]
+
+
+class Fleet:
+    """All processes that the platform lists.
+
+    Args:
+        store: gives the list.
+        known: processes to ask instead of the listed ones, as when the
+            platform does not answer.
+    """
+
+    def __init__(self, store: Store, known: Sequence[Host] = ()) -> None:
+        name = f"ctl-{os.getpid()}"
+        hello = Hello(Host(name, "ctl", "127.0.0.1:0", ""), new_incarnation())
+        self.links = LinkBook(hello, Clock())
+        self._store = store
+        self._known = tuple(known)
+
+    async def __aenter__(self) -> "Fleet":
+        return self
+
+    async def __aexit__(self, *exc_info: object) -> None:
+        await self.links.close()
+
+    async def list_hosts(self) -> tuple[Host, ...]:
+        """Return the processes to ask.
+
+        Raises:
+            StoreError: if the platform does not list any.
+        """
+        if self._known:
+            return self._known
+        listed = await self._store.hosts()
+        if listed is None:
+            raise StoreError("the platform lists no hosts")
+        return tuple(h for h in listed.hosts if h.role in PROCESS_ROLES)
+
+    async def ask_status(self) -> FleetState:
+        """Return the state of every process."""
+        answers, silent = await self._ask_all(AskStatus())
+        states = [a for a in answers if isinstance(a, ProcessState)]
+        states.sort(key=lambda p: p.host.name)
+        return FleetState(tuple(states), silent)
+
+    async def ask_events(self, ask: AskEvents) -> FleetEvents:
+        """Return the events of all processes that match, oldest first."""
+        answers, silent = await self._ask_all(ask)
+        found = [e for a in answers if isinstance(a, Events) for e in a.events]
+        found.sort(key=lambda event: (event.clock, event.host))
+        return FleetEvents(tuple(found[-ask.limit :]), silent)
+
+    async def _ask_all(
+        self, message: Message
+    ) -> tuple[list[Message], tuple[Silent, ...]]:
+        hosts = await self.list_hosts()
+        gate = asyncio.Semaphore(MAX_ASKED_AT_ONCE)
+
+        async def ask(host: Host) -> Message | Silent:
+            async with gate:
+                try:
+                    return await self.links.find(host).call(message, ASK_TIMEOUT_S)
+                except WasabipitchError as exc:
+                    return Silent(host.name, exc.message)
+
+        replies = await asyncio.gather(*(ask(host) for host in hosts))
+        return (
+            [reply for reply in replies if not isinstance(reply, Silent)],
+            tuple(reply for reply in replies if isinstance(reply, Silent)),
+        )
+
+
+def parse_hosts(addresses: Iterable[str]) -> tuple[Host, ...]:
+    """Return hosts that are known by their link address only."""
+    return tuple(Host(a, "pool", a, "") for a in addresses)
--- /dev/null
+++ b/src/wasabipitch/orders.py
@@ -0,0 +1,82 @@
+"""The commands of ``wasabipitch-ctl`` that ask processes or give them orders."""
+
+import asyncio
+from dataclasses import dataclass
+
+from wasabipitch import reports
+from wasabipitch.exceptions import NotOwner, StoreError
+from wasabipitch.fleet import FleetState
+from wasabipitch.messages import AskEvents, Done, Switchover
+from wasabipitch.outcomes import EXIT_DONE, Outcome, Session
+
+SWITCHOVER_TIMEOUT_S = 60.0
+PROGRESS_S = 1.0
+
+
+@dataclass(frozen=True, slots=True)
+class StatusReport:
+    """The state of the system.
+
+    Args:
+        accepted: the revision in the store; 0 if it could not be read.
+    """
+
+    accepted: int
+    state: FleetState
+
+
+@dataclass(frozen=True, slots=True)
+class SwitchoverReport:
+    """A planned change of primary that was carried out."""
+
+    group: str
+    pool: str
+    detail: str
+    primary: str
+    term: int
+
+
+async def status(session: Session) -> Outcome:
+    """Show the state of every group and process."""
+    state = await session.fleet.ask_status()
+    try:
+        accepted = (await session.read_current()).revision
+    except StoreError:
+        accepted = 0
+    text = reports.render_status(state, accepted)
+    return Outcome(EXIT_DONE, text, StatusReport(accepted, state))
+
+
+async def timeline(session: Session, ask: AskEvents) -> Outcome:
+    """Show the events of all processes in their order."""
+    found = await session.fleet.ask_events(ask)
+    return Outcome(EXIT_DONE, reports.render_events(found), found)
+
+
+async def switch_over(session: Session, group: str, to: str) -> Outcome:
+    """Have the pool that owns a group change its primary as planned."""
+    state = await session.fleet.ask_status()
+    servers = state.servers(group)
+    if not servers:
+        raise NotOwner(f"no pool that answers serves group {group!r}")
+    pool = servers[0].host
+    link = session.fleet.links.find(pool)
+    order = asyncio.create_task(link.call(Switchover(group, to), SWITCHOVER_TIMEOUT_S))
+    try:
+        while not (await asyncio.wait({order}, timeout=PROGRESS_S))[0]:
+            state = await session.fleet.ask_status()
+            session.say(f"{pool.name}: {_describe_activity(state, group)}")
+    finally:
+        order.cancel()
+    done = order.result()
+    detail = done.detail if isinstance(done, Done) else ""
+    states = (await session.fleet.ask_status()).group_states(group)
+    primary, term = (states[0].primary, states[0].term) if states else ("", 0)
+    report = SwitchoverReport(group, pool.name, detail, primary, term)
+    text = f"group {group}: primary {primary or 'unknown'}, term {term}"
+    return Outcome(EXIT_DONE, f"{text}; {detail}" if detail else text, report)
+
+
+def _describe_activity(state: FleetState, group: str) -> str:
+    states = state.group_states(group)
+    return states[0].activity if states and states[0].activity else "in progress"
--- /dev/null
+++ b/src/wasabipitch/plans.py
@@ -0,0 +1,192 @@
+"""What a change of the configuration does, before it is applied."""
+
+import dataclasses
+import difflib
+from collections.abc import Iterable, Iterator
+from dataclasses import dataclass
+from typing import Any
+
+from wasabipitch.deployment import (
+    Deployment,
+    Group,
+    Instance,
+    RequestClass,
+    dump,
+    parse,
+)
+from wasabipitch.exceptions import SettingsError
+from wasabipitch.models import majority
+
+ADDED = "added"
+REMOVED = "removed"
+CHANGED = "changed"
+
+_GROUP_RESTARTS = (
+    "its owner finishes the running work of the group, then serves it anew; "
+    "requests that come meanwhile wait or are refused (not run)"
+)
+_EFFECTS = {
+    ("group", ADDED): "its owner connects to its instances within seconds",
+    ("group", REMOVED): (
+        "running work finishes; new requests for it are refused (not run)"
+    ),
+    ("group", CHANGED): _GROUP_RESTARTS,
+    ("instance", ADDED): (f"it gets work once it has caught up; {_GROUP_RESTARTS}"),
+    ("instance", REMOVED): (
+        "it gets no new work within seconds and its running work finishes; "
+        f"{_GROUP_RESTARTS}"
+    ),
+    ("instance", CHANGED): _GROUP_RESTARTS,
+    ("class", ADDED): "new requests may name it",
+    ("class", REMOVED): "new requests that name it are refused (not run)",
+    ("class", CHANGED): "new requests are treated so; running ones are not touched",
+    ("policy", CHANGED): "every group restarts: " + _GROUP_RESTARTS,
+    ("deployment", CHANGED): "none on running work",
+}
+_EFFECT_LEAVES = (
+    "it gets no new work within seconds and its running work finishes; "
+    "a primary first hands over to a replica"
+)
+_EFFECT_RETURNS = "it gets work again within seconds"
+
+
+@dataclass(frozen=True, slots=True)
+class Step:
+    """One part of a change.
+
+    Args:
+        subject: what changes, such as ``instance wc1-a``.
+        change: ``added``, ``removed`` or ``changed``.
+        details: each changed field, as ``name: before -> after``.
+        effect: what it does to running work.
+    """
+
+    subject: str
+    change: str
+    details: tuple[str, ...]
+    effect: str
+
+
+def plan_change(before: Deployment | None, after: Deployment) -> tuple[Step, ...]:
+    """Return the steps from one deployment to another."""
+    if before is None:
+        before = Deployment(name=after.name, groups=(), classes=())
+    steps = [
+        *_compare("deployment", before, after, skip=("groups", "classes", "policy")),
+        *_compare("policy", before.policy, after.policy),
+    ]
+    for old, new in _pair(before.groups, after.groups):
+        steps += _compare_groups(old, new)
+    for old, new in _pair(before.classes, after.classes):
+        steps += _compare("class", old, new)
+    return tuple(steps)
+
+
+def find_warnings(deployment: Deployment) -> tuple[str, ...]:
+    """Return what is valid but probably not meant."""
+    return tuple(_find_warnings(deployment))
+
+
+def diff_documents(before: str, after: str, names: tuple[str, str]) -> str:
+    """Return the unified difference of two YAML documents, in one form.
+
+    Args:
+        before: the first document; it may be empty.
+        after: the second one.
+        names: what the difference calls the two.
+    """
+    lines = difflib.unified_diff(
+        _normalise(before).splitlines(),
+        _normalise(after).splitlines(),
+        *names,
+        lineterm="",
+    )
+    return "\n".join(lines)
+
+
+def _normalise(document: str) -> str:
+    try:
+        return dump(parse(document)) if document else ""
+    except SettingsError:
+        return document
+
+
+def _compare_groups(old: Group | None, new: Group | None) -> Iterator[Step]:
+    yield from _compare("group", old, new, skip=("instances",))
+    if old is None or new is None:
+        return
+    for before, after in _pair(old.instances, new.instances):
+        yield from _compare_instances(before, after)
+
+
+def _compare_instances(old: Instance | None, new: Instance | None) -> Iterator[Step]:
+    if old is None or new is None or old.leaving == new.leaving:
+        yield from _compare("instance", old, new)
+    elif dataclasses.replace(old, leaving=new.leaving) == new:
+        effect = _EFFECT_LEAVES if new.leaving else _EFFECT_RETURNS
+        details = tuple(_compare_fields(old, new))
+        yield Step(f"instance {new.name}", CHANGED, details, effect)
+    else:
+        yield from _compare("instance", old, new)
+
+
+def _compare(
+    kind: str, old: Any, new: Any, *, skip: tuple[str, ...] = ()
+) -> Iterator[Step]:
+    named = new if new is not None else old
+    subject = f"{kind} {getattr(named, 'name', '')}".strip()
+    if old is None or new is None:
+        change = ADDED if old is None else REMOVED
+        details = (describe_class(new),) if isinstance(new, RequestClass) else ()
+        yield Step(subject, change, details, _EFFECTS[kind, change])
+        return
+    details = tuple(_compare_fields(old, new, skip))
+    if details:
+        yield Step(subject, CHANGED, details, _EFFECTS[kind, CHANGED])
+
+
+def _compare_fields(old: Any, new: Any, skip: tuple[str, ...] = ()) -> Iterator[str]:
+    for field in dataclasses.fields(new):
+        before, after = getattr(old, field.name), getattr(new, field.name)
+        if field.name not in skip and before != after:
+            yield f"{field.name}: {before} -> {after}"
+
+
+def _pair(before: Iterable[Any], after: Iterable[Any]) -> Iterator[tuple[Any, Any]]:
+    """Yield the two things of each name, None where there is none."""
+    old = {thing.name: thing for thing in before}
+    new = {thing.name: thing for thing in after}
+    for name in [*old, *(n for n in new if n not in old)]:
+        yield old.get(name), new.get(name)
+
+
+def _find_warnings(deployment: Deployment) -> Iterator[str]:
+    for i, group in enumerate(deployment.groups):
+        count = len(group.instances)
+        path = f"groups.{i}.instances"
+        if count < 3 or count % 2 == 0:
+            yield (
+                f"{path}: group {group.name} has {count} instances; writes need "
+                f"{majority(count)} of them, and three or a greater odd number is best"
+            )
+        if len({instance.data_centre for instance in group.instances}) == 1 < count:
+            yield f"{path}: all of group {group.name} stands in one data centre"
+        if all(instance.leaving for instance in group.instances):
+            yield f"{path}: every instance of group {group.name} is leaving"
+    for i, cls in enumerate(deployment.classes):
+        if cls.max_age_s is not None and not cls.idempotent:
+            yield f"classes.{i}: {cls.name} has max_age_s, which only reads use"
+
+
+def describe_class(cls: RequestClass) -> str:
+    """Return a class's treatment in a few words."""
+    words = []
+    if cls.max_age_s is not None:
+        words.append(f"reads up to {cls.max_age_s:g} s old")
+    if not cls.idempotent:
+        words.append("at most once")
+    if cls.long:
+        words.append("long")
+    words.append(f"deadline {cls.deadline_s:g} s")
+    words.append(f"weight {cls.weight}")
+    return ", ".join(words)
--- /dev/null
+++ b/src/wasabipitch/reports.py
@@ -0,0 +1,169 @@
+"""The text that ``wasabipitch-ctl`` prints."""
+
+import datetime
+from collections.abc import Iterable, Sequence
+
+from wasabipitch.events import LOGICAL_BITS
+from wasabipitch.fleet import FleetEvents, FleetState, Silent
+from wasabipitch.messages import Event, GroupState, InstanceState
+from wasabipitch.plans import Step
+
+MAX_NAMES = 8
+MS_PER_S = 1000
+
+
+def render_table(header: Sequence[str], rows: Iterable[Sequence[object]]) -> str:
+    """Return rows as columns of text under a header."""
+    lines = [list(header), *([str(cell) for cell in row] for row in rows)]
+    widths = [max(len(line[i]) for line in lines) for i in range(len(header))]
+    return "\n".join(
+        "  ".join(cell.ljust(w) for cell, w in zip(line, widths, strict=True)).rstrip()
+        for line in lines
+    )
+
+
+def render_plan(steps: Sequence[Step], warnings: Sequence[str]) -> str:
+    """Return the steps of a change."""
+    lines = []
+    for step in steps:
+        lines.append(f"{step.subject}: {step.change}")
+        lines += [f"    {detail}" for detail in step.details]
+        lines.append(f"    effect: {step.effect}")
+    if not steps:
+        lines.append("no change")
+    lines += [f"warning: {warning}" for warning in warnings]
+    return "\n".join(lines)
+
+
+def render_status(state: FleetState, accepted: int) -> str:
+    """Return the state of the system.
+
+    Args:
+        state: what the processes said.
+        accepted: the revision in the store; 0 if it could not be read.
+    """
+    newest = max([accepted, *(p.revision for p in state.processes)])
+    parts = [render_revision(state, newest)]
+    if not accepted:
+        parts.append("  (the store did not say which revision it holds)")
+    rows = [
+        (
+            p.host.name,
+            p.host.data_centre,
+            p.revision,
+            p.sessions,
+            f"{p.uptime_s:.0f} s",
+            "stopping" if p.stopping else "live",
+        )
+        for p in state.processes
+    ]
+    header = ("process", "data centre", "revision", "sessions", "up", "state")
+    parts.append(render_table(header, rows))
+    names = sorted({g.name for p in state.processes for g in p.groups})
+    parts += [_render_group(state.group_states(name), state) for name in names]
+    return "\n\n".join(parts)
+
+
+def render_revision(state: FleetState, revision: int) -> str:
+    """Return on how many processes a revision is in force, and who lags."""
+    behind = state.behind(revision)
+    total = len(state.processes) + len(state.silent)
+    having = len(state.processes) - len(behind)
+    lines = [f"configuration revision {revision}: on {having} of {total} processes"]
+    if behind:
+        names = [f"{p.host.name} (revision {p.revision})" for p in behind]
+        lines.append(f"  behind: {_shorten(names)}")
+    lines += render_silent(state.silent)
+    return "\n".join(lines)
+
+
+def render_silent(silent: Sequence[Silent]) -> list[str]:
+    """Return a line for each process that did not answer."""
+    return [f"  no answer: {s.host}: {s.reason}" for s in silent]
+
+
+def render_events(found: FleetEvents) -> str:
+    """Return the time line, one event a line."""
+    lines = [_render_event(event) for event in found.events]
+    lines += render_silent(found.silent)
+    return "\n".join(lines)
+
+
+def _render_event(event: Event) -> str:
+    wall_ms, counter = divmod(event.clock, 1 << LOGICAL_BITS)
+    moment = datetime.datetime.fromtimestamp(wall_ms / MS_PER_S, datetime.UTC)
+    fields = [
+        f"{moment:%Y-%m-%dT%H:%M:%S}.{wall_ms % MS_PER_S:03}Z+{counter}",
+        event.host,
+        event.kind,
+    ]
+    named = ("group", "session", "request", "term", "detail")
+    fields += [f"{n}={getattr(event, n)}" for n in named if getattr(event, n)]
+    return "  ".join(fields)
+
+
+def _render_group(states: Sequence[GroupState], fleet: FleetState) -> str:
+    first = states[0]
+    owners = [p.host.name for p in fleet.servers(first.name)]
+    title = (
+        f"group {first.name}: primary {first.primary or 'none'}, term {first.term}, "
+        f"served by {', '.join(owners)}; {first.slots} slots, "
+        f"{first.running} running, {first.queued} queued"
+    )
+    lines = [title]
+    if first.activity:
+        lines.append(f"  {first.activity}")
+    other = [
+        s for s in states[1:] if (s.primary, s.term) != (first.primary, first.term)
+    ]
+    lines += [
+        f"  another pool says: primary {s.primary or 'none'}, term {s.term}"
+        for s in other
+    ]
+    header = (
+        "instance",
+        "data centre",
+        "role",
+        "term",
+        "position",
+        "behind",
+        "age",
+        "running",
+        "connections",
+        "state",
+    )
+    table = render_table(header, [_instance_row(i) for i in first.instances])
+    lines += [f"  {line}" for line in table.splitlines()]
+    return "\n".join(lines)
+
+
+def _instance_row(instance: InstanceState) -> tuple[object, ...]:
+    return (
+        instance.name,
+        instance.data_centre,
+        instance.role,
+        instance.term,
+        instance.position,
+        instance.lag_entries,
+        f"{instance.age_ms} ms" if instance.age_ms >= 0 else "unknown",
+        instance.running,
+        instance.connections,
+        _describe_state(instance),
+    )
+
+
+def _describe_state(instance: InstanceState) -> str:
+    if not instance.reachable:
+        return "unreachable"
+    words = []
+    if not instance.member:
+        words.append("no member yet")
+    if instance.leaving:
+        words.append("leaving")
+    return ", ".join(words) or "live"
+
+
+def _shorten(names: Sequence[str]) -> str:
+    rest = len(names) - MAX_NAMES
+    shown = ", ".join(names[:MAX_NAMES])
+    return f"{shown} and {rest} more" if rest > 0 else shown
--- a/src/wasabipitch/store.py
+++ b/src/wasabipitch/store.py
@@ -220,7 +220,7 @@
                 answer = Answer(response.status, _decode(await response.read()))
         except aiohttp.ClientConnectorError as exc:
             self._metrics.count("store.errors")
-            message = f"platform store: {call}: {exc}"
+            message = f"platform store: {call}: {exc.os_error}"
             raise StoreUnavailable(message, verdict=Verdict.NOT_RUN) from exc
         except (
             aiohttp.ClientError,
@@ -230,7 +230,10 @@
         ) as exc:
             self._metrics.count("store.errors")
             reason = str(exc) or "timeout"
-            raise StoreUnavailable(f"platform store: {call}: {reason}") from exc
+            # A read changes nothing, whether it arrived or not.
+            verdict = Verdict.NOT_RUN if method == "GET" else Verdict.MAY_HAVE_RUN
+            message = f"platform store: {call}: {reason}"
+            raise StoreUnavailable(message, verdict=verdict) from exc
         self._check_status(call, answer)
         return answer
 
