--- a/tests/wasabipitch/memory_store.py
+++ b/tests/wasabipitch/memory_store.py
@@ -28,6 +28,7 @@
     async def get(self, key, after=None, wait_s=0.0):
         deadline = asyncio.get_running_loop().time() + wait_s
         while True:
+            await asyncio.sleep(0)
             self._check()
             record = self.records.get(key)
             if record is not None and (after is None or record.revision > after):
@@ -42,6 +43,7 @@
                 return None
 
     async def put(self, key, value, expect):
+        await asyncio.sleep(0)
         self._check()
         record = self.records.get(key)
         revision = record.revision if record else 0
