Order owners without hashing anew when a pool dies or returns

A change of one pool's state hashed every group against every pool: 0.5 s for 1,700 groups and 780 pools. Orders now cover all known pools and are filtered by state; one more pool takes 7 ms, one fewer 9 ms, the first order of all 0.9 s (trial on this machine).

--- a/src/wasabipitch/hosts.py
+++ b/src/wasabipitch/hosts.py
@@ -16,6 +16,7 @@
 
 import asyncio
 import contextlib
+import itertools
 import logging
 import random
 import time
@@ -40,7 +41,7 @@
 from wasabipitch.messages import Digest, Hello, HostFact
 from wasabipitch.metrics import Metrics, StatsdMetrics
 from wasabipitch.models import Host
-from wasabipitch.owners import order_owners, put_local_first
+from wasabipitch.owners import OwnerOrder, find_local
 from wasabipitch.store import HostList, Store
 
 ROUND_S = 1.0
@@ -54,6 +55,7 @@
 LEAVE_PEERS = 5
 FORGET_DEAD_S = 600.0
 
+MAX_OWNERS = 8
 POOL_ROLE = "pool"
 TARGET_ROLE = "target"
 
@@ -114,8 +116,11 @@
         self.table = MemberTable(host, new_incarnation(), self._rng)
         self._listed: dict[str, Host] = {}
         self._subscribers: list[Callable[[], None]] = []
+        self._probe_order = ProbeOrder(self.table, self._rng)
+        self._owner_order = OwnerOrder()
+        self._pools: dict[str, Host] = {}
         self._owners: dict[str, tuple[Host, ...]] = {}
-        self._order = ProbeOrder(self.table, self._rng)
+        self._update_pools()
 
     def carry(self, keeper: RevisionKeeper) -> None:
         """Carry a keeper's revision in the digests, and tell it the peers'."""
@@ -140,9 +145,9 @@
             if member.host.role != role or self._is_leaving(member.host.name):
                 continue
             if member.state == LIVE:
-                hosts.append(member.host)
+                hosts.append(self._address_of(member.host.name))
             elif member.state == SUSPECT and not member.left:
-                suspects.append(member.host)
+                suspects.append(self._address_of(member.host.name))
         return (*hosts, *suspects)
 
     def leaving(self, role: str) -> tuple[Host, ...]:
@@ -153,19 +158,23 @@
         return tuple(hosts.values())
 
     def owners(self, group: str, *, local: bool = False) -> tuple[Host, ...]:
-        """Return the live pools in the order in which they serve a group.
+        """Return the first live pools in the order in which they serve a group.
 
         Args:
             group: the group's name.
             local: put the pool on this process's own machine first: the one of
                 the same data centre whose name ends in the same number.
+
+        Returns:
+            At most ``MAX_OWNERS`` pools, those that are suspect last.
         """
         owners = self._owners.get(group)
         if owners is None:
-            owners = self._owners[group] = self._order_owners(group)
-        if local:
-            return put_local_first(owners, self.host)
-        return owners
+            owners = self._owners[group] = self._find_owners(group)
+        first = find_local(self._pools.values(), self.host) if local else None
+        if first is None:
+            return owners
+        return (first, *(owner for owner in owners if owner.name != first.name))
 
     def rank(self, group: str, *, local: bool = False) -> int:
         """Return this process's place among a group's owners.
@@ -195,7 +204,7 @@
 
     def doubt(self, name: str) -> None:
         """Probe a host in the next round, because work sent to it failed."""
-        self._order.put_first(name)
+        self._probe_order.put_first(name)
 
     async def run(self) -> None:
         """Watch the platform's list and probe peers until cancelled.
@@ -246,7 +255,7 @@
         self._changed()
 
     def _changed(self) -> None:
-        self._owners.clear()
+        self._update_pools()
         count = 1 + sum(m.state == LIVE for m in self.table.others.values())
         self._metrics.gauge("hosts.known_live", count)
         for callback in self._subscribers:
@@ -262,10 +271,21 @@
         listed = self._listed.get(name)
         return listed is not None and listed.state == LEAVING
 
-    def _order_owners(self, group: str) -> tuple[Host, ...]:
-        pools = self.live(POOL_ROLE)
-        suspects = [h.name for h in pools if self.state(h.name) == SUSPECT]
-        return order_owners(group, pools, suspects)
+    def _update_pools(self) -> None:
+        others = self.table.others.values()
+        known = [m.host.name for m in others if m.host.role == POOL_ROLE]
+        if self.host.role == POOL_ROLE:
+            known.append(self.host.name)
+        self._owner_order.set_pools(known)
+        self._pools = {host.name: host for host in self.live(POOL_ROLE)}
+        self._owners.clear()
+
+    def _find_owners(self, group: str) -> tuple[Host, ...]:
+        order = self._owner_order.order(group)
+        live = (self._pools[name] for name in order if name in self._pools)
+        owners = list(itertools.islice(live, MAX_OWNERS))
+        owners.sort(key=lambda host: self.state(host.name) == SUSPECT)
+        return tuple(owners)
 
     def _address_of(self, name: str) -> Host:
         """Return a host as it is best known: a dead one may have moved."""
@@ -281,7 +301,7 @@
             now_s = time.monotonic()
             self._expire_suspects(now_s, paused=now_s - last_s > PAUSE_S)
             last_s = now_s
-            for name in self._order.next_names():
+            for name in self._probe_order.next_names():
                 tasks.create_task(self._probe(self._address_of(name)))
             await asyncio.sleep(ROUND_S * self._rng.uniform(0.9, 1.1))
 
--- a/src/wasabipitch/owners.py
+++ b/src/wasabipitch/owners.py
@@ -4,8 +4,9 @@
 comes or goes moves only the groups that are its own.
 """
 
+import bisect
 import re
-from collections.abc import Collection, Iterable
+from collections.abc import Iterable
 
 import xxhash
 
@@ -17,30 +18,57 @@
     return xxhash.xxh3_64_intdigest(f"{group}\0{pool}".encode())
 
 
-def order_owners(
-    group: str, pools: Iterable[Host], suspects: Collection[str] = ()
-) -> tuple[Host, ...]:
-    """Return the pools in the order in which they serve a group.
+class OwnerOrder:
+    """The order in which all known pools would serve each group.
 
-    Args:
-        group: the group's name.
-        pools: the pools that are neither leaving nor dead.
-        suspects: the names of those that come last.
+    The order does not depend on the pools' states, so that a pool that dies or
+    returns costs nothing here; a new one is put into its place in each order.
     """
 
-    def place(host: Host) -> tuple[bool, int]:
-        return (host.name in suspects, -weigh(group, host.name))
-
-    return tuple(sorted(pools, key=place))
-
-
-def put_local_first(owners: tuple[Host, ...], host: Host) -> tuple[Host, ...]:
-    """Return the owners with the pool on a process's own machine first.
+    def __init__(self) -> None:
+        self.pools: set[str] = set()
+        self._orders: dict[str, list[str]] = {}
+        self._weights: dict[str, list[int]] = {}
+
+    def set_pools(self, names: Iterable[str]) -> None:
+        """Take the names of all known pools."""
+        names = set(names)
+        for name in names - self.pools:
+            self._insert(name)
+        for name in self.pools - names:
+            self._remove(name)
+        self.pools = names
+
+    def order(self, group: str) -> list[str]:
+        """Return the names of all known pools, the first owner first."""
+        if group not in self._orders:
+            weighed = sorted((-weigh(group, name), name) for name in self.pools)
+            self._orders[group] = [name for _, name in weighed]
+            self._weights[group] = [weight for weight, _ in weighed]
+        return self._orders[group]
+
+    def _insert(self, name: str) -> None:
+        for group, order in self._orders.items():
+            weights = self._weights[group]
+            weight = -weigh(group, name)
+            place = bisect.bisect(weights, weight)
+            order.insert(place, name)
+            weights.insert(place, weight)
+
+    def _remove(self, name: str) -> None:
+        for group, order in self._orders.items():
+            place = order.index(name)
+            del order[place]
+            del self._weights[group][place]
+
+
+def find_local(pools: Iterable[Host], host: Host) -> Host | None:
+    """Return the pool on a process's own machine, if it is among the pools.
 
     That is the process itself if it is a pool, or else the pool of the same
     data centre whose name ends in the same number.
     """
-    return tuple(sorted(owners, key=lambda pool: not _is_local(pool, host)))
+    return next((pool for pool in pools if _is_local(pool, host)), None)
 
 
 def _is_local(pool: Host, host: Host) -> bool:
