--- /dev/null
+++ b/src/wasabipitch/dispatch.py
@@ -0,0 +1,239 @@
+"""Sends requests to pools, and repeats them where that is safe."""
+
+import asyncio
+import contextlib
+import random
+from collections.abc import AsyncIterator
+from typing import Protocol
+
+from wasabipitch.events import Clock
+from wasabipitch.exceptions import (
+    ER_BAD_DB_ERROR,
+    ER_QUERY_TIMEOUT,
+    ER_UNKNOWN_ERROR,
+    InDoubt,
+    LinkDown,
+    LinkLost,
+    NoTarget,
+    TransactionLost,
+    WasabipitchError,
+)
+from wasabipitch.links import Cuts, Link, RemoteError
+from wasabipitch.messages import EndSession, Hello, Kind, Message
+from wasabipitch.metrics import Metrics
+from wasabipitch.models import Address, Host
+from wasabipitch.requests import Request
+from wasabipitch.sessions import Pin
+from wasabipitch.verdict import SQLSTATE_NOT_RUN, Verdict
+
+MAX_ATTEMPTS = 10
+MAX_OWNERS = 3
+FIRST_WAIT_S = 0.02
+MAX_WAIT_S = 0.5
+END_SESSION_TIMEOUT_S = 1.0
+# The pool's own verdict at the deadline is better than none.
+REPLY_GRACE_S = 0.25
+
+_MOVE_ON_CODES = frozenset({ER_UNKNOWN_ERROR, ER_BAD_DB_ERROR})
+
+
+class Router(Protocol):
+    """Finds the pools of a group."""
+
+    async def route(self, group: str) -> list[Link]:
+        """Return links to the pools of a group, the preferred one first."""
+
+
+class Owners(Protocol):
+    """Knows which pools own which groups."""
+
+    def owners(self, group: str) -> tuple[Host, ...]:
+        """Return the live pools in the group's order; the first is its owner."""
+
+
+class OwnerRouter:
+    """Routes by the membership; it keeps one link for each pool.
+
+    Args:
+        membership: knows the owners.
+        hello: says who this process is.
+        clock: carried on every message.
+        cuts: the peers whose traffic is dropped, in fault injection.
+    """
+
+    def __init__(
+        self, membership: Owners, hello: Hello, clock: Clock, cuts: Cuts | None = None
+    ) -> None:
+        self._membership = membership
+        self._hello = hello
+        self._clock = clock
+        self._cuts = cuts
+        self._links: dict[Host, Link] = {}
+
+    async def route(self, group: str) -> list[Link]:
+        """Return links to the pools of a group, the preferred one first."""
+        owners = self._membership.owners(group)[:MAX_OWNERS]
+        return [self._link(host) for host in owners]
+
+    async def close(self) -> None:
+        """Close all links."""
+        links, self._links = self._links, {}
+        for link in links.values():
+            await link.close()
+
+    def _link(self, host: Host) -> Link:
+        link = self._links.get(host)
+        if link is None:
+            address = Address.parse(host.address)
+            link = Link(
+                address, self._hello, self._clock, peer=host.name, cuts=self._cuts
+            )
+            self._links[host] = link
+        return link
+
+
+class Dispatcher:
+    """Sends requests to pools until one answers or the deadline passes.
+
+    Args:
+        router: finds the pools.
+        metrics: counts attempts.
+        rng: spreads the waits between attempts.
+    """
+
+    def __init__(
+        self, router: Router, metrics: Metrics, rng: random.Random | None = None
+    ) -> None:
+        self._router = router
+        self._metrics = metrics
+        self._rng = rng or random.Random()
+        self._tasks: set[asyncio.Task] = set()
+
+    async def stream(self, req: Request) -> AsyncIterator[Message]:
+        """Yield the messages of a request's reply.
+
+        An attempt after one without an answer is made only where the request
+        is repeatable: it has no effect, or an id under which it runs once.
+
+        Raises:
+            WasabipitchError: with the verdict over all attempts.
+        """
+        lost: LinkLost | None = None
+        latest: WasabipitchError | None = None
+        attempts = _Attempts(self._router, req, self._rng)
+        while (link := await attempts.next_link()) is not None:
+            started = False
+            try:
+                async with contextlib.aclosing(_send(req, link)) as replies:
+                    async for message in replies:
+                        started = True
+                        yield message
+                return
+            except LinkDown as exc:
+                latest = exc
+            except LinkLost as exc:
+                if started or not req.repeatable:
+                    raise
+                lost = latest = exc
+            except RemoteError as exc:
+                if started or not _should_move_on(exc):
+                    raise _qualify(req, exc, lost) from exc
+                latest = exc
+            self._metrics.count("entry.retries")
+        raise _give_up(req, lost, latest)
+
+    async def stream_pinned(self, req: Request, pin: Pin) -> AsyncIterator[Message]:
+        """Yield the reply to a statement of an open transaction.
+
+        Raises:
+            TransactionLost: if the transaction's connection is gone.
+            LinkLost: if no answer came.
+            RemoteError: if the pool answered with a failure.
+        """
+        if not pin.holds:
+            raise TransactionLost(
+                f"the link to {pin.link.peer}, which held the transaction, broke"
+            )
+        async with contextlib.aclosing(_send(req, pin.link)) as replies:
+            async for message in replies:
+                yield message
+
+    def end_session(self, link: Link, session: str) -> None:
+        """Order a pool, in the background, to roll back what a session holds."""
+        task = asyncio.create_task(_end_session(link, session))
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    async def close(self) -> None:
+        """Wait for the orders that are under way."""
+        if self._tasks:
+            await asyncio.wait(self._tasks, timeout=END_SESSION_TIMEOUT_S)
+
+
+class _Attempts:
+    """Chooses a link for each attempt, with waits between the rounds."""
+
+    def __init__(self, router: Router, req: Request, rng: random.Random) -> None:
+        self._router = router
+        self._req = req
+        self._rng = rng
+        self._links: list[Link] = []
+        self._count = 0
+        self._wait_s = 0.0
+
+    async def next_link(self) -> Link | None:
+        """Return the next link to try, or None if there is to be no attempt."""
+        while self._count < MAX_ATTEMPTS and self._req.left_s > 0:
+            if self._links:
+                self._count += 1
+                return self._links.pop(0)
+            if self._wait_s:
+                self._count += 1
+                await self._pause()
+            self._wait_s = min(max(2 * self._wait_s, FIRST_WAIT_S), MAX_WAIT_S)
+            self._links = list(await self._router.route(self._req.group))
+        return None
+
+    async def _pause(self) -> None:
+        jittered_s = self._wait_s * self._rng.uniform(0.5, 1.0)
+        await asyncio.sleep(min(jittered_s, max(self._req.left_s, 0)))
+
+
+def _send(req: Request, link: Link) -> AsyncIterator[Message]:
+    req.link = link
+    # A connection that has to be opened first gets the next generation.
+    req.generation = link.generation + (0 if link.connected else 1)
+    return link.stream(req.to_message(), max(req.left_s, 0) + REPLY_GRACE_S)
+
+
+def _should_move_on(exc: RemoteError) -> bool:
+    """Return whether another pool may serve what this one refused."""
+    refused = exc.verdict is Verdict.NOT_RUN and exc.sqlstate == SQLSTATE_NOT_RUN
+    return refused and exc.code in _MOVE_ON_CODES
+
+
+def _qualify(req: Request, exc: RemoteError, lost: LinkLost | None) -> WasabipitchError:
+    """Return the error with the verdict over all attempts.
+
+    A later pool's refusal says nothing of an earlier attempt that got no
+    answer.
+    """
+    is_write = req.statement.kind is Kind.WRITE
+    if lost is None or not is_write or exc.verdict is not Verdict.NOT_RUN:
+        return exc
+    return InDoubt(f"{lost.message}; a later attempt failed: {exc.message}")
+
+
+def _give_up(
+    req: Request, lost: LinkLost | None, latest: WasabipitchError | None
+) -> WasabipitchError:
+    reason = latest.message if latest else "no live pool is known"
+    code = ER_QUERY_TIMEOUT if req.left_s <= 0 else ER_UNKNOWN_ERROR
+    if lost is not None:
+        return InDoubt(f"group {req.group}: {reason}", code=code)
+    return NoTarget(f"no pool served group {req.group}: {reason}", code=code)
+
+
+async def _end_session(link: Link, session: str) -> None:
+    with contextlib.suppress(WasabipitchError):
+        await link.call(EndSession(session), END_SESSION_TIMEOUT_S)
--- /dev/null
+++ b/src/wasabipitch/frontend.py
@@ -0,0 +1,147 @@
+"""Listens for callers, and counts their connections."""
+
+import asyncio
+import contextlib
+import itertools
+import logging
+import ssl
+from collections import Counter
+
+from mysql_mimic.constants import DEFAULT_SERVER_CAPABILITIES
+from mysql_mimic.errors import MysqlError, get_sqlstate
+from mysql_mimic.server import MysqlServer
+
+from wasabipitch import packets
+from wasabipitch.callers import CallerConnection
+from wasabipitch.entry import Entry
+from wasabipitch.exceptions import ER_CON_COUNT_ERROR, Refused, SettingsError
+from wasabipitch.metrics import Metrics
+from wasabipitch.models import Address
+from wasabipitch.settings import Caller, EntrySettings, Tls
+from wasabipitch.streams import CallerStream, ConnectionClosed
+
+MAX_HANDSHAKE_BYTES = 64 * 1024
+MAX_CONNECTION_ID = 2**32 - 1
+LISTEN_BACKLOG = 1024
+
+logger = logging.getLogger(__name__)
+
+
+class Frontend(MysqlServer):
+    """Listens for callers.
+
+    Args:
+        entry: runs their statements.
+        settings: the limits, the known callers and the certificate.
+        metrics: counts connections.
+    """
+
+    def __init__(self, entry: Entry, settings: EntrySettings, metrics: Metrics) -> None:
+        context = load_tls(settings.tls) if settings.tls else None
+        super().__init__(capabilities=DEFAULT_SERVER_CAPABILITIES, ssl=context)
+        self.entry = entry
+        self.settings = settings
+        self.metrics = metrics
+        self.callers = {c.name: c for c in settings.callers}
+        self.stopping = False
+        self._connections: set[CallerConnection] = set()
+        self._held: Counter[str] = Counter()
+        self._numbers = itertools.count(1)
+
+    async def start(self, address: Address) -> Address:
+        """Listen on the address and return it; port 0 takes a free one."""
+        await self.start_server(
+            host=address.ip, port=address.port, backlog=LISTEN_BACKLOG
+        )
+        ip, port = self.sockets()[0].getsockname()[:2]
+        return Address(ip, port)
+
+    async def stop(self, timeout_s: float) -> None:
+        """Take no new connections, and let those in progress finish.
+
+        Idle connections end at once, others after their request or
+        transaction; what lasts longer than the timeout is cut off.
+        """
+        self.stopping = True
+        self.close()
+        for conn in list(self._connections):
+            conn.leave_if_idle()
+        tasks = {conn.task for conn in self._connections}
+        if not tasks:
+            return
+        _, late = await asyncio.wait(tasks, timeout=timeout_s)
+        for task in late:
+            task.cancel()
+        if late:
+            logger.warning("%d callers were cut off at the stop timeout", len(late))
+            await asyncio.wait(late)
+
+    def admit(self, conn: CallerConnection, caller: Caller) -> None:
+        """Count a caller's connection, or raise ``Refused`` at its limit."""
+        if self._held[caller.name] >= caller.max_connections:
+            raise Refused(
+                f"too many connections: user {caller.name!r} holds"
+                f" {caller.max_connections}",
+                code=ER_CON_COUNT_ERROR,
+            )
+        self._held[caller.name] += 1
+        conn.user = caller.name
+
+    def release(self, conn: CallerConnection) -> None:
+        """Count a caller's connection no more."""
+        if conn.user:
+            self._held[conn.user] -= 1
+            conn.user = ""
+
+    async def _client_connected_cb(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        stream = CallerStream(reader, writer, MAX_HANDSHAKE_BYTES)
+        async with contextlib.AsyncExitStack() as stack:
+            stack.callback(writer.close)
+            if len(self._connections) >= self.settings.max_connections:
+                await self._refuse(stream)
+                return
+            number = next(self._numbers) % MAX_CONNECTION_ID
+            conn = CallerConnection(self, stream, self, number)
+            self._connections.add(conn)
+            stack.callback(self._connections.discard, conn)
+            await self._serve(conn)
+
+    async def _serve(self, conn: CallerConnection) -> None:
+        try:
+            await conn.serve()
+        except MysqlError as exc:
+            self.metrics.count("entry.malformed")
+            logger.warning("connection %d: %s", conn.connection_id, exc.msg)
+            with contextlib.suppress(OSError, TimeoutError):
+                await conn.stream.write(conn.error(msg=exc.msg, code=exc.code))
+        except (ConnectionClosed, OSError, TimeoutError) as exc:
+            logger.debug("connection %d ended: %r", conn.connection_id, exc)
+        except asyncio.CancelledError:
+            if not self.stopping:
+                raise
+        except Exception:
+            logger.exception("connection %d failed", conn.connection_id)
+
+    async def _refuse(self, stream: CallerStream) -> None:
+        self.metrics.count("entry.connections.refused")
+        text = f"too many connections: this entry takes {self.settings.max_connections}"
+        sqlstate = get_sqlstate(ER_CON_COUNT_ERROR).decode()
+        with contextlib.suppress(OSError, TimeoutError):
+            await stream.write(packets.make_error(ER_CON_COUNT_ERROR, sqlstate, text))
+
+
+def load_tls(tls: Tls) -> ssl.SSLContext:
+    """Return the TLS context of the certificate and key in the settings.
+
+    Raises:
+        SettingsError: if they can't be read.
+    """
+    context = ssl.SSLContext(ssl.PROTOCOL_TLS_SERVER)
+    try:
+        context.load_cert_chain(tls.certificate, tls.key)
+    except (OSError, ssl.SSLError) as exc:
+        names = f"{tls.certificate} and {tls.key}"
+        raise SettingsError(f"tls: can't load {names}: {exc}") from exc
+    return context
--- /dev/null
+++ b/src/wasabipitch/requests.py
@@ -0,0 +1,138 @@
+"""Requests on their way to a pool, and the catalogue that admits them."""
+
+import asyncio
+from dataclasses import dataclass, field
+
+from wasabipitch.deployment import DEFAULT_CLASS, Deployment, RequestClass
+from wasabipitch.exceptions import Refused, UnknownClass, UnknownGroup
+from wasabipitch.links import Link
+from wasabipitch.messages import Execute, Kind
+from wasabipitch.models import Position
+from wasabipitch.sessions import Session
+from wasabipitch.statements import Statement, fingerprint
+
+ER_NO_DB = 1046
+
+
+@dataclass(slots=True)
+class Request:
+    """One statement of a session, on its way to a pool.
+
+    Args:
+        group: the database group that it is for.
+        session: the session's name at pools.
+        request_class: the name of its class, as sent to the pool.
+        deadline_at_s: when its caller stops waiting, by the loop's clock.
+        floor: the session's floor when it was admitted.
+        link: the link on which it was last sent.
+        generation: the connection of the link on which it was sent.
+    """
+
+    group: str
+    session: str
+    statement: Statement
+    request_class: str
+    deadline_at_s: float
+    floor: Position | None = None
+    link: Link | None = None
+    generation: int = 0
+
+    @property
+    def left_s(self) -> float:
+        """The time left until the deadline, in seconds."""
+        return self.deadline_at_s - asyncio.get_running_loop().time()
+
+    @property
+    def repeatable(self) -> bool:
+        """Whether it may be sent again after an attempt without an answer."""
+        if self.statement.kind is Kind.READ:
+            return True
+        has_id = bool(self.statement.hints.request_id)
+        return has_id and self.statement.kind is Kind.WRITE
+
+    def to_message(self) -> Execute:
+        """Return the message to a pool, with the time that is left now."""
+        return Execute(
+            group=self.group,
+            session=self.session,
+            statement=self.statement.text,
+            kind=self.statement.kind,
+            request_class=self.request_class,
+            request_id=self.statement.hints.request_id,
+            deadline_ms=max(1, int(self.left_s * 1000)),
+            floor=self.floor,
+        )
+
+
+@dataclass(frozen=True)
+class Catalogue:
+    """What the configuration in force declares, arranged for look-ups.
+
+    Args:
+        groups: the names of the declared groups.
+        classes: the declared request classes, by name.
+        shapes: the class of each declared statement, by its fingerprint.
+    """
+
+    groups: frozenset[str] = frozenset()
+    classes: dict[str, RequestClass] = field(default_factory=dict)
+    shapes: dict[str, str] = field(default_factory=dict)
+
+    @classmethod
+    def build(cls, deployment: Deployment) -> "Catalogue":
+        """Return the catalogue of a deployment."""
+        classes = {DEFAULT_CLASS: RequestClass(name=DEFAULT_CLASS)}
+        classes |= {c.name: c for c in deployment.classes}
+        shapes = {
+            fingerprint(text): c.name
+            for c in deployment.classes
+            for text in c.statements
+        }
+        return cls(frozenset(g.name for g in deployment.groups), classes, shapes)
+
+    def check_group(self, name: str) -> None:
+        """Raise ``UnknownGroup`` unless a group of that name is declared."""
+        if name not in self.groups:
+            raise UnknownGroup(f"unknown database {name!r}: no such group is declared")
+
+    def find_class(self, statement: Statement) -> RequestClass:
+        """Return the class that a statement's hint or shape names.
+
+        Raises:
+            UnknownClass: if its hint names one that is not declared.
+        """
+        name = statement.hints.request_class
+        if not name and self.shapes:
+            name = self.shapes.get(fingerprint(statement.text), "")
+        try:
+            return self.classes[name or DEFAULT_CLASS]
+        except KeyError:
+            raise UnknownClass(f"request class {name!r} is not declared") from None
+
+    def admit(self, session: Session, statement: Statement) -> Request:
+        """Return the request for a session's statement.
+
+        Raises:
+            Refused: if no database is selected, its group or class is not
+                declared, or it is non-idempotent and has no id.
+        """
+        if not session.group:
+            raise Refused("no database is selected", code=ER_NO_DB)
+        self.check_group(session.group)
+        cls = self.find_class(statement)
+        hints = statement.hints
+        is_write = statement.kind is Kind.WRITE
+        if is_write and not cls.idempotent and not hints.request_id:
+            raise Refused(
+                f"class {cls.name!r} is non-idempotent: its writes need a request"
+                " id, such as /* wasabipitch: id=... */"
+            )
+        wait_s = hints.deadline_ms / 1000 if hints.deadline_ms else cls.deadline_s
+        return Request(
+            group=session.group,
+            session=session.key,
+            statement=statement,
+            request_class="" if cls.name == DEFAULT_CLASS else cls.name,
+            deadline_at_s=asyncio.get_running_loop().time() + wait_s,
+            floor=session.floors.get(session.group),
+        )
--- /dev/null
+++ b/src/wasabipitch/sessions.py
@@ -0,0 +1,154 @@
+"""Sessions: what an entry keeps of one caller connection.
+
+A session's floors say from which position on each group's data must be read.
+A token carries them to another connection.
+"""
+
+import base64
+import binascii
+from dataclasses import dataclass, field
+
+import msgspec
+
+from wasabipitch.exceptions import Refused
+from wasabipitch.links import Link
+from wasabipitch.models import Position
+
+ER_WRONG_VALUE_FOR_VAR = 1231
+TOKEN_PREFIX = "wp1."
+MAX_TOKEN_LENGTH = 256 * 1024
+MAX_POSITION_PART = 2**63 - 1
+MAX_GROUP_NAME_LENGTH = 63
+
+_decoder = msgspec.msgpack.Decoder(dict[str, tuple[int, int]])
+
+
+@dataclass(frozen=True, slots=True)
+class Pin:
+    """Where a session's open transaction lives.
+
+    Args:
+        group: the database group.
+        link: to the pool that holds the transaction's connection.
+        generation: the link's connection; a later one lost the transaction.
+    """
+
+    group: str
+    link: Link
+    generation: int
+
+    @property
+    def holds(self) -> bool:
+        """Whether the connection on which the transaction began still stands."""
+        return self.link.connected and self.link.generation == self.generation
+
+
+@dataclass(slots=True)
+class Session:
+    """One caller connection's state.
+
+    Args:
+        id: unique to the caller connection.
+        group: the current database group; empty: none is selected.
+        floors: the position that reads of each group must have reached.
+        in_transaction: whether a transaction is open.
+        lost_transaction: why the open transaction is gone; statements are
+            refused until the caller ends it. Empty: it is not lost.
+        autocommit: whether a statement outside a transaction commits itself.
+        last_insert_id: of the latest statement that made one.
+        pin: where the open transaction lives.
+        losses: how many transactions were lost.
+    """
+
+    id: str
+    group: str = ""
+    floors: dict[str, Position] = field(default_factory=dict)
+    in_transaction: bool = False
+    lost_transaction: str = ""
+    autocommit: bool = True
+    last_insert_id: int = 0
+    pin: Pin | None = None
+    losses: int = 0
+
+    @property
+    def key(self) -> str:
+        """The session's name at pools.
+
+        It changes when a transaction is lost, so that a late order to end the
+        lost one can't end its successor.
+        """
+        return f"{self.id}.{self.losses}" if self.losses else self.id
+
+    def raise_floor(self, group: str, position: Position) -> None:
+        """Let reads of a group be no older than the position."""
+        floor = self.floors.get(group)
+        if floor is None or floor < position:
+            self.floors[group] = position
+
+    def accept_token(self, token: str, groups: frozenset[str]) -> None:
+        """Raise the floors to those of a token; other groups are ignored.
+
+        Raises:
+            Refused: if the token is malformed; no floor is changed.
+        """
+        for group, position in decode_token(token).items():
+            if group in groups:
+                self.raise_floor(group, position)
+
+    def make_token(self) -> str:
+        """Return a token with the floors of all groups."""
+        return encode_token(self.floors)
+
+    def end_transaction(self) -> None:
+        """Have no open or lost transaction any more."""
+        self.in_transaction = False
+        self.lost_transaction = ""
+        self.pin = None
+
+    def lose_transaction(self, reason: str) -> None:
+        """Refuse the transaction's further statements for the given reason."""
+        self.end_transaction()
+        self.lost_transaction = reason
+        self.losses += 1
+
+    def reset(self) -> None:
+        """Clear the caller's settings; the group and the floors are kept."""
+        self.end_transaction()
+        self.autocommit = True
+        self.last_insert_id = 0
+
+
+def encode_token(floors: dict[str, Position]) -> str:
+    """Return the floors as an opaque printable token."""
+    parts = {group: (p.term, p.index) for group, p in sorted(floors.items())}
+    data = msgspec.msgpack.encode(parts)
+    return TOKEN_PREFIX + base64.urlsafe_b64encode(data).decode().rstrip("=")
+
+
+def decode_token(token: str) -> dict[str, Position]:
+    """Return the floors that a token carries.
+
+    Raises:
+        Refused: if the token is malformed.
+    """
+    if not token.startswith(TOKEN_PREFIX) or len(token) > MAX_TOKEN_LENGTH:
+        raise _malformed(f"it does not start with {TOKEN_PREFIX!r} or is too long")
+    body = token.removeprefix(TOKEN_PREFIX)
+    padding = "=" * (-len(body) % 4)
+    try:
+        data = base64.b64decode(body + padding, altchars=b"-_", validate=True)
+        parts = _decoder.decode(data)
+    except (binascii.Error, ValueError, msgspec.MsgspecError) as exc:
+        raise _malformed(str(exc)) from exc
+    for group, (term, index) in parts.items():
+        in_range = 0 <= term <= MAX_POSITION_PART and 0 <= index <= MAX_POSITION_PART
+        if not in_range or len(group) > MAX_GROUP_NAME_LENGTH:
+            raise _malformed(f"group {group[:80]!r} has no valid position")
+    return {group: Position(*part) for group, part in parts.items()}
+
+
+def _malformed(reason: str) -> Refused:
+    return Refused(
+        f"malformed session token: {reason}; the floors are unchanged",
+        code=ER_WRONG_VALUE_FOR_VAR,
+    )
--- /dev/null
+++ b/src/wasabipitch/statements.py
@@ -0,0 +1,371 @@
+"""Reads what the proxy must know of a statement, without parsing SQL.
+
+Only the leading comments, the first keywords and a few patterns are looked
+at. Where a pattern may be wrong it errs on the side of ``Kind.WRITE``, which
+is always safe to route.
+"""
+
+import re
+from collections.abc import Mapping
+from dataclasses import dataclass
+from functools import lru_cache
+from typing import Any
+
+from wasabipitch.exceptions import Refused
+from wasabipitch.messages import Kind
+
+ER_PARSE_ERROR = 1064
+ER_EMPTY_QUERY = 1065
+ER_WRONG_ARGUMENTS = 1210
+ER_NOT_SUPPORTED_YET = 1235
+
+MAX_REQUEST_ID_LENGTH = 128
+MAX_DEADLINE_MS = 3_600_000
+MAX_CACHED_LENGTH = 4096
+FINGERPRINT_CACHE_SIZE = 2048
+
+_QUOTED = r"'(?:[^'\\]++|\\.|'')*+'|\"(?:[^\"\\]++|\\.|\"\")*+\""
+_NAME = r"`[^`]*+`"
+_COMMENT = r"/\*.*?\*/|--(?=\s|$)[^\n]*|\#[^\n]*"
+
+_LEADING = re.compile(rf"\s*(?:(?!/\*!)({_COMMENT}))", re.DOTALL)
+_HINT = re.compile(r"/\*\s*wasabipitch:(.*?)\*/", re.DOTALL)
+_VERB = re.compile(r"[\s(]*([a-zA-Z]+)")
+_OPAQUE = re.compile(rf"{_QUOTED}|{_NAME}|(?!/\*!)(?:{_COMMENT})", re.DOTALL)
+_PLACEHOLDER = re.compile(rf"{_QUOTED}|{_NAME}|{_COMMENT}|(\?)", re.DOTALL)
+_SECOND_STATEMENT = re.compile(r";\s*[^\s;]")
+_SUSPECT_MARKS = (";", "@", "/*", "--", "#")
+
+_LOCKING_OR_WRITING = re.compile(
+    r"\b(?:for\s+(?:update|share)|lock\s+in\s+share\s+mode|into\s+(?:outfile|dumpfile))\b",
+    re.IGNORECASE,
+)
+_WRITING_VERB = re.compile(r"\b(?:insert|update|delete|replace)\b", re.IGNORECASE)
+_NAMED_LOCK = re.compile(r"\b(?:get_lock|release_lock|release_all_locks)\s*\(", re.I)
+_USER_VARIABLE = re.compile(r"(?<![\w@.])@(?=[\w$`'\"])")
+_CHAINED = re.compile(r"(?<!no)\s(?:chain|release)\b(?!\s+savepoint)", re.IGNORECASE)
+_ROLLBACK_TO = re.compile(r"rollback\s+(?:work\s+)?to\b", re.IGNORECASE)
+_START_TRANSACTION = re.compile(r"start\s+transaction\b", re.IGNORECASE)
+
+_LOCAL_FUNCTIONS = (
+    "database|schema|connection_id|user|current_user|session_user|system_user"
+    "|version|last_insert_id"
+)
+_LOCAL_SELECT = re.compile(
+    rf"select\s+(?:@@|@wasabipitch_token\b|(?:{_LOCAL_FUNCTIONS})\s*\(\s*\))"
+    r"(?!.*\bfrom\b)",
+    re.IGNORECASE | re.DOTALL,
+)
+_LOCAL_SHOW = re.compile(
+    r"show\s+(?:(?:session|local|global)\s+)?(?:warnings|errors|variables|status"
+    r"|collation|character\s+set|charset|databases|schemas)\b",
+    re.IGNORECASE,
+)
+
+_READ_VERBS = frozenset(
+    {"SELECT", "SHOW", "EXPLAIN", "DESCRIBE", "DESC", "WITH", "TABLE", "VALUES"}
+)
+_DATA_VERBS = _READ_VERBS | {
+    "INSERT",
+    "UPDATE",
+    "DELETE",
+    "REPLACE",
+    "SAVEPOINT",
+    "ROLLBACK",
+    "RELEASE",
+    "DO",
+}
+# Their effect stays on one connection to a target, which the next statement of
+# the session may not get.
+_UNSUPPORTED_VERBS = frozenset(
+    {
+        "CHANGE",
+        "DEALLOCATE",
+        "EXECUTE",
+        "FLUSH",
+        "HANDLER",
+        "KILL",
+        "LOAD",
+        "LOCK",
+        "PREPARE",
+        "PURGE",
+        "RESET",
+        "RESTART",
+        "SHUTDOWN",
+        "STOP",
+        "UNLOCK",
+        "XA",
+    }
+)
+
+
+@dataclass(frozen=True, slots=True)
+class Hints:
+    """What the caller says of one request.
+
+    Args:
+        request_id: names the request for at-most-once execution.
+        request_class: a declared class.
+        deadline_ms: how long the caller waits; None: as its class declares.
+    """
+
+    request_id: str = ""
+    request_class: str = ""
+    deadline_ms: int | None = None
+
+
+NO_HINTS = Hints()
+
+
+@dataclass(frozen=True, slots=True)
+class Statement:
+    """A caller's statement, as far as the proxy reads it.
+
+    Args:
+        text: what is sent to the target: the statement without its hints.
+        verb: its first keyword, in capitals.
+        kind: what it does to its session's transaction.
+        hints: from its leading comment and its query attributes.
+        local: whether the entry answers it itself.
+    """
+
+    text: str
+    verb: str
+    kind: Kind
+    hints: Hints = NO_HINTS
+    local: bool = False
+
+    @property
+    def commits_implicitly(self) -> bool:
+        """Whether it may commit the open transaction, as DDL does."""
+        return self.verb not in _DATA_VERBS
+
+
+def read_statement(sql: str, attributes: Mapping[str, Any] | None = None) -> Statement:
+    """Return what the proxy must know of a statement.
+
+    Args:
+        sql: the statement as the caller sent it.
+        attributes: its query attributes; hints there go before the comment's.
+
+    Raises:
+        Refused: if it is empty, holds several statements, has malformed hints,
+            or can't work over shared connections.
+    """
+    text, comment = _take_hint_comment(sql)
+    hints = _merge_hints(comment, attributes)
+    body = _skip_leading(text)
+    match = _VERB.match(body)
+    verb = match.group(1).upper() if match else ""
+    if not verb:
+        _refuse_without_verb(body)
+    bare = _hide_opaque(body) if _is_suspect(body) else body
+    if ";" in bare and _SECOND_STATEMENT.search(bare):
+        raise Refused(
+            "several statements in one packet are not supported; send one at a time",
+            code=ER_NOT_SUPPORTED_YET,
+        )
+    if _is_local(verb, body):
+        return Statement(text, verb, Kind.READ, hints, local=True)
+    _check_supported(verb, bare)
+    return Statement(text, verb, _classify(verb, bare), hints)
+
+
+def split_placeholders(sql: str) -> list[str]:
+    """Return the text between the ``?`` parameters of a prepared statement."""
+    pieces = []
+    start = 0
+    for match in _PLACEHOLDER.finditer(sql):
+        if match.group(1):
+            pieces.append(sql[start : match.start()])
+            start = match.end()
+    pieces.append(sql[start:])
+    return pieces
+
+
+def quote(value: Any) -> str:
+    """Return a value as an SQL literal, safe to put into a statement."""
+    if value is None:
+        return "NULL"
+    if isinstance(value, bytes):
+        try:
+            value = value.decode()
+        except UnicodeDecodeError:
+            return f"x'{value.hex()}'"
+    if not isinstance(value, str):
+        return str(value)
+    if "\0" in value:
+        return f"x'{value.encode().hex()}'"
+    escaped = value.replace("\\", "\\\\").replace("'", "''")
+    return f"'{escaped}'"
+
+
+def fingerprint(sql: str) -> str:
+    """Return the statement's shape: its words and marks without its values.
+
+    Literals and parameters become ``?``, a list of them one ``?``; letter
+    case, white space and comments are made uniform.
+    """
+    if len(sql) > MAX_CACHED_LENGTH:
+        return _compute_fingerprint(sql)
+    return _cached_fingerprint(sql)
+
+
+def _compute_fingerprint(sql: str) -> str:
+    tokens = []
+    for match in _TOKEN.finditer(sql):
+        kind = match.lastgroup
+        if kind == "value":
+            tokens.append("?")
+        elif kind == "word":
+            tokens.append(_CONSTANTS.get(match.group().lower(), match.group().lower()))
+        elif kind == "mark":
+            tokens.append(match.group())
+    shape = " ".join(tokens).rstrip("; ")
+    shape = _SIGNED_VALUE.sub("?", shape)
+    return _VALUE_LIST.sub("?", shape)
+
+
+_cached_fingerprint = lru_cache(FINGERPRINT_CACHE_SIZE)(_compute_fingerprint)
+_TOKEN = re.compile(
+    rf"""(?P<skip>\s+|{_COMMENT})
+    |(?P<value>{_QUOTED}|0x[0-9a-f]+\b|\d+(?:\.\d*)?(?:e[+-]?\d+)?\b|\.\d+|\?|%s
+        |%\(\w+\)s|:[a-z_]\w*)
+    |(?P<word>{_NAME}|[\w$]+)
+    |(?P<mark>.)""",
+    re.VERBOSE | re.IGNORECASE | re.DOTALL,
+)
+_CONSTANTS = {"null": "?", "true": "?", "false": "?"}
+_SIGNED_VALUE = re.compile(r"(?<=[=(,<>] )[-+] \?")
+_VALUE_LIST = re.compile(r"\?(?: , \?)+")
+
+
+def _take_hint_comment(sql: str) -> tuple[str, str]:
+    if "/*" not in sql:
+        return sql, ""
+    start = 0
+    while (match := _LEADING.match(sql, start)) is not None:
+        hint = _HINT.fullmatch(match.group(1))
+        if hint is not None:
+            return sql[:start] + sql[match.end() :].lstrip(), hint.group(1)
+        start = match.end()
+    return sql, ""
+
+
+def _skip_leading(sql: str) -> str:
+    start = 0
+    while (match := _LEADING.match(sql, start)) is not None:
+        start = match.end()
+    return sql[start:].lstrip()
+
+
+def _merge_hints(comment: str, attributes: Mapping[str, Any] | None) -> Hints:
+    if not comment and not attributes:
+        return NO_HINTS
+    fields = _read_hint_comment(comment) if comment else {}
+    for key in ("id", "class", "deadline_ms"):
+        value = (attributes or {}).get(key)
+        if value is not None:
+            fields[key] = str(value)
+    return Hints(
+        request_id=_check_request_id(fields.get("id", "")),
+        request_class=fields.get("class", ""),
+        deadline_ms=_read_deadline(fields.get("deadline_ms")),
+    )
+
+
+def _read_hint_comment(comment: str) -> dict[str, str]:
+    fields: dict[str, str] = {}
+    for part in comment.split(","):
+        key, sep, value = part.strip().partition("=")
+        key, value = key.strip(), value.strip()
+        if not sep or not value or key not in ("id", "class", "deadline_ms"):
+            raise Refused(
+                f"malformed hint {part.strip()!r}: expected id=, class= or"
+                " deadline_ms=, separated by commas",
+                code=ER_WRONG_ARGUMENTS,
+            )
+        fields[key] = value
+    return fields
+
+
+def _check_request_id(text: str) -> str:
+    if len(text) > MAX_REQUEST_ID_LENGTH or not text.isprintable():
+        raise Refused(
+            f"malformed hint: id must be printable and no longer than"
+            f" {MAX_REQUEST_ID_LENGTH} characters",
+            code=ER_WRONG_ARGUMENTS,
+        )
+    return text
+
+
+def _read_deadline(text: str | None) -> int | None:
+    if text is None:
+        return None
+    if not text.isascii() or not text.isdigit() or not 0 < int(text) <= MAX_DEADLINE_MS:
+        raise Refused(
+            f"malformed hint: deadline_ms={text[:20]!r} is not a whole number of"
+            f" milliseconds from 1 to {MAX_DEADLINE_MS}",
+            code=ER_WRONG_ARGUMENTS,
+        )
+    return int(text)
+
+
+def _refuse_without_verb(body: str) -> None:
+    if not body.strip("; \n\t\r"):
+        raise Refused("the statement is empty", code=ER_EMPTY_QUERY)
+    if body.startswith("/*!"):
+        raise Refused(
+            "a statement that starts with a version comment /*! is not supported",
+            code=ER_NOT_SUPPORTED_YET,
+        )
+    raise Refused(
+        f"the statement does not start with a keyword: {body[:40]!r}",
+        code=ER_PARSE_ERROR,
+    )
+
+
+def _is_suspect(body: str) -> bool:
+    return any(mark in body for mark in _SUSPECT_MARKS)
+
+
+def _hide_opaque(body: str) -> str:
+    return _OPAQUE.sub(lambda m: "''" if m.group()[0] in "'\"`" else " ", body)
+
+
+def _is_local(verb: str, body: str) -> bool:
+    if verb == "SELECT":
+        return _LOCAL_SELECT.match(body) is not None
+    if verb == "SHOW":
+        return _LOCAL_SHOW.match(body) is not None
+    return verb in ("SET", "USE")
+
+
+def _check_supported(verb: str, bare: str) -> None:
+    reason = ""
+    if verb in _UNSUPPORTED_VERBS:
+        reason = f"{verb} is not supported: connections to targets are shared"
+    elif verb == "START" and not _START_TRANSACTION.match(bare):
+        reason = "START is supported only as START TRANSACTION"
+    elif verb in ("COMMIT", "ROLLBACK") and _CHAINED.search(bare):
+        reason = f"{verb} with CHAIN or RELEASE is not supported"
+    elif "@" in bare and _USER_VARIABLE.search(bare):
+        reason = "user variables are not supported: connections to targets are shared"
+    elif "lock" in bare.lower() and _NAMED_LOCK.search(bare):
+        reason = "named locks are not supported: connections to targets are shared"
+    if reason:
+        raise Refused(reason, code=ER_NOT_SUPPORTED_YET)
+
+
+def _classify(verb: str, bare: str) -> Kind:
+    if verb in ("BEGIN", "START"):
+        return Kind.BEGIN
+    if verb == "COMMIT":
+        return Kind.COMMIT
+    if verb == "ROLLBACK" and not _ROLLBACK_TO.match(bare):
+        return Kind.ROLLBACK
+    if verb not in _READ_VERBS or _LOCKING_OR_WRITING.search(bare):
+        return Kind.WRITE
+    if verb in ("WITH", "EXPLAIN") and _WRITING_VERB.search(bare):
+        return Kind.WRITE
+    return Kind.READ
--- /dev/null
+++ b/tests/wasabipitch/entry_harness.py
@@ -0,0 +1,184 @@
+"""An entry in this process, with fake pools behind real links."""
+
+import asyncio
+import contextlib
+import hashlib
+import unittest
+
+import asyncmy
+import mysql.connector
+
+from wasabipitch.deployment import Deployment, Group, Instance, RequestClass
+from wasabipitch.dispatch import Dispatcher
+from wasabipitch.entry import Entry
+from wasabipitch.events import Clock, Timeline
+from wasabipitch.frontend import Frontend
+from wasabipitch.links import Exchange, Link, LinkServer
+from wasabipitch.messages import EndSession, Execute, Hello, Kind, Message, Result
+from wasabipitch.metrics import StatsdMetrics
+from wasabipitch.models import Address, Host, Position
+from wasabipitch.settings import Caller, EntrySettings
+
+ANY = Address("127.0.0.1", 0)
+HOST = Host("entry-1", "entry", "127.0.0.1:0", "rome")
+PASSWORD = "pass word"
+
+
+def hash_password(password: str) -> str:
+    return hashlib.sha1(hashlib.sha1(password.encode()).digest()).hexdigest()
+
+
+def make_group(name: str) -> Group:
+    return Group(name, (Instance(f"{name}-1", "127.0.0.1:1", "rome"),))
+
+
+DEPLOYMENT = Deployment(
+    name="test",
+    groups=(make_group("workshop"), make_group("ledger")),
+    classes=(
+        RequestClass(
+            name="payment",
+            idempotent=False,
+            statements=("INSERT INTO payments VALUES (?, ?)",),
+        ),
+        RequestClass(name="lookup", max_age_s=5.0, deadline_s=2.0),
+    ),
+)
+
+
+class FixedConfiguration:
+    revision = 1
+
+    def __init__(self, deployment: Deployment | None) -> None:
+        self.current = deployment
+        self.callback = None
+
+    def subscribe(self, callback) -> None:
+        self.callback = callback
+
+
+class FakePool:
+    """Answers by functions that the test sets, by the statement's prefix."""
+
+    def __init__(self) -> None:
+        self.asked: list[Message] = []
+        self.answers: dict[str, object] = {}
+        self.server = LinkServer(self._handle, Clock())
+        self.address = ANY
+        self._open: set[str] = set()
+        self._index = 0
+
+    async def start(self) -> None:
+        self.address = await self.server.start(ANY)
+
+    @property
+    def statements(self) -> list[str]:
+        return [m.statement for m in self.asked if isinstance(m, Execute)]
+
+    @property
+    def ended(self) -> list[str]:
+        return [m.session for m in self.asked if isinstance(m, EndSession)]
+
+    def answer(self, prefix: str, function) -> None:
+        self.answers[prefix] = function
+
+    async def _handle(self, exchange: Exchange) -> Message | None:
+        message = exchange.message
+        self.asked.append(message)
+        if not isinstance(message, Execute):
+            return Result()
+        for prefix, function in self.answers.items():
+            if message.statement.startswith(prefix):
+                return await function(exchange)
+        return self.default(message)
+
+    def default(self, message: Execute) -> Result:
+        if message.kind is Kind.BEGIN:
+            self._open.add(message.session)
+        elif message.kind in (Kind.COMMIT, Kind.ROLLBACK):
+            self._open.discard(message.session)
+        elif message.kind is Kind.WRITE:
+            self._index += 1
+        is_open = message.session in self._open
+        position = Position(1, self._index)
+        return Result(affected_rows=1, in_transaction=is_open, position=position)
+
+
+class EntryCase(unittest.IsolatedAsyncioTestCase):
+    """Starts an entry whose first pool is ``pool`` and second ``spare``."""
+
+    settings: dict = {}
+
+    async def asyncSetUp(self) -> None:
+        self.stack = await self.enterAsyncContext(contextlib.AsyncExitStack())
+        self.pool, self.spare = FakePool(), FakePool()
+        self.timeline = Timeline("entry-1")
+        self.links = [await self.connect_pool(p) for p in (self.pool, self.spare)]
+        self.metrics = StatsdMetrics()
+        dispatcher = Dispatcher(self, self.metrics)
+        self.configuration = FixedConfiguration(DEPLOYMENT)
+        self.entry = Entry(
+            HOST, "i1", self.configuration, dispatcher, self.timeline, self.metrics
+        )
+        self.frontend = Frontend(self.entry, self.make_settings(), self.metrics)
+        self.address = await self.frontend.start(ANY)
+        self.stack.push_async_callback(dispatcher.close)
+        self.stack.push_async_callback(self.frontend.stop, 1.0)
+
+    def make_settings(self) -> EntrySettings:
+        callers = (
+            Caller("counter", hash_password(PASSWORD)),
+            Caller("open", max_connections=2),
+        )
+        return EntrySettings(
+            host="entry-1",
+            data_centre="rome",
+            platform="127.0.0.1:1",
+            **({"callers": callers} | self.settings),
+        )
+
+    async def route(self, group: str) -> list[Link]:
+        return self.links
+
+    async def connect_pool(self, pool: FakePool) -> Link:
+        await pool.start()
+        self.stack.push_async_callback(pool.server.close)
+        link = Link(pool.address, Hello(HOST, "i1"), Clock())
+        self.stack.push_async_callback(link.close)
+        return link
+
+    async def connect(self, **options):
+        options = {
+            "user": "counter",
+            "password": PASSWORD,
+            "db": "workshop",
+            "autocommit": True,
+        } | options
+        conn = await asyncmy.connect(
+            host=self.address.ip, port=self.address.port, **options
+        )
+        self.stack.callback(conn.close)
+        return conn
+
+    def connect_blocking(self, **options):
+        options = {
+            "user": "counter",
+            "password": PASSWORD,
+            "database": "workshop",
+            "autocommit": True,
+            "use_pure": True,
+            "ssl_disabled": True,
+        } | options
+        return mysql.connector.connect(
+            host=self.address.ip, port=self.address.port, **options
+        )
+
+    async def in_thread(self, function, *args):
+        async with asyncio.timeout(20):
+            return await asyncio.to_thread(function, *args)
+
+
+async def fetch(conn, sql: str, args=None):
+    async with conn.cursor() as cursor:
+        await cursor.execute(sql, args)
+        return await cursor.fetchall()
