--- a/src/wasabipitch/dispatch.py
+++ b/src/wasabipitch/dispatch.py
@@ -22,7 +22,7 @@
 from wasabipitch.messages import EndSession, Hello, Kind, Message
 from wasabipitch.metrics import Metrics
 from wasabipitch.models import Address, Host
-from wasabipitch.requests import Request
+from wasabipitch.catalogue import Request
 from wasabipitch.sessions import Pin
 from wasabipitch.verdict import SQLSTATE_NOT_RUN, Verdict
 
--- a/src/wasabipitch/entry.py
+++ b/src/wasabipitch/entry.py
@@ -22,7 +22,7 @@
 from wasabipitch.messages import Kind, Message, ProcessState, Result
 from wasabipitch.metrics import Metrics
 from wasabipitch.models import ORIGIN, Host
-from wasabipitch.requests import Catalogue, Request
+from wasabipitch.catalogue import Catalogue, Request
 from wasabipitch.sessions import Pin, Session
 from wasabipitch.statements import Statement
 from wasabipitch.verdict import Verdict
