--- a/src/wasabipitch/callers.py
+++ b/src/wasabipitch/callers.py
@@ -5,27 +5,24 @@
 import logging
 import struct
 from collections.abc import AsyncIterator
-from typing import Protocol
 
 from mysql_mimic import packets as mimic_packets
-from mysql_mimic.auth import NativePasswordAuthPlugin, User
-from mysql_mimic.connection import Connection
-from mysql_mimic.errors import ErrorCode, MysqlError, get_sqlstate
-from mysql_mimic.packets import SSLRequest
+from mysql_mimic.errors import ErrorCode, MysqlError
 from mysql_mimic.server import MysqlServer
 from mysql_mimic.types import ColumnType, Commands
 
 from wasabipitch import packets
 from wasabipitch.answers import AnswerWriter
-from wasabipitch.entry import Entry
 from wasabipitch.exceptions import InDoubt, Refused, Stopping, WasabipitchError
-from wasabipitch.local import LocalSession
+from wasabipitch.handshake import GreetedConnection, Listener
 from wasabipitch.messages import Message, Result
-from wasabipitch.metrics import Metrics
 from wasabipitch.models import Column
-from wasabipitch.packets import Prepared
-from wasabipitch.sessions import Session
-from wasabipitch.settings import Caller, EntrySettings
+from wasabipitch.parameters import (
+    Prepared,
+    read_execute,
+    read_query,
+    refuse_malformed,
+)
 from wasabipitch.statements import read_statement, split_placeholders
 from wasabipitch.streams import (
     ER_NET_PACKET_TOO_LARGE,
@@ -34,43 +31,22 @@
 )
 from wasabipitch.verdict import Verdict
 
-ER_HANDSHAKE_ERROR = 1043
-ER_ACCESS_DENIED = 1045
 ER_UNKNOWN_COM = 1047
 ER_SERVER_SHUTDOWN = 1053
 ER_UNKNOWN_STMT_HANDLER = 1243
 ER_INVALID_CHARACTER_STRING = 1300
 ER_MAX_PREPARED_STMT_COUNT = 1461
-ER_SECURE_TRANSPORT_REQUIRED = 3159
 
 HANDSHAKE_TIMEOUT_S = 10.0
 GOODBYE_TIMEOUT_S = 0.5
-SSL_REQUEST_LENGTH = 32
+# Query attributes, besides the statement itself.
+PACKET_OVERHEAD_BYTES = 4096
 MAX_PREPARED_STATEMENTS = 256
-PLUGIN_NAME = "mysql_native_password"
-# No caller's password has this hash, so an unknown user is always denied.
-IMPOSSIBLE_HASH = "0" * 40
 
 logger = logging.getLogger(__name__)
 
 
-class Listener(Protocol):
-    """What a connection needs of the server that accepted it."""
-
-    entry: Entry
-    settings: EntrySettings
-    metrics: Metrics
-    stopping: bool
-    callers: dict[str, Caller]
-
-    def admit(self, conn: "CallerConnection", caller: Caller) -> None:
-        """Count a caller's connection, or raise ``Refused`` at its limit."""
-
-    def release(self, conn: "CallerConnection") -> None:
-        """Count a caller's connection no more."""
-
-
-class CallerConnection(Connection):
+class CallerConnection(GreetedConnection):
     """One caller's connection.
 
     Args:
@@ -87,22 +63,8 @@
         server: MysqlServer,
         connection_id: int,
     ) -> None:
-        self.local = LocalSession(listener.entry)
-        super().__init__(
-            stream=stream,
-            session=self.local,
-            control=server.control,
-            identity_provider=server.identity_provider,
-            server_capabilities=server.capabilities,
-            ssl=server.ssl,
-        )
-        self.local.attach(self)
-        self.connection_id = connection_id
-        self.state: Session | None = None
-        self.user = ""
+        super().__init__(listener, stream, server, connection_id)
         self.task = asyncio.current_task()
-        self._listener = listener
-        self._entry = listener.entry
         self._handlers = {
             Commands.COM_QUERY: self.handle_query,
             Commands.COM_INIT_DB: self.handle_init_db,
@@ -125,15 +87,15 @@
         """Serve the caller until it leaves or the entry stops."""
         async with contextlib.AsyncExitStack() as stack:
             stack.callback(self._listener.release, self)
+            stack.push_async_callback(self._close_session)
             try:
                 async with asyncio.timeout(HANDSHAKE_TIMEOUT_S):
                     await self.connection_phase()
             except WasabipitchError as exc:
                 await self._refuse_connection(exc)
                 return
-            stack.push_async_callback(self._entry.close_session, self.state)
-            # The limit is on the statement, besides the command's own byte.
-            self.stream.limit_packets(self._listener.settings.max_statement_bytes + 1)
+            limit = self._listener.settings.max_statement_bytes
+            self.stream.limit_packets(limit + PACKET_OVERHEAD_BYTES)
             await self._serve_commands()
 
     def leave_if_idle(self) -> None:
@@ -142,106 +104,6 @@
         if self.stream.idle and not busy:
             self.task.cancel()
 
-    # The connection phase.
-
-    async def connection_phase(self) -> None:
-        """Greet and authenticate the caller, and open its session.
-
-        Raises:
-            Refused: if it may not connect.
-        """
-        self.handshake_auth_data = await self._greet()
-        response = self._parse_handshake(await self.stream.read())
-        if isinstance(response, SSLRequest):
-            if self.ssl is None:
-                raise Refused("TLS is not configured", code=ER_HANDSHAKE_ERROR)
-            await self.stream.start_tls(self.ssl)
-            response = self._parse_handshake(await self.stream.read())
-        elif self._requires_tls():
-            raise Refused("TLS is required", code=ER_SECURE_TRANSPORT_REQUIRED)
-        self.capabilities = response.capabilities
-        self.local.variables.set("character_set_client", response.client_charset.name)
-        await self.authenticate(
-            response.username, response.auth_response, response.client_plugin, {}
-        )
-        session = self._entry.open_session()
-        self.local.state = session
-        try:
-            if response.database:
-                self._entry.use(session, response.database)
-        except Refused:
-            await self._entry.close_session(session)
-            raise
-        self.state = session
-        await self.stream.write(self.ok())
-
-    async def authenticate(
-        self,
-        username: str,
-        auth_response: bytes,
-        client_plugin_name: str | None,
-        connect_attrs: dict[str, str],
-        auth_state=None,
-        server_plugin=None,
-    ) -> None:
-        """Check the caller's password and count its connection.
-
-        Raises:
-            Refused: if it is unknown, has another password, or holds too many
-                connections.
-        """
-        nonce = self.handshake_auth_data.rstrip(b"\0")
-        if client_plugin_name not in (None, "", PLUGIN_NAME):
-            request = mimic_packets.make_auth_switch_request(
-                self.server_charset, PLUGIN_NAME, nonce + b"\0"
-            )
-            await self.stream.write(request)
-            auth_response = await self.stream.read()
-        caller = self._listener.callers.get(username)
-        secret = caller.password_sha1 if caller else IMPOSSIBLE_HASH
-        user = User(username, auth_string=secret)
-        if not NativePasswordAuthPlugin().password_matches(user, auth_response, nonce):
-            used = "YES" if auth_response else "NO"
-            raise Refused(
-                f"access denied for user {username!r} (using password: {used})",
-                code=ER_ACCESS_DENIED,
-            )
-        self._listener.admit(self, caller)
-        self.local.username = username
-        self.local.variables.set("external_user", username, force=True)
-
-    async def _greet(self) -> bytes:
-        plugin = self.identity_provider.get_default_plugin()
-        nonce, _ = await plugin.start()
-        greeting = mimic_packets.make_handshake_v10(
-            capabilities=self.server_capabilities,
-            server_charset=self.server_charset,
-            server_version=str(self.local.variables.get("version")),
-            connection_id=self.connection_id,
-            auth_data=nonce,
-            status_flags=self.status_flags,
-            auth_plugin_name=plugin.name,
-        )
-        await self.stream.write(greeting)
-        return nonce
-
-    def _parse_handshake(self, data: bytes):
-        # mysql-mimic's parser never ends on a string without its final NUL.
-        padded = data if len(data) <= SSL_REQUEST_LENGTH else data + b"\0\0\0"
-        with packets.refuse_malformed("handshake"):
-            return mimic_packets.parse_handshake_response(
-                self.server_capabilities, padded
-            )
-
-    async def _refuse_connection(self, exc: WasabipitchError) -> None:
-        """Send an error in the connection phase; no request has a verdict yet."""
-        self._listener.metrics.count("entry.connections.refused")
-        logger.warning("connection %d refused: %s", self.connection_id, exc.message)
-        sqlstate = get_sqlstate(exc.code).decode()
-        await self.stream.write(packets.make_error(exc.code, sqlstate, exc.message))
-
-    # The command phase.
-
     async def _serve_commands(self) -> None:
         while self.state.in_transaction or not self._listener.stopping:
             self.stream.reset_seq()
@@ -286,12 +148,12 @@
 
     async def handle_query(self, data: bytes) -> None:
         """Run a statement in text form."""
-        sql, attributes = packets.read_query(data, self.capabilities, self.codec)
+        sql, attributes = read_query(data, self.capabilities, self.codec)
         await self._run(self._decode(sql), attributes, binary=False)
 
     async def handle_init_db(self, data: bytes) -> None:
         """Select the current database."""
-        self._entry.use(self.state, self._decode(data))
+        self._runner.use(self.state, self._decode(data))
         await self.stream.write(self.ok())
 
     async def handle_reset_connection(self, data: bytes) -> None:
@@ -302,7 +164,7 @@
     async def handle_change_user(self, data: bytes) -> None:
         """Authenticate another user; a failure ends the connection."""
         # mysql-mimic's parser never ends on a string without its final NUL.
-        with packets.refuse_malformed("change user"):
+        with refuse_malformed("change user"):
             change = mimic_packets.parse_com_change_user(
                 self.capabilities, self.client_charset, data + b"\0\0\0\0"
             )
@@ -317,7 +179,7 @@
         await self._reset()
         self.state.group = ""
         if change.database:
-            self._entry.use(self.state, change.database)
+            self._runner.use(self.state, change.database)
         await self.stream.write(self.ok())
 
     async def handle_stmt_prepare(self, data: bytes) -> None:
@@ -344,17 +206,13 @@
     async def handle_stmt_execute(self, data: bytes) -> None:
         """Run a prepared statement."""
         statement = self._find_prepared(data)
-        limit = self._listener.settings.max_statement_bytes
-        overlong = statement.overlong
-        sql, attributes = packets.read_execute(
+        if statement.overlong:
+            statement.forget_long_data()
+            raise self._make_too_long()
+        sql, attributes = read_execute(
             data[4:], statement, self.capabilities, self.codec
         )
         statement.forget_long_data()
-        if overlong or len(sql) > limit:
-            raise Refused(
-                f"the statement with its parameters exceeds {limit} bytes",
-                code=ER_NET_PACKET_TOO_LARGE,
-            )
         await self._run(sql, attributes, binary=True)
 
     async def handle_stmt_send_long_data(self, data: bytes) -> None:
@@ -389,17 +247,23 @@
         return statement
 
     async def _reset(self) -> None:
-        await self._entry.reset_session(self.state)
+        await self._runner.reset_session(self.state)
         await self.local.reset()
         self.prepared_stmts.clear()
 
+    async def _close_session(self) -> None:
+        if self.state is not None:
+            await self._runner.close_session(self.state)
+
     async def _run(self, sql: str, attributes: dict, *, binary: bool) -> None:
+        if len(sql) > self._listener.settings.max_statement_bytes:
+            raise self._make_too_long()
         statement = read_statement(sql, attributes)
         if statement.local:
             result = await self.local.answer(statement)
             await self._write_answer(result, None, binary)
             return
-        replies = self._entry.run(self.state, statement)
+        replies = self._runner.run(self.state, statement)
         async with contextlib.aclosing(replies):
             result = await anext(replies)
             await self._write_answer(result, replies, binary)
@@ -434,22 +298,6 @@
             async for _ in replies:
                 pass
 
-    def ok(self, affected_rows: int = 0, last_insert_id: int = 0) -> bytes:
-        """Return an OK packet with the session's status."""
-        return packets.make_ok(
-            status=self._status(),
-            affected_rows=affected_rows,
-            last_insert_id=last_insert_id,
-        )
-
-    def _status(self) -> int:
-        status = 0
-        if self.state is None or self.state.autocommit:
-            status |= packets.SERVER_STATUS_AUTOCOMMIT
-        if self.state is not None and self.state.in_transaction:
-            status |= packets.SERVER_STATUS_IN_TRANS
-        return status
-
     async def _write_error(self, exc: WasabipitchError) -> None:
         text = f"{exc.message} (verdict: {Verdict(exc.verdict).name})"
         await self.stream.write(packets.make_error(exc.code, exc.sqlstate, text))
@@ -466,9 +314,12 @@
         await self._write_error(error)
         await self.stream.close_gently(GOODBYE_TIMEOUT_S)
 
-    def _requires_tls(self) -> bool:
-        tls = self._listener.settings.tls
-        return tls is not None and tls.required
+    def _make_too_long(self) -> Refused:
+        limit = self._listener.settings.max_statement_bytes
+        return Refused(
+            f"the statement with its parameters exceeds {limit} bytes",
+            code=ER_NET_PACKET_TOO_LARGE,
+        )
 
     def _decode(self, data: bytes) -> str:
         try:
--- a/src/wasabipitch/catalogue.py
+++ b/src/wasabipitch/catalogue.py
@@ -24,6 +24,8 @@
         request_class: the name of its class, as sent to the pool.
         deadline_at_s: when its caller stops waiting, by the loop's clock.
         floor: the session's floor when it was admitted.
+        in_transaction: whether it belongs to an open transaction.
+        in_doubt: whether an earlier attempt got no answer.
         link: the link on which it was last sent.
         generation: the connection of the link on which it was sent.
     """
@@ -34,6 +36,8 @@
     request_class: str
     deadline_at_s: float
     floor: Position | None = None
+    in_transaction: bool = False
+    in_doubt: bool = False
     link: Link | None = None
     generation: int = 0
 
@@ -61,6 +65,8 @@
             request_id=self.statement.hints.request_id,
             deadline_ms=max(1, int(self.left_s * 1000)),
             floor=self.floor,
+            in_transaction=self.in_transaction,
+            in_doubt=self.in_doubt,
         )
 
 
--- a/src/wasabipitch/dispatch.py
+++ b/src/wasabipitch/dispatch.py
@@ -3,10 +3,11 @@
 import asyncio
 import contextlib
 import random
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Callable
 from typing import Protocol
 
-from wasabipitch.events import Clock
+from wasabipitch.catalogue import Request
+from wasabipitch.deployment import Policy
 from wasabipitch.exceptions import (
     ER_BAD_DB_ERROR,
     ER_QUERY_TIMEOUT,
@@ -18,18 +19,17 @@
     TransactionLost,
     WasabipitchError,
 )
-from wasabipitch.links import Cuts, Link, RemoteError
-from wasabipitch.messages import EndSession, Hello, Kind, Message
+from wasabipitch.linkbook import LinkBook
+from wasabipitch.links import Link, RemoteError
+from wasabipitch.messages import EndSession, Message
 from wasabipitch.metrics import Metrics
-from wasabipitch.models import Address, Host
-from wasabipitch.catalogue import Request
+from wasabipitch.models import Host
+from wasabipitch.retries import backoff_s
 from wasabipitch.sessions import Pin
 from wasabipitch.verdict import SQLSTATE_NOT_RUN, Verdict
 
 MAX_ATTEMPTS = 10
 MAX_OWNERS = 3
-FIRST_WAIT_S = 0.02
-MAX_WAIT_S = 0.5
 END_SESSION_TIMEOUT_S = 1.0
 # The pool's own verdict at the deadline is better than none.
 REPLY_GRACE_S = 0.25
@@ -43,53 +43,43 @@
     async def route(self, group: str) -> list[Link]:
         """Return links to the pools of a group, the preferred one first."""
 
+    def doubt(self, link: Link) -> None:
+        """Note that work sent over a link failed."""
+
 
 class Owners(Protocol):
-    """Knows which pools own which groups."""
+    """Knows which pools own which groups; see ``hosts.Membership``."""
+
+    links: LinkBook
 
-    def owners(self, group: str) -> tuple[Host, ...]:
+    def owners(self, group: str, *, local: bool = False) -> tuple[Host, ...]:
         """Return the live pools in the group's order; the first is its owner."""
 
+    def doubt(self, name: str) -> None:
+        """Probe a host soon, because work sent to it failed."""
+
 
 class OwnerRouter:
-    """Routes by the membership; it keeps one link for each pool.
+    """Routes to the owners of a group.
 
     Args:
         membership: knows the owners.
-        hello: says who this process is.
-        clock: carried on every message.
-        cuts: the peers whose traffic is dropped, in fault injection.
+        read_policy: returns the policy in force.
     """
 
-    def __init__(
-        self, membership: Owners, hello: Hello, clock: Clock, cuts: Cuts | None = None
-    ) -> None:
+    def __init__(self, membership: Owners, read_policy: Callable[[], Policy]) -> None:
         self._membership = membership
-        self._hello = hello
-        self._clock = clock
-        self._cuts = cuts
-        self._links: dict[Host, Link] = {}
+        self._read_policy = read_policy
 
     async def route(self, group: str) -> list[Link]:
         """Return links to the pools of a group, the preferred one first."""
-        owners = self._membership.owners(group)[:MAX_OWNERS]
-        return [self._link(host) for host in owners]
+        local = self._read_policy().pooling == "entry"
+        owners = self._membership.owners(group, local=local)[:MAX_OWNERS]
+        return [self._membership.links.find(host) for host in owners]
 
-    async def close(self) -> None:
-        """Close all links."""
-        links, self._links = self._links, {}
-        for link in links.values():
-            await link.close()
-
-    def _link(self, host: Host) -> Link:
-        link = self._links.get(host)
-        if link is None:
-            address = Address.parse(host.address)
-            link = Link(
-                address, self._hello, self._clock, peer=host.name, cuts=self._cuts
-            )
-            self._links[host] = link
-        return link
+    def doubt(self, link: Link) -> None:
+        """Note that work sent over a link failed."""
+        self._membership.doubt(link.peer)
 
 
 class Dispatcher:
@@ -118,7 +108,6 @@
         Raises:
             WasabipitchError: with the verdict over all attempts.
         """
-        lost: LinkLost | None = None
         latest: WasabipitchError | None = None
         attempts = _Attempts(self._router, req, self._rng)
         while (link := await attempts.next_link()) is not None:
@@ -130,17 +119,20 @@
                         yield message
                 return
             except LinkDown as exc:
+                self._router.doubt(link)
                 latest = exc
             except LinkLost as exc:
+                self._router.doubt(link)
                 if started or not req.repeatable:
                     raise
-                lost = latest = exc
+                latest = exc
+                req.in_doubt = True
             except RemoteError as exc:
                 if started or not _should_move_on(exc):
-                    raise _qualify(req, exc, lost) from exc
+                    raise
                 latest = exc
             self._metrics.count("entry.retries")
-        raise _give_up(req, lost, latest)
+        raise _give_up(req, latest)
 
     async def stream_pinned(self, req: Request, pin: Pin) -> AsyncIterator[Message]:
         """Yield the reply to a statement of an open transaction.
@@ -154,6 +146,7 @@
             raise TransactionLost(
                 f"the link to {pin.link.peer}, which held the transaction, broke"
             )
+        req.in_transaction = True
         async with contextlib.aclosing(_send(req, pin.link)) as replies:
             async for message in replies:
                 yield message
@@ -179,7 +172,7 @@
         self._rng = rng
         self._links: list[Link] = []
         self._count = 0
-        self._wait_s = 0.0
+        self._rounds = 0
 
     async def next_link(self) -> Link | None:
         """Return the next link to try, or None if there is to be no attempt."""
@@ -187,17 +180,14 @@
             if self._links:
                 self._count += 1
                 return self._links.pop(0)
-            if self._wait_s:
+            if self._rounds:
                 self._count += 1
-                await self._pause()
-            self._wait_s = min(max(2 * self._wait_s, FIRST_WAIT_S), MAX_WAIT_S)
+                wait_s = backoff_s(self._rounds, self._rng)
+                await asyncio.sleep(min(wait_s, max(self._req.left_s, 0)))
+            self._rounds += 1
             self._links = list(await self._router.route(self._req.group))
         return None
 
-    async def _pause(self) -> None:
-        jittered_s = self._wait_s * self._rng.uniform(0.5, 1.0)
-        await asyncio.sleep(min(jittered_s, max(self._req.left_s, 0)))
-
 
 def _send(req: Request, link: Link) -> AsyncIterator[Message]:
     req.link = link
@@ -212,25 +202,15 @@
     return refused and exc.code in _MOVE_ON_CODES
 
 
-def _qualify(req: Request, exc: RemoteError, lost: LinkLost | None) -> WasabipitchError:
+def _give_up(req: Request, latest: WasabipitchError | None) -> WasabipitchError:
     """Return the error with the verdict over all attempts.
 
-    A later pool's refusal says nothing of an earlier attempt that got no
-    answer.
+    A pool's refusal says nothing of an earlier attempt that got no answer.
     """
-    is_write = req.statement.kind is Kind.WRITE
-    if lost is None or not is_write or exc.verdict is not Verdict.NOT_RUN:
-        return exc
-    return InDoubt(f"{lost.message}; a later attempt failed: {exc.message}")
-
-
-def _give_up(
-    req: Request, lost: LinkLost | None, latest: WasabipitchError | None
-) -> WasabipitchError:
     reason = latest.message if latest else "no live pool is known"
     code = ER_QUERY_TIMEOUT if req.left_s <= 0 else ER_UNKNOWN_ERROR
-    if lost is not None:
-        return InDoubt(f"group {req.group}: {reason}", code=code)
+    if req.in_doubt:
+        return InDoubt(f"no answer for group {req.group}: {reason}", code=code)
     return NoTarget(f"no pool served group {req.group}: {reason}", code=code)
 
 
--- a/src/wasabipitch/frontend.py
+++ b/src/wasabipitch/frontend.py
@@ -13,10 +13,10 @@
 
 from wasabipitch import packets
 from wasabipitch.callers import CallerConnection
-from wasabipitch.entry import Entry
 from wasabipitch.exceptions import ER_CON_COUNT_ERROR, Refused, SettingsError
 from wasabipitch.metrics import Metrics
 from wasabipitch.models import Address
+from wasabipitch.session_runner import SessionRunner
 from wasabipitch.settings import Caller, EntrySettings, Tls
 from wasabipitch.streams import CallerStream, ConnectionClosed
 
@@ -31,15 +31,17 @@
     """Listens for callers.
 
     Args:
-        entry: runs their statements.
+        runner: runs their statements.
         settings: the limits, the known callers and the certificate.
         metrics: counts connections.
     """
 
-    def __init__(self, entry: Entry, settings: EntrySettings, metrics: Metrics) -> None:
+    def __init__(
+        self, runner: SessionRunner, settings: EntrySettings, metrics: Metrics
+    ) -> None:
         context = load_tls(settings.tls) if settings.tls else None
         super().__init__(capabilities=DEFAULT_SERVER_CAPABILITIES, ssl=context)
-        self.entry = entry
+        self.runner = runner
         self.settings = settings
         self.metrics = metrics
         self.callers = {c.name: c for c in settings.callers}
@@ -115,7 +117,10 @@
             self.metrics.count("entry.malformed")
             logger.warning("connection %d: %s", conn.connection_id, exc.msg)
             with contextlib.suppress(OSError, TimeoutError):
-                await conn.stream.write(conn.error(msg=exc.msg, code=exc.code))
+                sqlstate = get_sqlstate(exc.code).decode()
+                await conn.stream.write(
+                    packets.make_error(int(exc.code), sqlstate, exc.msg)
+                )
         except (ConnectionClosed, OSError, TimeoutError) as exc:
             logger.debug("connection %d ended: %r", conn.connection_id, exc)
         except asyncio.CancelledError:
--- /dev/null
+++ b/src/wasabipitch/handshake.py
@@ -0,0 +1,193 @@
+"""The connection phase: greeting, TLS and password of a caller."""
+
+import logging
+from typing import Protocol
+
+from mysql_mimic import packets as mimic_packets
+from mysql_mimic.auth import NativePasswordAuthPlugin, User
+from mysql_mimic.connection import Connection
+from mysql_mimic.errors import get_sqlstate
+from mysql_mimic.packets import SSLRequest
+from mysql_mimic.server import MysqlServer
+
+from wasabipitch import packets
+from wasabipitch.exceptions import Refused, WasabipitchError
+from wasabipitch.local import LocalSession
+from wasabipitch.metrics import Metrics
+from wasabipitch.parameters import refuse_malformed
+from wasabipitch.session_runner import SessionRunner
+from wasabipitch.sessions import Session
+from wasabipitch.settings import Caller, EntrySettings
+from wasabipitch.streams import CallerStream
+
+ER_HANDSHAKE_ERROR = 1043
+ER_ACCESS_DENIED = 1045
+ER_SECURE_TRANSPORT_REQUIRED = 3159
+
+SSL_REQUEST_LENGTH = 32
+PLUGIN_NAME = "mysql_native_password"
+# No caller's password has this hash, so an unknown user is always denied.
+IMPOSSIBLE_HASH = "0" * 40
+
+logger = logging.getLogger(__name__)
+
+
+class Listener(Protocol):
+    """What a connection needs of the server that accepted it."""
+
+    runner: SessionRunner
+    settings: EntrySettings
+    metrics: Metrics
+    stopping: bool
+    callers: dict[str, Caller]
+
+    def admit(self, conn: "GreetedConnection", caller: Caller) -> None:
+        """Count a caller's connection, or raise ``Refused`` at its limit."""
+
+    def release(self, conn: "GreetedConnection") -> None:
+        """Count a caller's connection no more."""
+
+
+class GreetedConnection(Connection):
+    """A caller's connection, as far as its handshake goes.
+
+    Args:
+        listener: the server that accepted it.
+        stream: its packets.
+        server: gives mysql-mimic's own parts.
+        connection_id: as the caller is told.
+    """
+
+    def __init__(
+        self,
+        listener: Listener,
+        stream: CallerStream,
+        server: MysqlServer,
+        connection_id: int,
+    ) -> None:
+        self.local = LocalSession(listener.runner)
+        super().__init__(
+            stream=stream,
+            session=self.local,
+            control=server.control,
+            identity_provider=server.identity_provider,
+            server_capabilities=server.capabilities,
+            ssl=server.ssl,
+        )
+        self.local.attach(self)
+        self.connection_id = connection_id
+        self.state: Session | None = None
+        self.user = ""
+        self._listener = listener
+        self._runner = listener.runner
+
+    async def connection_phase(self) -> None:
+        """Greet and authenticate the caller, and open its session.
+
+        Raises:
+            Refused: if it may not connect.
+        """
+        self.handshake_auth_data = await self._greet()
+        response = self._parse_handshake(await self.stream.read())
+        if isinstance(response, SSLRequest):
+            if self.ssl is None:
+                raise Refused("TLS is not configured", code=ER_HANDSHAKE_ERROR)
+            await self.stream.start_tls(self.ssl)
+            response = self._parse_handshake(await self.stream.read())
+        elif self._requires_tls():
+            raise Refused("TLS is required", code=ER_SECURE_TRANSPORT_REQUIRED)
+        self.capabilities = response.capabilities
+        self.local.variables.set("character_set_client", response.client_charset.name)
+        await self.authenticate(
+            response.username, response.auth_response, response.client_plugin, {}
+        )
+        self.state = self._runner.open_session()
+        self.local.state = self.state
+        if response.database:
+            self._runner.use(self.state, response.database)
+        await self.stream.write(self.ok())
+
+    async def authenticate(
+        self,
+        username: str,
+        auth_response: bytes,
+        client_plugin_name: str | None,
+        connect_attrs: dict[str, str],
+        auth_state=None,
+        server_plugin=None,
+    ) -> None:
+        """Check the caller's password and count its connection.
+
+        Raises:
+            Refused: if it is unknown, has another password, or holds too many
+                connections.
+        """
+        nonce = self.handshake_auth_data.rstrip(b"\0")
+        if client_plugin_name not in (None, "", PLUGIN_NAME):
+            request = mimic_packets.make_auth_switch_request(
+                self.server_charset, PLUGIN_NAME, nonce + b"\0"
+            )
+            await self.stream.write(request)
+            auth_response = await self.stream.read()
+        caller = self._listener.callers.get(username)
+        secret = caller.password_sha1 if caller else IMPOSSIBLE_HASH
+        user = User(username, auth_string=secret)
+        if not NativePasswordAuthPlugin().password_matches(user, auth_response, nonce):
+            used = "YES" if auth_response else "NO"
+            raise Refused(
+                f"access denied for user {username!r} (using password: {used})",
+                code=ER_ACCESS_DENIED,
+            )
+        self._listener.admit(self, caller)
+        self.local.username = username
+        self.local.variables.set("external_user", username, force=True)
+
+    async def _greet(self) -> bytes:
+        plugin = self.identity_provider.get_default_plugin()
+        nonce, _ = await plugin.start()
+        greeting = mimic_packets.make_handshake_v10(
+            capabilities=self.server_capabilities,
+            server_charset=self.server_charset,
+            server_version=str(self.local.variables.get("version")),
+            connection_id=self.connection_id,
+            auth_data=nonce,
+            status_flags=self.status_flags,
+            auth_plugin_name=plugin.name,
+        )
+        await self.stream.write(greeting)
+        return nonce
+
+    def _parse_handshake(self, data: bytes):
+        # mysql-mimic's parser never ends on a string without its final NUL.
+        padded = data if len(data) <= SSL_REQUEST_LENGTH else data + b"\0\0\0"
+        with refuse_malformed("handshake"):
+            return mimic_packets.parse_handshake_response(
+                self.server_capabilities, padded
+            )
+
+    async def _refuse_connection(self, exc: WasabipitchError) -> None:
+        """Send an error in the connection phase; no request has a verdict yet."""
+        self._listener.metrics.count("entry.connections.refused")
+        logger.warning("connection %d refused: %s", self.connection_id, exc.message)
+        sqlstate = get_sqlstate(exc.code).decode()
+        await self.stream.write(packets.make_error(exc.code, sqlstate, exc.message))
+
+    def ok(self, affected_rows: int = 0, last_insert_id: int = 0) -> bytes:
+        """Return an OK packet with the session's status."""
+        return packets.make_ok(
+            status=self._status(),
+            affected_rows=affected_rows,
+            last_insert_id=last_insert_id,
+        )
+
+    def _status(self) -> int:
+        status = 0
+        if self.state is None or self.state.autocommit:
+            status |= packets.SERVER_STATUS_AUTOCOMMIT
+        if self.state is not None and self.state.in_transaction:
+            status |= packets.SERVER_STATUS_IN_TRANS
+        return status
+
+    def _requires_tls(self) -> bool:
+        tls = self._listener.settings.tls
+        return tls is not None and tls.required
--- a/src/wasabipitch/local.py
+++ b/src/wasabipitch/local.py
@@ -18,10 +18,10 @@
 from sqlglot.errors import SqlglotError
 
 from wasabipitch.contracts import pack_rows
-from wasabipitch.entry import Entry
 from wasabipitch.exceptions import Refused
 from wasabipitch.messages import Result
 from wasabipitch.models import Column
+from wasabipitch.session_runner import SessionRunner
 from wasabipitch.sessions import Session
 from wasabipitch.statements import ER_NOT_SUPPORTED_YET, ER_PARSE_ERROR, Statement
 
@@ -61,13 +61,13 @@
     """Answers a session's local statements.
 
     Args:
-        entry: knows the declared groups.
+        runner: knows the declared groups.
     """
 
-    def __init__(self, entry: Entry) -> None:
+    def __init__(self, runner: SessionRunner) -> None:
         super().__init__(SessionVariables(GLOBAL_VARIABLES))
         self.state: Session | None = None
-        self._entry = entry
+        self._runner = runner
 
     def attach(self, conn: Connection) -> None:
         """Know the connection, whose number callers may ask for."""
@@ -84,7 +84,7 @@
             return self._answer_use(text)
         if (match := _SET_TOKEN.fullmatch(text)) is not None:
             token = match.group(1) or match.group(2) or ""
-            self.state.accept_token(token, self._entry.catalogue.groups)
+            self.state.accept_token(token, self._runner.catalogue.groups)
             return Result()
         if (match := _SELECT_TOKEN.fullmatch(text)) is not None:
             name = match.group(2) or match.group(1)
@@ -94,7 +94,7 @@
             number = str(self.state.last_insert_id)
             return _make_result(name, [number], ColumnType.LONGLONG)
         if _SHOW_DATABASES.fullmatch(text) is not None:
-            return _make_result("Database", sorted(self._entry.catalogue.groups))
+            return _make_result("Database", sorted(self._runner.catalogue.groups))
         return await self._answer_parsed(text)
 
     async def query(self, expression, sql: str, attrs: dict[str, str]):
@@ -113,7 +113,7 @@
         match = _USE.fullmatch(text)
         if match is None:
             raise Refused(f"malformed USE: {text[:80]}", code=ER_PARSE_ERROR)
-        self._entry.use(self.state, match.group(1) or match.group(2))
+        self._runner.use(self.state, match.group(1) or match.group(2))
         return Result()
 
     async def _answer_parsed(self, text: str) -> Result:
@@ -134,7 +134,7 @@
             raise Refused(error, code=ER_WRONG_VALUE_FOR_VAR) from exc
         on = bool(self.variables.get("autocommit"))
         if on != self.state.autocommit:
-            await self._entry.set_autocommit(self.state, on)
+            await self._runner.set_autocommit(self.state, on)
         return _convert(found)
 
 
--- /dev/null
+++ b/src/wasabipitch/parameters.py
@@ -0,0 +1,214 @@
+"""Statements with parameters and query attributes, as callers send them."""
+
+import contextlib
+import io
+import struct
+from dataclasses import dataclass, field
+from decimal import Decimal, InvalidOperation
+from typing import Any
+
+from mysql_mimic.errors import ErrorCode, MysqlError
+from mysql_mimic.types import Capabilities, ColumnType, read_str_len, read_uint_len
+
+from wasabipitch.statements import quote
+
+PARAMETER_COUNT_AVAILABLE = 0x08
+UNSIGNED_PARAMETER = 0x80
+
+_NO_ATTRIBUTES = b"\x00\x01"
+_DATE_TYPES = {ColumnType.DATE, ColumnType.DATETIME, ColumnType.TIMESTAMP}
+
+
+@dataclass(slots=True)
+class Prepared:
+    """A prepared statement of one connection.
+
+    Args:
+        pieces: the text between its parameters.
+        types: the parameters' types and names as last bound.
+        long_data: parameters that came in parts.
+        overlong: whether those parts exceeded the limit.
+    """
+
+    number: int
+    pieces: list[str]
+    types: list[tuple[int, bool, str]] = field(default_factory=list)
+    long_data: dict[int, bytearray] = field(default_factory=dict)
+    overlong: bool = False
+
+    def forget_long_data(self) -> None:
+        """Drop the parameters that came in parts."""
+        self.long_data.clear()
+        self.overlong = False
+
+    @property
+    def parameter_count(self) -> int:
+        """How many parameters it has."""
+        return len(self.pieces) - 1
+
+
+def read_execute(
+    data: bytes, statement: Prepared, capabilities: int, codec: str
+) -> tuple[str, dict[str, Any]]:
+    """Return the text and the query attributes of an execute command.
+
+    Args:
+        data: the packet after the statement's number.
+        statement: the prepared statement; its bound types are kept.
+        capabilities: as agreed with the caller.
+        codec: of the caller's character set.
+
+    Raises:
+        MysqlError: if the packet breaks the protocol.
+    """
+    with refuse_malformed("execute"):
+        return _read_execute(io.BytesIO(data), statement, capabilities, codec)
+
+
+def read_query(
+    data: bytes, capabilities: int, codec: str
+) -> tuple[bytes, dict[str, Any]]:
+    """Return the statement, still encoded, and attributes of a query command.
+
+    Raises:
+        MysqlError: if the packet breaks the protocol.
+    """
+    if not capabilities & Capabilities.CLIENT_QUERY_ATTRIBUTES:
+        return data, {}
+    if data.startswith(_NO_ATTRIBUTES):
+        return data[len(_NO_ATTRIBUTES) :], {}
+    with refuse_malformed("query"):
+        reader = io.BytesIO(data)
+        count = read_uint_len(reader)
+        read_uint_len(reader)  # the number of parameter sets, always 1
+        _check_count(count, 0, len(data))
+        bound = Prepared(0, [""])
+        values, names = _read_values(reader, bound, count, True, codec)
+        named = zip(names, values, strict=True)
+        return reader.read(), {k: _as_attribute(v, codec) for k, v in named if k}
+
+
+@contextlib.contextmanager
+def refuse_malformed(name: str):
+    """Turn the errors of parsing into ``MysqlError``, which ends a connection."""
+    try:
+        yield
+    except (struct.error, ValueError, IndexError, InvalidOperation) as exc:
+        text = f"malformed {name} packet: {exc}"
+        raise MysqlError(text, ErrorCode.MALFORMED_PACKET) from exc
+
+
+def _check_count(count: int, least: int, size: int) -> None:
+    # Each parameter takes at least its two bytes of type.
+    if not least <= count <= size // 2:
+        raise ValueError(f"{count} parameters in {size} bytes, for {least}")
+
+
+def _read_execute(reader, statement: Prepared, capabilities: int, codec: str):
+    flags, _ = struct.unpack("<BI", reader.read(5))
+    named = bool(capabilities & Capabilities.CLIENT_QUERY_ATTRIBUTES)
+    count = statement.parameter_count
+    if named and (count or flags & PARAMETER_COUNT_AVAILABLE):
+        count = read_uint_len(reader)
+    _check_count(count, statement.parameter_count, len(reader.getbuffer()))
+    values, names = _read_values(reader, statement, count, named, codec)
+    texts = [quote(v) for v in values[: statement.parameter_count]]
+    sql = "".join(
+        piece + text for piece, text in zip(statement.pieces, [*texts, ""], strict=True)
+    )
+    start = statement.parameter_count
+    attributes = zip(names[start:], values[start:], strict=True)
+    return sql, {k: _as_attribute(v, codec) for k, v in attributes if k}
+
+
+def _read_values(reader, statement: Prepared, count: int, named: bool, codec: str):
+    if not count:
+        return [], []
+    nulls = reader.read((count + 7) // 8)
+    if reader.read(1) == b"\x01":
+        statement.types = [_read_type(reader, named, codec) for _ in range(count)]
+    if len(statement.types) != count:
+        raise ValueError("the parameters' types are not bound")
+    values: list[Any] = []
+    for i, (type_code, unsigned, _) in enumerate(statement.types):
+        if i in statement.long_data:
+            values.append(_decode(bytes(statement.long_data[i]), codec))
+        elif nulls[i // 8] & (1 << (i % 8)):
+            values.append(None)
+        else:
+            values.append(_read_value(reader, type_code, unsigned, codec))
+    return values, [name for _, _, name in statement.types]
+
+
+def _read_type(reader, named: bool, codec: str) -> tuple[int, bool, str]:
+    type_code, flags = struct.unpack("<BB", reader.read(2))
+    name = read_str_len(reader).decode(codec) if named else ""
+    return type_code, bool(flags & UNSIGNED_PARAMETER), name
+
+
+_INTEGER_FORMATS = {
+    ColumnType.TINY: "b",
+    ColumnType.BOOL: "b",
+    ColumnType.SHORT: "h",
+    ColumnType.YEAR: "h",
+    ColumnType.LONG: "i",
+    ColumnType.INT24: "i",
+    ColumnType.LONGLONG: "q",
+}
+
+
+def _read_value(reader, type_code: int, unsigned: bool, codec: str) -> Any:
+    if type_code in _INTEGER_FORMATS:
+        form = _INTEGER_FORMATS[type_code]
+        form = "<" + (form.upper() if unsigned else form)
+        return struct.unpack(form, reader.read(struct.calcsize(form)))[0]
+    if type_code == ColumnType.DOUBLE:
+        return struct.unpack("<d", reader.read(8))[0]
+    if type_code == ColumnType.FLOAT:
+        return struct.unpack("<f", reader.read(4))[0]
+    if type_code == ColumnType.NULL:
+        return None
+    data = _read_exactly(reader, read_uint_len(reader))
+    if type_code in _DATE_TYPES:
+        return _read_date(data, type_code)
+    if type_code == ColumnType.TIME:
+        return _read_time(data)
+    if type_code in (ColumnType.DECIMAL, ColumnType.NEWDECIMAL):
+        return Decimal(data.decode("ascii"))
+    return _decode(data, codec)
+
+
+def _read_exactly(reader, size: int) -> bytes:
+    data = reader.read(size)
+    if len(data) != size:
+        raise ValueError("a value is cut short")
+    return data
+
+
+def _decode(data: bytes, codec: str) -> str | bytes:
+    try:
+        return data.decode(codec)
+    except UnicodeDecodeError:
+        return data
+
+
+def _as_attribute(value: Any, codec: str) -> Any:
+    return value.decode(codec, "replace") if isinstance(value, bytes) else value
+
+
+def _read_date(data: bytes, type_code: int) -> str:
+    parts = struct.unpack("<HBBBBBI", data.ljust(11, b"\0"))
+    year, month, day, hour, minute, second, microsecond = parts
+    text = f"{year:04}-{month:02}-{day:02}"
+    if type_code == ColumnType.DATE:
+        return text
+    text += f" {hour:02}:{minute:02}:{second:02}"
+    return f"{text}.{microsecond:06}" if microsecond else text
+
+
+def _read_time(data: bytes) -> str:
+    parts = struct.unpack("<BIBBBI", data.ljust(12, b"\0"))
+    negative, days, hours, minutes, seconds, microseconds = parts
+    sign = "-" if negative else ""
+    text = f"{sign}{days * 24 + hours:02}:{minutes:02}:{seconds:02}"
+    return f"{text}.{microseconds:06}" if microseconds else text
--- /dev/null
+++ b/src/wasabipitch/session_runner.py
@@ -0,0 +1,263 @@
+"""Runs callers' statements: sessions, transactions and their verdicts."""
+
+import contextlib
+import itertools
+import logging
+from collections.abc import AsyncIterator, Callable
+from typing import Protocol
+
+from wasabipitch.catalogue import Catalogue, Request
+from wasabipitch.deployment import Deployment
+from wasabipitch.dispatch import Dispatcher
+from wasabipitch.events import Timeline
+from wasabipitch.exceptions import (
+    ER_OPTION_PREVENTS_STATEMENT,
+    InDoubt,
+    LinkError,
+    LinkLost,
+    Refused,
+    TransactionLost,
+    WasabipitchError,
+)
+from wasabipitch.links import RemoteError
+from wasabipitch.messages import Kind, Message, Result
+from wasabipitch.metrics import Metrics
+from wasabipitch.models import ORIGIN, Host
+from wasabipitch.sessions import Pin, Session
+from wasabipitch.statements import Statement
+from wasabipitch.verdict import Verdict
+
+BEGIN = Statement("BEGIN", "BEGIN", Kind.BEGIN)
+COMMIT = Statement("COMMIT", "COMMIT", Kind.COMMIT)
+
+logger = logging.getLogger(__name__)
+
+
+class Configuration(Protocol):
+    """The configuration in force, which may change at any moment."""
+
+    revision: int
+    current: Deployment | None
+
+    def subscribe(self, callback: Callable[[Deployment, int], None]) -> None:
+        """Call back with each revision taken, and now if there is one."""
+
+
+class SessionRunner:
+    """Runs the statements of all callers of one process.
+
+    Args:
+        host: this process.
+        incarnation: unique to this run of it.
+        configuration: the configuration in force.
+        dispatcher: sends requests to pools.
+    """
+
+    def __init__(
+        self,
+        host: Host,
+        incarnation: str,
+        configuration: Configuration,
+        dispatcher: Dispatcher,
+        timeline: Timeline,
+        metrics: Metrics,
+    ) -> None:
+        self.host = host
+        self.catalogue = Catalogue()
+        self.sessions: dict[str, Session] = {}
+        self._incarnation = incarnation
+        self._dispatcher = dispatcher
+        self._timeline = timeline
+        self._metrics = metrics
+        self._numbers = itertools.count(1)
+        configuration.subscribe(self._accept)
+
+    def open_session(self) -> Session:
+        """Return a new session."""
+        session = Session(f"{self.host.name}/{self._incarnation}/{next(self._numbers)}")
+        self.sessions[session.id] = session
+        self._timeline.record("session.opened", session=session.id)
+        self._metrics.gauge("entry.sessions", len(self.sessions))
+        return session
+
+    async def close_session(self, session: Session) -> None:
+        """Forget a session; its open transaction is rolled back."""
+        self._abandon(session, "its caller left")
+        self.sessions.pop(session.id, None)
+        self._timeline.record("session.closed", session=session.id)
+        self._metrics.gauge("entry.sessions", len(self.sessions))
+
+    async def reset_session(self, session: Session) -> None:
+        """Roll back and clear the caller's settings; floors are kept."""
+        self._abandon(session, "its caller reset the connection")
+        session.reset()
+
+    def use(self, session: Session, group: str) -> None:
+        """Select a session's current group.
+
+        Raises:
+            Refused: if it is not declared, or a transaction is open in another.
+        """
+        self.catalogue.check_group(group)
+        if session.in_transaction and group != session.group:
+            raise Refused(
+                f"can't change to database {group!r}: a transaction is open in"
+                f" {session.group!r}",
+                code=ER_OPTION_PREVENTS_STATEMENT,
+            )
+        session.group = group
+
+    async def set_autocommit(self, session: Session, on: bool) -> None:
+        """Turn autocommit on, which commits an open transaction, or off."""
+        if on and not session.autocommit and session.in_transaction:
+            await self._run_silently(session, COMMIT)
+        session.autocommit = on
+
+    async def run(
+        self, session: Session, statement: Statement
+    ) -> AsyncIterator[Message]:
+        """Run a statement and yield its ``Result``, then its ``Rows``.
+
+        Raises:
+            WasabipitchError: with the verdict on the statement.
+        """
+        if session.lost_transaction:
+            self._answer_for_lost(session, statement)
+        kind = statement.kind
+        if not session.in_transaction and kind in (Kind.COMMIT, Kind.ROLLBACK):
+            yield Result()
+            return
+        if session.in_transaction and kind is Kind.BEGIN:
+            await self._run_silently(session, COMMIT)
+        req = self.catalogue.admit(session, statement)
+        if not session.in_transaction and not session.autocommit:
+            if kind is not Kind.BEGIN:
+                await self._run_silently(session, BEGIN)
+            req.floor = session.floors.get(session.group)
+        async with contextlib.aclosing(self._observe(session, req)) as replies:
+            async for message in replies:
+                yield message
+
+    def _accept(self, deployment: Deployment, revision: int) -> None:
+        self.catalogue = Catalogue.build(deployment)
+        logger.info("configuration revision %d is in force", revision)
+
+    def _answer_for_lost(self, session: Session, statement: Statement) -> None:
+        """Raise for a statement of a lost transaction, until the caller ends it."""
+        reason = session.lost_transaction
+        kind = statement.kind
+        if kind in (Kind.BEGIN, Kind.COMMIT, Kind.ROLLBACK):
+            session.end_transaction()
+        if kind not in (Kind.BEGIN, Kind.ROLLBACK):
+            raise TransactionLost(f"the transaction was rolled back: {reason}")
+
+    async def _run_silently(self, session: Session, statement: Statement) -> None:
+        req = self.catalogue.admit(session, statement)
+        async with contextlib.aclosing(self._observe(session, req)) as replies:
+            async for _ in replies:
+                pass
+
+    async def _observe(self, session: Session, req: Request) -> AsyncIterator[Message]:
+        """Run a request, and record what becomes of it."""
+        about = {
+            "group": req.group,
+            "session": session.id,
+            "request": req.statement.hints.request_id,
+        }
+        self._timeline.record("request.sent", detail=req.statement.kind.name, **about)
+        self._metrics.count("entry.requests")
+        left_s = req.left_s
+        try:
+            async with contextlib.aclosing(self._follow(session, req)) as replies:
+                async for message in replies:
+                    yield message
+        except WasabipitchError as exc:
+            verdict = Verdict(exc.verdict).name
+            self._timeline.record("request.failed", detail=verdict, **about)
+            self._metrics.count(f"entry.failed.{verdict.lower()}")
+            raise
+        self._timeline.record("request.answered", **about)
+        self._metrics.timing("entry.request_ms", (left_s - req.left_s) * 1000)
+
+    async def _follow(self, session: Session, req: Request) -> AsyncIterator[Message]:
+        """Run a request, and keep the session's state in step with it."""
+        pin = session.pin
+        try:
+            if pin is None:
+                replies = self._dispatcher.stream(req)
+            else:
+                replies = self._dispatcher.stream_pinned(req, pin)
+            async with contextlib.aclosing(replies):
+                async for message in replies:
+                    if isinstance(message, Result):
+                        self._note_result(session, req, message)
+                    yield message
+        except WasabipitchError as exc:
+            if pin is None:
+                self._fail_to_begin(session, req, exc)
+                raise
+            error = self._fail_in_transaction(session, req, pin, exc)
+            if error is not None:
+                raise error from exc
+            yield Result()
+
+    def _note_result(self, session: Session, req: Request, result: Result) -> None:
+        if result.position != ORIGIN:
+            session.raise_floor(req.group, result.position)
+        if result.last_insert_id:
+            session.last_insert_id = result.last_insert_id
+        if not result.in_transaction:
+            session.end_transaction()
+            return
+        session.in_transaction = True
+        if session.pin is None:
+            session.pin = Pin(req.group, req.link, req.generation)
+
+    def _fail_in_transaction(
+        self, session: Session, req: Request, pin: Pin, exc: WasabipitchError
+    ) -> WasabipitchError | None:
+        """Return what the caller is told of a failure in its transaction.
+
+        None if the statement is a rollback, which the loss of its transaction
+        has done as well.
+        """
+        if isinstance(exc, RemoteError) and exc.failure.in_transaction:
+            return exc
+        kind = req.statement.kind
+        if session.in_transaction:
+            self._dispatcher.end_session(pin.link, session.key)
+            session.lose_transaction(exc.message)
+        if kind in (Kind.COMMIT, Kind.ROLLBACK):
+            session.lost_transaction = ""
+        if kind is Kind.ROLLBACK:
+            return None
+        return _judge_loss(req, exc)
+
+    def _fail_to_begin(
+        self, session: Session, req: Request, exc: WasabipitchError
+    ) -> None:
+        """End a transaction that a pool may have begun without an answer."""
+        if req.statement.kind is Kind.BEGIN and isinstance(exc, LinkLost):
+            self._dispatcher.end_session(req.link, session.key)
+            session.losses += 1
+            raise TransactionLost(f"no answer to BEGIN: {exc.message}") from exc
+
+    def _abandon(self, session: Session, reason: str) -> None:
+        if session.pin is not None:
+            self._dispatcher.end_session(session.pin.link, session.key)
+            session.lose_transaction(reason)
+
+
+def _judge_loss(req: Request, exc: WasabipitchError) -> WasabipitchError:
+    """Return the error for a statement whose transaction was lost with it.
+
+    Nothing of a transaction stays that got no commit; only a commit, or a
+    statement that commits by itself, may have run.
+    """
+    if not isinstance(exc, LinkError):
+        return exc
+    if req.statement.kind is Kind.COMMIT:
+        return InDoubt(f"no answer to COMMIT: {exc.message}")
+    if req.statement.commits_implicitly:
+        return InDoubt(f"no answer to {req.statement.verb}: {exc.message}")
+    return TransactionLost(f"the transaction was rolled back: {exc.message}")
--- a/tests/wasabipitch/entry_harness.py
+++ b/tests/wasabipitch/entry_harness.py
@@ -10,13 +10,13 @@
 
 from wasabipitch.deployment import Deployment, Group, Instance, RequestClass
 from wasabipitch.dispatch import Dispatcher
-from wasabipitch.entry import Entry
 from wasabipitch.events import Clock, Timeline
 from wasabipitch.frontend import Frontend
 from wasabipitch.links import Exchange, Link, LinkServer
 from wasabipitch.messages import EndSession, Execute, Hello, Kind, Message, Result
 from wasabipitch.metrics import StatsdMetrics
 from wasabipitch.models import Address, Host, Position
+from wasabipitch.session_runner import SessionRunner
 from wasabipitch.settings import Caller, EntrySettings
 
 ANY = Address("127.0.0.1", 0)
@@ -55,6 +55,8 @@
 
     def subscribe(self, callback) -> None:
         self.callback = callback
+        if self.current is not None:
+            callback(self.current, self.revision)
 
 
 class FakePool:
@@ -115,12 +117,13 @@
         self.timeline = Timeline("entry-1")
         self.links = [await self.connect_pool(p) for p in (self.pool, self.spare)]
         self.metrics = StatsdMetrics()
+        self.doubted: list[Link] = []
         dispatcher = Dispatcher(self, self.metrics)
         self.configuration = FixedConfiguration(DEPLOYMENT)
-        self.entry = Entry(
+        self.runner = SessionRunner(
             HOST, "i1", self.configuration, dispatcher, self.timeline, self.metrics
         )
-        self.frontend = Frontend(self.entry, self.make_settings(), self.metrics)
+        self.frontend = Frontend(self.runner, self.make_settings(), self.metrics)
         self.address = await self.frontend.start(ANY)
         self.stack.push_async_callback(dispatcher.close)
         self.stack.push_async_callback(self.frontend.stop, 1.0)
@@ -140,6 +143,9 @@
     async def route(self, group: str) -> list[Link]:
         return self.links
 
+    def doubt(self, link: Link) -> None:
+        self.doubted.append(link)
+
     async def connect_pool(self, pool: FakePool) -> Link:
         await pool.start()
         self.stack.push_async_callback(pool.server.close)
