Let only BEGIN open a session's transaction

Cause: a pool tells in_transaction of the transaction that it used itself for a request id, after which the session took every statement for one in it.

--- a/src/wasabipitch/session_runner.py
+++ b/src/wasabipitch/session_runner.py
@@ -206,7 +206,9 @@
             session.raise_floor(req.group, result.position)
         if result.last_insert_id:
             session.last_insert_id = result.last_insert_id
-        if not result.in_transaction:
+        # Only BEGIN opens a transaction; pools tell of others that they used.
+        may_be_open = session.in_transaction or req.statement.kind is Kind.BEGIN
+        if not (result.in_transaction and may_be_open):
             session.end_transaction()
             return
         session.in_transaction = True
--- a/tests/wasabipitch/test_entry.py
+++ b/tests/wasabipitch/test_entry.py
@@ -242,6 +242,17 @@
                 session = self.pool.asked[-1].session
             await self.until(lambda ended=session: ended in self.pool.ended)
 
+    async def test_only_begin_opens_one(self):
+        async def answer(exchange):
+            return Result(affected_rows=1, in_transaction=True)
+
+        self.pool.answer("INSERT", answer)
+        conn = await self.connect()
+        await fetch(conn, "INSERT INTO t VALUES (1)")
+        self.assertEqual(conn.server_status & 1, 0)
+        await fetch(conn, "INSERT INTO t VALUES (1)")
+        self.assertFalse(self.pool.asked[-1].in_transaction)
+
     async def test_an_id_names_the_whole_of_it(self):
         conn = await self.connect()
         await fetch(conn, "/* wasabipitch: id=t1 */ BEGIN")
