--- /dev/null
+++ b/src/standins/fleet.py
@@ -0,0 +1,339 @@
+"""Starts a whole fleet as processes on loopback, for the demo, tests and bench."""
+
+import asyncio
+import dataclasses
+import json
+import os
+import signal
+import sys
+import tempfile
+from contextlib import AsyncExitStack
+from dataclasses import dataclass, field
+from pathlib import Path
+from typing import Any
+
+import aiohttp
+import asyncmy
+import yaml
+
+from wasabipitch import deployment as deployments
+from wasabipitch.configuration import apply
+from wasabipitch.deployment import Deployment, Group
+from wasabipitch.events import Clock
+from wasabipitch.exceptions import WasabipitchError
+from wasabipitch.links import Link
+from wasabipitch.messages import AskStatus, Hello, ProcessState
+from wasabipitch.models import Address, Host
+from wasabipitch.store import PlatformStore
+
+READY_TIMEOUT_S = 20.0
+SETTLE_TIMEOUT_S = 20.0
+STOP_TIMEOUT_S = 15.0
+POLL_S = 0.05
+CONFIGURATION_KEY = "wasabipitch/configuration"
+HARNESS_USER = "harness"
+
+
+@dataclass(frozen=True)
+class FleetConfig:
+    """What to start.
+
+    Args:
+        deployment: its instances' addresses are replaced by those the targets
+            get from the kernel.
+        data_centres: one entry host, with an entry and a pool, for each.
+        target_flags: flags for every ``standin-target``, such as ``lag_ms``.
+        platform_flags: flags for ``standin-platform``.
+        entry_settings: settings of every entry besides the usual ones.
+        log_level: of entries and pools.
+    """
+
+    deployment: Deployment
+    data_centres: tuple[str, ...]
+    target_flags: dict[str, Any] = field(default_factory=dict)
+    platform_flags: dict[str, Any] = field(default_factory=dict)
+    entry_settings: dict[str, Any] = field(default_factory=dict)
+    log_level: str = "warning"
+
+
+@dataclass
+class RunningProcess:
+    """A process of the fleet.
+
+    Args:
+        ready: what its ready line said.
+        command: how it was started.
+    """
+
+    name: str
+    command: list[str]
+    process: asyncio.subprocess.Process
+    ready: dict[str, Any]
+
+    @property
+    def address(self) -> Address:
+        """Where it serves: targets and the platform, or callers of an entry."""
+        return Address.parse(self.ready["address"])
+
+    @property
+    def link(self) -> Address:
+        """Where an entry or a pool accepts links."""
+        return Address.parse(self.ready["link"])
+
+    def send(self, sig: signal.Signals) -> None:
+        """Send the process a signal."""
+        self.process.send_signal(sig)
+
+    async def kill(self) -> None:
+        """End the process at once, as a crash would."""
+        if self.process.returncode is None:
+            self.process.kill()
+        await self.process.wait()
+
+    async def stop(self) -> int:
+        """Ask the process to stop and return its exit code."""
+        if self.process.returncode is None:
+            self.process.send_signal(signal.SIGCONT)
+            self.process.terminate()
+            try:
+                async with asyncio.timeout(STOP_TIMEOUT_S):
+                    await self.process.wait()
+            except TimeoutError:
+                await self.kill()
+        return self.process.returncode
+
+
+class Fleet:
+    """Platform, targets, pools and entries; use it as an async context manager.
+
+    Args:
+        cfg: what to start.
+    """
+
+    def __init__(self, cfg: FleetConfig) -> None:
+        self.cfg = cfg
+        self.deployment = cfg.deployment
+        self.processes: dict[str, RunningProcess] = {}
+        self._stack = AsyncExitStack()
+        self._directory = Path()
+
+    async def __aenter__(self) -> "Fleet":
+        try:
+            await self._start()
+        except BaseException:
+            await self._stack.aclose()
+            raise
+        return self
+
+    async def __aexit__(self, *exc_info: object) -> None:
+        await self._stack.aclose()
+
+    @property
+    def entries(self) -> list[RunningProcess]:
+        """The entries, in the order of their names."""
+        return [p for n, p in sorted(self.processes.items()) if n.startswith("entry-")]
+
+    @property
+    def pools(self) -> list[RunningProcess]:
+        """The pools, in the order of their names."""
+        return [p for n, p in sorted(self.processes.items()) if n.startswith("pool-")]
+
+    @property
+    def platform(self) -> RunningProcess:
+        """The platform's stand-in."""
+        return self.processes["platform"]
+
+    async def start_target(
+        self, group: Group, name: str, *, initial: bool, primary: bool = False
+    ) -> RunningProcess:
+        """Start one instance; at its old address if it ran before."""
+        instance = group.instance(name)
+        before = self.processes.get(name)
+        flags = {
+            "name": name,
+            "listen": str(before.address) if before else "127.0.0.1:0",
+            "data_centre": instance.data_centre,
+            "slots": group.slots,
+            "connections": group.connections,
+            "initial": initial,
+            "primary": primary,
+            **self.cfg.target_flags,
+        }
+        return await self._spawn(name, "standins.target", flags)
+
+    async def start_pool(self, name: str, data_centre: str) -> RunningProcess:
+        """Start a pool and put it on the platform's list."""
+        return await self._start_host(name, "pool", data_centre, {})
+
+    async def start_entry(self, name: str, data_centre: str) -> RunningProcess:
+        """Start an entry and put it on the platform's list."""
+        callers = [{"name": "app"}, {"name": HARNESS_USER}]
+        settings = {"callers": callers, **self.cfg.entry_settings}
+        return await self._start_host(name, "entry", data_centre, settings)
+
+    async def call_target(self, name: str, statement: str) -> dict[str, Any]:
+        """Run a control call on an instance and return its row."""
+        address = self.processes[name].address
+        conn = await asyncmy.connect(
+            host=address.ip, port=address.port, user=HARNESS_USER, connect_timeout=2
+        )
+        try:
+            async with conn.cursor(asyncmy.cursors.DictCursor) as cursor:
+                await cursor.execute(statement)
+                return await cursor.fetchone() or {}
+        finally:
+            conn.close()
+
+    async def set_faults(self, **faults: Any) -> None:
+        """Set the platform's faults, such as ``down=True``."""
+        await self.admin("PUT", "faults", faults)
+
+    async def admin(self, method: str, path: str, body: Any = None) -> Any:
+        """Call the platform's administration interface."""
+        url = f"http://{self.platform.address}/admin/{path}"
+        async with (
+            aiohttp.ClientSession() as session,
+            session.request(method, url, json=body) as answer,
+        ):
+            return await answer.json()
+
+    async def ask(self, name: str, message: Any, timeout_s: float = 2.0) -> Any:
+        """Send a control message to an entry or a pool and return the reply."""
+        host = Host("harness", "ctl", "127.0.0.1:0", "harness")
+        link = Link(self.processes[name].link, Hello(host, "harness"), Clock())
+        try:
+            return await link.call(message, timeout_s)
+        finally:
+            await link.close()
+
+    async def apply(self, deployment: Deployment, expect: int | None = None) -> int:
+        """Put a configuration in force and return its revision."""
+        store = PlatformStore(self.platform.address)
+        try:
+            if expect is None:
+                record = await store.get(CONFIGURATION_KEY)
+                expect = record.revision if record else 0
+            document = deployments.dump(deployment)
+            return await apply(store, CONFIGURATION_KEY, document, expect)
+        finally:
+            await store.close()
+
+    async def primary_of(self, group: str) -> str:
+        """Return the primary that a group's first owner has established."""
+        for pool in self.pools:
+            try:
+                state: ProcessState = await self.ask(pool.name, AskStatus())
+            except WasabipitchError:
+                continue
+            for served in state.groups:
+                if served.name == group and served.rank == 0:
+                    return served.primary
+        return ""
+
+    async def settle(self) -> None:
+        """Wait until every group has a primary and every process a revision."""
+        async with asyncio.timeout(SETTLE_TIMEOUT_S):
+            while not await self._is_settled():
+                await asyncio.sleep(POLL_S)
+
+    async def _start(self) -> None:
+        directory = tempfile.TemporaryDirectory(prefix="wasabipitch-fleet-")
+        self._directory = Path(self._stack.enter_context(directory))
+        self._stack.push_async_callback(self._stop_all)
+        platform_flags = {"listen": "127.0.0.1:0", **self.cfg.platform_flags}
+        await self._spawn("platform", "standins.platform", platform_flags)
+        groups = await asyncio.gather(
+            *(self._start_group(group) for group in self.deployment.groups)
+        )
+        self.deployment = dataclasses.replace(self.deployment, groups=tuple(groups))
+        await self.apply(self.deployment)
+        await asyncio.gather(
+            *(
+                start(f"{role}-{number}", data_centre)
+                for number, data_centre in enumerate(self.cfg.data_centres, 1)
+                for role, start in (
+                    ("pool", self.start_pool),
+                    ("entry", self.start_entry),
+                )
+            )
+        )
+        await self.settle()
+
+    async def _start_group(self, group: Group) -> Group:
+        names = [instance.name for instance in group.instances]
+        await asyncio.gather(
+            *(
+                self.start_target(group, n, initial=True, primary=n == names[0])
+                for n in names
+            )
+        )
+        leader = self.processes[names[0]].address
+        for name in names[1:]:
+            await self.call_target(name, f"CALL wasabipitch_follow('{leader}', 1)")
+        instances = tuple(
+            dataclasses.replace(i, address=str(self.processes[i.name].address))
+            for i in group.instances
+        )
+        return dataclasses.replace(group, instances=instances)
+
+    async def _start_host(
+        self, name: str, role: str, data_centre: str, settings: dict[str, Any]
+    ) -> RunningProcess:
+        document = {
+            "host": name,
+            "data_centre": data_centre,
+            "platform": str(self.platform.address),
+            "logs": {"level": self.cfg.log_level},
+            "fault_injection": True,
+            **settings,
+        }
+        path = self._directory / f"{name}.yaml"
+        path.write_text(yaml.safe_dump(document), encoding="utf-8")
+        module = f"wasabipitch.cli.{role}"
+        process = await self._spawn(name, module, {"settings": str(path)})
+        listed = Host(name, role, str(process.link), data_centre)
+        await self.admin("PUT", "hosts", dataclasses.asdict(listed))
+        return process
+
+    async def _spawn(
+        self, name: str, module: str, flags: dict[str, Any]
+    ) -> RunningProcess:
+        arguments = [f"--{flag}={value}" for flag, value in flags.items()]
+        command = [sys.executable, "-m", module, *arguments]
+        with open(self._directory / f"{name}.log", "ab") as log:
+            process = await asyncio.create_subprocess_exec(
+                *command, stdout=asyncio.subprocess.PIPE, stderr=log, env=os.environ
+            )
+        try:
+            async with asyncio.timeout(READY_TIMEOUT_S):
+                line = await process.stdout.readline()
+            ready = json.loads(line)
+        except (TimeoutError, ValueError) as exc:
+            process.kill()
+            raise RuntimeError(f"{name} did not start: {self.read_log(name)}") from exc
+        running = RunningProcess(name, command, process, ready)
+        self.processes[name] = running
+        return running
+
+    def read_log(self, name: str) -> str:
+        """Return what a process has written to standard error."""
+        path = self._directory / f"{name}.log"
+        return path.read_text(encoding="utf-8", errors="replace")
+
+    async def _is_settled(self) -> bool:
+        established: set[str] = set()
+        for process in [*self.pools, *self.entries]:
+            try:
+                state: ProcessState = await self.ask(process.name, AskStatus())
+            except WasabipitchError:
+                return False
+            if not state.revision:
+                return False
+            established |= {g.name for g in state.groups if g.primary and g.rank == 0}
+        return established == {g.name for g in self.deployment.groups}
+
+    async def _stop_all(self) -> None:
+        order = [*self.entries, *self.pools]
+        rest = [p for p in self.processes.values() if p not in order]
+        for group in (self.entries, self.pools, rest):
+            await asyncio.gather(*(p.stop() for p in group))
--- a/src/wasabipitch/connections.py
+++ b/src/wasabipitch/connections.py
@@ -10,7 +10,6 @@
 
 # Kept free on each instance: two replicas' and two pools' control connections.
 RESERVED_CONNECTIONS = 6
-FIRST_OWNER_SHARE = 0.75
 MAX_CONNECTS_AT_ONCE = 2
 MIN_RETRY_S = 0.05
 MAX_RETRY_S = 1.0
@@ -18,17 +17,15 @@
 logger = logging.getLogger(__name__)
 
 
-def connection_limit(declared: int, rank: int) -> int:
+def connection_limit(declared: int, share: float) -> int:
     """Return how many connections a pool may hold to an instance.
 
     Args:
         declared: what the instance takes in all.
-        rank: the pool's place in the owners' order; the first takes three
-            quarters, so that two pools never exhaust the instance.
+        share: the pool's part of them, between 0 and 1.
     """
     usable = max(2, declared - RESERVED_CONNECTIONS)
-    first = max(1, int(usable * FIRST_OWNER_SHARE))
-    return first if rank == 0 else max(1, usable - first)
+    return max(1, int(usable * share))
 
 
 class InstanceConnections:
--- a/src/wasabipitch/groups.py
+++ b/src/wasabipitch/groups.py
@@ -54,6 +54,7 @@
         ask_opinions: asks other pools whether they reach an instance; takes
             the group's and the instance's names.
         read_rank: returns this pool's place among a group's owners, by name.
+        connection_share: this pool's part of an instance's connections.
     """
 
     host: Host
@@ -61,6 +62,7 @@
     store: Store
     ask_opinions: AskOpinions
     read_rank: Callable[[str], int]
+    connection_share: float
     timeline: Timeline
     metrics: Metrics
     rng: random.Random
@@ -293,13 +295,12 @@
 def _make_parts(view: GroupView, policy: Policy, ctx: GroupContext) -> GroupParts:
     group = view.group
     sampler = Sampler(view)
-    rank = ctx.read_rank(group.name)
     connections = {
         instance.name: InstanceConnections(
             ctx.connector,
             instance.endpoint,
             group.name,
-            connection_limit(group.connections, rank),
+            connection_limit(group.connections, ctx.connection_share),
         )
         for instance in group.instances
     }
--- a/src/wasabipitch/pool.py
+++ b/src/wasabipitch/pool.py
@@ -36,6 +36,9 @@
 MAX_OPINIONS = 2
 # The first two owners serve a group; others send the request on its way.
 SERVING_RANKS = 2
+# Of an instance's connections; two pools that both believe themselves the
+# first can still not exhaust it, as the instance counts them.
+FIRST_OWNER_SHARE = 0.75
 RECONCILE_S = 1.0
 
 logger = logging.getLogger(__name__)
@@ -236,6 +239,7 @@
             store=self._store,
             ask_opinions=self._ask_opinions,
             read_rank=self._membership.rank,
+            connection_share=self._share_connections(group.name, deployment),
             timeline=self.timeline,
             metrics=self.metrics,
             rng=self._rng,
@@ -246,6 +250,12 @@
         self.timeline.record("group.served", group=group.name)
         return served
 
+    def _share_connections(self, name: str, deployment: Deployment) -> float:
+        if deployment.policy.pooling == "entry":
+            return 1 / max(1, len(self._membership.owners(name)))
+        rank = self._membership.rank(name)
+        return FIRST_OWNER_SHARE if rank == 0 else 1 - FIRST_OWNER_SHARE
+
     async def _retire_group(self, name: str) -> None:
         served = self._served[name]
         with contextlib.suppress(TimeoutError):
--- /dev/null
+++ b/tests/wasabipitch/test_groups.py
@@ -0,0 +1,152 @@
+import asyncio
+import unittest
+
+from tests.wasabipitch.group_fixture import ServedGroup
+from wasabipitch.contracts import unpack_rows
+from wasabipitch.links import RemoteError
+from wasabipitch.messages import Kind
+from wasabipitch.models import Position
+from wasabipitch.verdict import Verdict
+
+CREATE = "CREATE TABLE jobs (id INTEGER PRIMARY KEY AUTO_INCREMENT, bike VARCHAR(40))"
+SELECT = "SELECT bike FROM jobs ORDER BY id"
+
+
+def insert(bike):
+    return f"INSERT INTO jobs (bike) VALUES ('{bike}')"
+
+
+class GroupTest(unittest.IsolatedAsyncioTestCase):
+    async def start(self, **fields):
+        group = ServedGroup(**fields)
+        await group.__aenter__()
+        self.addAsyncCleanup(group.__aexit__, None, None, None)
+        await group.send(CREATE)
+        return group
+
+    async def read(self, group, **fields):
+        result = await group.send(SELECT, Kind.READ, **fields)
+        return [row[0].decode() for row in unpack_rows(result.rows)]
+
+    async def test_a_write_is_answered_whole_and_read_back(self):
+        group = await self.start()
+        result = await group.send(insert("red"))
+        self.assertEqual((result.affected_rows, result.last_insert_id), (1, 1))
+        self.assertGreater(result.position, Position(1, 0))
+        read = await self.read(group, floor=result.position)
+        self.assertEqual(read, ["red"])
+        self.assertEqual(await self.read(group), ["red"])
+
+    async def test_aged_reads_go_to_replicas_at_or_above_the_floor(self):
+        group = await self.start(lag_ms=150)
+        result = await group.send(insert("red"))
+        for _ in range(8):
+            read = await self.read(group, cls="lookup", floor=result.position)
+            self.assertEqual(read, ["red"])
+        await asyncio.sleep(0.6)
+        replies = [
+            await group.send(SELECT, Kind.READ, "lookup", floor=result.position)
+            for _ in range(8)
+        ]
+        self.assertEqual({r.target for r in replies} & {"w1"}, set())
+
+    async def test_a_repeated_id_gets_the_first_outcome(self):
+        group = await self.start()
+        first = await group.send(insert("red"), request_id="p-1")
+        again = await group.send(insert("red"), request_id="p-1")
+        self.assertTrue(again.repeated and not first.repeated)
+        self.assertEqual(again.last_insert_id, first.last_insert_id)
+        self.assertEqual(await self.read(group), ["red"])
+        # Without its id the same statement runs again.
+        await group.send(insert("red"))
+        self.assertEqual(await self.read(group), ["red", "red"])
+
+    async def test_a_failed_request_leaves_its_id_free(self):
+        group = await self.start()
+        with self.assertRaises(RemoteError) as caught:
+            await group.send("INSERT INTO nowhere VALUES (1)", request_id="p-1")
+        self.assertEqual(caught.exception.code, 1146)
+        self.assertEqual(caught.exception.verdict, Verdict.NOT_RUN)
+        await group.send(insert("red"), request_id="p-1")
+        self.assertEqual(await self.read(group), ["red"])
+
+    async def test_not_run_after_doubt_stands_on_a_tombstone(self):
+        group = await self.start()
+        late = "INSERT INTO nowhere VALUES (1)"
+        with self.assertRaises(RemoteError) as caught:
+            await group.send(late, request_id="p-1", in_doubt=True)
+        self.assertEqual(caught.exception.verdict, Verdict.NOT_RUN)
+        # The late original is refused, since its id is buried.
+        with self.assertRaises(RemoteError) as caught:
+            await group.send(insert("late"), request_id="p-1")
+        self.assertEqual(caught.exception.verdict, Verdict.NOT_RUN)
+        self.assertEqual(await self.read(group), [])
+
+    async def test_transactions_keep_to_their_connection(self):
+        group = await self.start()
+        await group.send("BEGIN", Kind.BEGIN, session="a")
+        await group.send(insert("red"), session="a", in_transaction=True)
+        self.assertEqual(await self.read(group, session="b"), [])
+        inside = {"session": "a", "in_transaction": True}
+        self.assertEqual(await self.read(group, **inside), ["red"])
+        await group.send("ROLLBACK", Kind.ROLLBACK, **inside)
+        self.assertEqual(await self.read(group), [])
+        with self.assertRaises(RemoteError) as caught:
+            await group.send(insert("blue"), **inside)
+        self.assertEqual(caught.exception.verdict, Verdict.NOT_RUN)
+        self.assertEqual(await self.read(group), [])
+
+    async def test_a_lost_peer_rolls_its_transactions_back(self):
+        group = await self.start()
+        await group.send("BEGIN", Kind.BEGIN)
+        await group.send(insert("red"), in_transaction=True)
+        group.server.drop_peer(group.connection)
+        with self.assertRaises(RemoteError):
+            await group.send("COMMIT", Kind.COMMIT, in_transaction=True)
+        await group.send(insert("blue"), session="b")
+        self.assertEqual(await self.read(group), ["blue"])
+
+    async def test_no_majority_no_acknowledgement(self):
+        group = await self.start()
+        for name in ("w2", "w3"):
+            await group.on_target(name, "CALL standin_set('lag_ms', 60000)")
+        with self.assertRaises(RemoteError) as caught:
+            await group.send(insert("red"), deadline_ms=400)
+        self.assertEqual(caught.exception.verdict, Verdict.MAY_HAVE_RUN)
+
+    async def test_a_lost_primary_loses_no_acknowledged_write(self):
+        group = await self.start()
+        for n in range(5):
+            await group.send(insert(f"bike {n}"))
+        await group.targets["w1"].__aexit__(None, None, None)
+        # Writes wait in the queue for the next primary.
+        result = await group.send(insert("after"), deadline_ms=10_000)
+        self.assertNotEqual(group.server.view.primary, "w1")
+        bikes = await self.read(group, floor=result.position)
+        self.assertEqual(bikes, [*(f"bike {n}" for n in range(5)), "after"])
+
+    async def test_an_id_in_doubt_is_settled_on_the_next_primary(self):
+        group = await self.start()
+        for name in ("w2", "w3"):
+            await group.on_target(name, "CALL standin_set('lag_ms', 60000)")
+        doubted = asyncio.create_task(
+            group.send(insert("red"), request_id="p-1", deadline_ms=8000)
+        )
+        await asyncio.sleep(0.2)
+        await group.targets["w1"].__aexit__(None, None, None)
+        for name in ("w2", "w3"):
+            await group.on_target(name, "CALL standin_set('lag_ms', 2)")
+        result = await doubted
+        self.assertEqual(await self.read(group, floor=result.position), ["red"])
+
+    async def test_a_cut_off_primary_gives_no_floor_and_no_acknowledgement(self):
+        group = await self.start()
+        await group.send(insert("red"))
+        for name in ("w2", "w3"):
+            await group.on_target(name, "CALL standin_cut('pool-1')")
+        with self.assertRaises(RemoteError) as write:
+            await group.send(insert("blue"), deadline_ms=600)
+        self.assertNotEqual(write.exception.verdict, Verdict.RAN)
+        with self.assertRaises(RemoteError) as read:
+            await group.send(SELECT, Kind.READ, deadline_ms=600)
+        self.assertEqual(read.exception.verdict, Verdict.NOT_RUN)
