--- /dev/null
+++ b/src/wasabipitch/callers.py
@@ -0,0 +1,332 @@
+"""One caller's connection: its handshake and its commands."""
+
+import asyncio
+import contextlib
+import logging
+import struct
+from collections.abc import AsyncIterator
+
+from mysql_mimic import packets as mimic_packets
+from mysql_mimic.errors import ErrorCode, MysqlError
+from mysql_mimic.server import MysqlServer
+from mysql_mimic.types import ColumnType, Commands
+
+from wasabipitch import packets
+from wasabipitch.answers import AnswerWriter
+from wasabipitch.exceptions import InDoubt, Refused, Stopping, WasabipitchError
+from wasabipitch.handshake import GreetedConnection, Listener
+from wasabipitch.messages import Message, Result
+from wasabipitch.models import Column
+from wasabipitch.parameters import (
+    Prepared,
+    read_execute,
+    read_query,
+    refuse_malformed,
+)
+from wasabipitch.statements import read_statement, split_placeholders
+from wasabipitch.streams import (
+    ER_NET_PACKET_TOO_LARGE,
+    CallerStream,
+    ConnectionClosed,
+)
+from wasabipitch.verdict import Verdict
+
+ER_UNKNOWN_COM = 1047
+ER_SERVER_SHUTDOWN = 1053
+ER_UNKNOWN_STMT_HANDLER = 1243
+ER_INVALID_CHARACTER_STRING = 1300
+ER_MAX_PREPARED_STMT_COUNT = 1461
+
+HANDSHAKE_TIMEOUT_S = 10.0
+GOODBYE_TIMEOUT_S = 0.5
+# Query attributes, besides the statement itself.
+PACKET_OVERHEAD_BYTES = 4096
+MAX_PREPARED_STATEMENTS = 256
+
+logger = logging.getLogger(__name__)
+
+
+class CallerConnection(GreetedConnection):
+    """One caller's connection.
+
+    Args:
+        listener: the server that accepted it.
+        stream: its packets.
+        server: gives mysql-mimic's own parts.
+        connection_id: as the caller is told.
+    """
+
+    def __init__(
+        self,
+        listener: Listener,
+        stream: CallerStream,
+        server: MysqlServer,
+        connection_id: int,
+    ) -> None:
+        super().__init__(listener, stream, server, connection_id)
+        self.task = asyncio.current_task()
+        self._handlers = {
+            Commands.COM_QUERY: self.handle_query,
+            Commands.COM_INIT_DB: self.handle_init_db,
+            Commands.COM_PING: self.handle_ping,
+            Commands.COM_STMT_PREPARE: self.handle_stmt_prepare,
+            Commands.COM_STMT_EXECUTE: self.handle_stmt_execute,
+            Commands.COM_STMT_SEND_LONG_DATA: self.handle_stmt_send_long_data,
+            Commands.COM_STMT_CLOSE: self.handle_stmt_close,
+            Commands.COM_STMT_RESET: self.handle_stmt_reset,
+            Commands.COM_RESET_CONNECTION: self.handle_reset_connection,
+            Commands.COM_CHANGE_USER: self.handle_change_user,
+        }
+
+    @property
+    def codec(self) -> str:
+        """The codec of the caller's character set."""
+        return self.client_charset.codec
+
+    async def serve(self) -> None:
+        """Serve the caller until it leaves or the entry stops."""
+        async with contextlib.AsyncExitStack() as stack:
+            stack.callback(self._listener.release, self)
+            stack.push_async_callback(self._close_session)
+            try:
+                async with asyncio.timeout(HANDSHAKE_TIMEOUT_S):
+                    await self.connection_phase()
+            except WasabipitchError as exc:
+                await self._refuse_connection(exc)
+                return
+            limit = self._listener.settings.max_statement_bytes
+            self.stream.limit_packets(limit + PACKET_OVERHEAD_BYTES)
+            await self._serve_commands()
+
+    def leave_if_idle(self) -> None:
+        """End the connection unless a request or transaction is in progress."""
+        busy = self.state is not None and self.state.in_transaction
+        if self.stream.idle and not busy:
+            self.task.cancel()
+
+    async def _serve_commands(self) -> None:
+        while self.state.in_transaction or not self._listener.stopping:
+            self.stream.reset_seq()
+            try:
+                data = await self.stream.read()
+            except ConnectionClosed:
+                return
+            except Refused as exc:
+                await self._write_error(exc)
+                continue
+            except asyncio.CancelledError:
+                if not (self._listener.stopping and self.stream.idle):
+                    raise
+                self.task.uncancel()
+                break
+            if data[:1] == bytes([Commands.COM_QUIT]):
+                return
+            await self._serve_command(data)
+        await self._say_goodbye()
+
+    async def _serve_command(self, data: bytes) -> None:
+        handler = self._handlers.get(data[0] if data else None)
+        try:
+            if not data:
+                text = "malformed packet: it has no command"
+                raise MysqlError(text, ErrorCode.MALFORMED_PACKET)
+            if handler is None:
+                text = f"command {data[0]:#04x} is not supported"
+                raise Refused(text, code=ER_UNKNOWN_COM)
+            await handler(data[1:])
+        except WasabipitchError as exc:
+            await self._write_error(exc)
+        except MysqlError as exc:
+            if exc.code == ErrorCode.MALFORMED_PACKET:
+                raise
+            await self._write_error(Refused(exc.msg, code=int(exc.code)))
+        except asyncio.CancelledError:
+            reason = "the entry stopped before the request was answered"
+            with contextlib.suppress(OSError, TimeoutError):
+                await self._write_error(InDoubt(reason))
+            raise
+
+    async def handle_query(self, data: bytes) -> None:
+        """Run a statement in text form."""
+        sql, attributes = read_query(data, self.capabilities, self.codec)
+        await self._run(self._decode(sql), attributes, binary=False)
+
+    async def handle_init_db(self, data: bytes) -> None:
+        """Select the current database."""
+        self._runner.use(self.state, self._decode(data))
+        await self.stream.write(self.ok())
+
+    async def handle_reset_connection(self, data: bytes) -> None:
+        """Roll back and clear the session, but keep its floors."""
+        await self._reset()
+        await self.stream.write(self.ok())
+
+    async def handle_change_user(self, data: bytes) -> None:
+        """Authenticate another user; a failure ends the connection."""
+        # mysql-mimic's parser never ends on a string without its final NUL.
+        with refuse_malformed("change user"):
+            change = mimic_packets.parse_com_change_user(
+                self.capabilities, self.client_charset, data + b"\0\0\0\0"
+            )
+        self._listener.release(self)
+        try:
+            await self.authenticate(
+                change.username, change.auth_response, change.client_plugin, {}
+            )
+        except Refused as exc:
+            await self._refuse_connection(exc)
+            raise ConnectionClosed from exc
+        await self._reset()
+        self.state.group = ""
+        if change.database:
+            self._runner.use(self.state, change.database)
+        await self.stream.write(self.ok())
+
+    async def handle_stmt_prepare(self, data: bytes) -> None:
+        """Keep a statement for execution with parameters."""
+        if len(self.prepared_stmts) >= MAX_PREPARED_STATEMENTS:
+            raise Refused(
+                f"the connection holds {MAX_PREPARED_STATEMENTS} prepared statements",
+                code=ER_MAX_PREPARED_STMT_COUNT,
+            )
+        sql = self._decode(data)
+        read_statement(sql)
+        statement = Prepared(next(self.prepared_stmt_seq) + 1, split_placeholders(sql))
+        self.prepared_stmts[statement.number] = statement
+        answer = [packets.make_prepare_ok(statement)]
+        if statement.parameter_count:
+            column = packets.make_column(
+                Column("?", int(ColumnType.VAR_STRING)), self.codec
+            )
+            answer += [column] * statement.parameter_count
+            answer.append(packets.make_eof(self._status()))
+        self.stream.write_many(answer)
+        await self.stream.drain()
+
+    async def handle_stmt_execute(self, data: bytes) -> None:
+        """Run a prepared statement."""
+        statement = self._find_prepared(data)
+        if statement.overlong:
+            statement.forget_long_data()
+            raise self._make_too_long()
+        sql, attributes = read_execute(
+            data[4:], statement, self.capabilities, self.codec
+        )
+        statement.forget_long_data()
+        await self._run(sql, attributes, binary=True)
+
+    async def handle_stmt_send_long_data(self, data: bytes) -> None:
+        """Take a part of a parameter; this command has no answer."""
+        statement = self._find_prepared(data)
+        (index,) = struct.unpack_from("<H", data.ljust(6, b"\0"), 4)
+        part = data[6:]
+        held = sum(len(p) for p in statement.long_data.values())
+        too_much = held + len(part) > self._listener.settings.max_statement_bytes
+        if too_much or index >= statement.parameter_count:
+            statement.overlong = True
+            return
+        statement.long_data.setdefault(index, bytearray()).extend(part)
+
+    async def handle_stmt_close(self, data: bytes) -> None:
+        """Forget a prepared statement; this command has no answer."""
+        self.prepared_stmts.pop(int.from_bytes(data[:4], "little"), None)
+
+    async def handle_stmt_reset(self, data: bytes) -> None:
+        """Forget the parameters that came in parts."""
+        self._find_prepared(data).forget_long_data()
+        await self.stream.write(self.ok())
+
+    def _find_prepared(self, data: bytes) -> Prepared:
+        number = int.from_bytes(data[:4], "little")
+        statement = self.prepared_stmts.get(number)
+        if statement is None:
+            raise Refused(
+                f"no prepared statement has the number {number}",
+                code=ER_UNKNOWN_STMT_HANDLER,
+            )
+        return statement
+
+    async def _reset(self) -> None:
+        await self._runner.reset_session(self.state)
+        await self.local.reset()
+        self.prepared_stmts.clear()
+
+    async def _close_session(self) -> None:
+        if self.state is not None:
+            await self._runner.close_session(self.state)
+
+    async def _run(self, sql: str, attributes: dict, *, binary: bool) -> None:
+        if len(sql) > self._listener.settings.max_statement_bytes:
+            raise self._make_too_long()
+        statement = read_statement(sql, attributes)
+        if statement.local:
+            result = await self.local.answer(statement)
+            await self._write_answer(result, None, binary)
+            return
+        replies = self._runner.run(self.state, statement)
+        async with contextlib.aclosing(replies):
+            result = await anext(replies)
+            await self._write_answer(result, replies, binary)
+
+    async def _write_answer(
+        self, result: Result, replies: AsyncIterator[Message] | None, binary: bool
+    ) -> None:
+        """Write a result and the rows that follow it."""
+        if not result.columns:
+            await self._exhaust(replies)
+            await self.stream.write(
+                self.ok(result.affected_rows, result.last_insert_id)
+            )
+            return
+        writer = AnswerWriter(
+            self.stream,
+            result.columns,
+            binary=binary,
+            codec=self.codec,
+            charset=int(self.client_charset),
+            deprecate_eof=self.deprecate_eof(),
+        )
+        writer.begin(self._status())
+        await writer.write_rows(result.rows)
+        if replies is not None:
+            async for message in replies:
+                await writer.write_rows(message.rows)
+        await writer.finish(self._status())
+
+    async def _exhaust(self, replies: AsyncIterator[Message] | None) -> None:
+        if replies is not None:
+            async for _ in replies:
+                pass
+
+    async def _write_error(self, exc: WasabipitchError) -> None:
+        text = f"{exc.message} (verdict: {Verdict(exc.verdict).name})"
+        await self.stream.write(packets.make_error(exc.code, exc.sqlstate, text))
+
+    async def _say_goodbye(self) -> None:
+        """Tell the caller that the entry stops.
+
+        A request that was sent at this moment meets this error in place of its
+        answer. It was not read, so that its verdict is true.
+        """
+        self.stream.reset_seq()
+        self.stream.skip_seq()
+        error = Stopping("the entry is stopping", code=ER_SERVER_SHUTDOWN)
+        await self._write_error(error)
+        await self.stream.close_gently(GOODBYE_TIMEOUT_S)
+
+    def _make_too_long(self) -> Refused:
+        limit = self._listener.settings.max_statement_bytes
+        return Refused(
+            f"the statement with its parameters exceeds {limit} bytes",
+            code=ER_NET_PACKET_TOO_LARGE,
+        )
+
+    def _decode(self, data: bytes) -> str:
+        try:
+            return data.decode(self.codec)
+        except UnicodeDecodeError as exc:
+            raise Refused(
+                f"the statement is not valid {self.codec}: {exc.reason} at byte"
+                f" {exc.start}",
+                code=ER_INVALID_CHARACTER_STRING,
+            ) from exc
