--- a/src/standins/server.py
+++ b/src/standins/server.py
@@ -306,6 +306,7 @@
             identity_provider=self.identity_provider,
         )
         conn.instance = self._instance
+        conn.status_flags = conn.session.status_flags
         conn.connection_id = await self.control.add(conn)
         self._open.add(conn)
         reader.connection = conn
