--- a/src/standins/instance.py
+++ b/src/standins/instance.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import random
+import re
 import sqlite3
 import time
 from collections.abc import Callable
@@ -22,6 +23,7 @@
 
 REBUILD_BATCH = 200  # entries replayed before other tasks get a turn
 FIRST_TERM = 1
+_ADDRESS = re.compile(r"[\w.:\[\]]+:\d+")
 
 
 @dataclass(frozen=True)
@@ -220,7 +222,9 @@
         return ""
 
     def follow(self, leader: str, term: int) -> str:
-        """Become a replica of a leader at a term."""
+        """Become a replica of a leader, at `ip:port`, at a term."""
+        if not _ADDRESS.fullmatch(leader):
+            return f"leader {leader!r} is not ip:port"
         if term < self.fence_term:
             return f"term {term} is below the fence {self.fence_term}"
         if self.is_primary and self.term == term:
--- a/src/standins/server.py
+++ b/src/standins/server.py
@@ -87,7 +87,7 @@
 
     async def write(self, data: bytes, drain: bool = True) -> None:
         """Write one packet."""
-        await self.wait_open()
+        await self._wait_writable()
         await self._inner.write(data, drain)
 
     def write_many(self, items: Sequence[bytes]) -> None:
@@ -100,7 +100,7 @@
 
     async def drain(self) -> None:
         """Send what is buffered."""
-        await self.wait_open()
+        await self._wait_writable()
         await self._inner.drain()
 
     def reset_seq(self) -> None:
@@ -112,6 +112,11 @@
         if self.is_cut:
             await self._instance.changed.wait_for(lambda: not self.is_cut)
 
+    async def _wait_writable(self) -> None:
+        await self.wait_open()
+        if self._inner.writer.is_closing():
+            raise ConnectionClosed
+
     async def _read_packet(self) -> bytes:
         # The library's own read mistakes a header that arrives in two parts.
         data = b""
--- a/src/standins/target.py
+++ b/src/standins/target.py
@@ -4,11 +4,10 @@
 import json
 import logging
 import signal
-import tempfile
 from contextlib import AsyncExitStack
-from pathlib import Path
 
 from standins.controls import Controls
+from standins.directories import private_directory
 from standins.instance import Instance, TargetConfig
 from standins.replication import Replicator
 from standins.server import TargetServer
@@ -30,10 +29,8 @@
         self._stack = AsyncExitStack()
 
     async def __aenter__(self) -> "Target":
-        directory = self._stack.enter_context(
-            tempfile.TemporaryDirectory(prefix="standin-target-")
-        )
-        self.instance = Instance(self.cfg, Path(directory))
+        directory = self._stack.enter_context(private_directory())
+        self.instance = Instance(self.cfg, directory)
         self._stack.callback(self.instance.close)
         replicator = Replicator(self.instance)
         self._stack.push_async_callback(replicator.stop)
--- a/tests/standins/test_target.py
+++ b/tests/standins/test_target.py
@@ -104,6 +104,7 @@
             "promote(1)",
             "promote(2)",
             f"follow('{leader}', 1)",
+            "follow('nowhere', 2)",
         ):
             status = await self.group.call("a", call)
             self.assertEqual(status.accepted, 0, call)
@@ -184,6 +185,20 @@
         await self.group.catch_up("a", "b")
         self.assertEqual(await self.group.notes("b"), ["mine"])
 
+    async def test_a_locking_read_keeps_other_writers_out(self) -> None:
+        await query(self.app, ADD.format("1"))
+        other = await self.group.connect("a")
+        await query(self.app, "BEGIN")
+        await query(self.app, "SELECT note FROM jobs FOR UPDATE")
+        change = "UPDATE jobs SET note = note + 1"
+        late = asyncio.create_task(query(other, change))
+        await asyncio.sleep(0.05)
+        self.assertEqual((await self.group.call("a", "status()")).queued, 1)
+        await query(self.app, change)
+        await query(self.app, "COMMIT")
+        await late
+        self.assertEqual(await self.group.notes("a"), ["3"])
+
     async def test_autocommit_off_opens_a_transaction(self) -> None:
         app = await self.group.connect("a", autocommit=False)
         await query(app, ADD.format("x"))
