--- a/tests/standins/test_cli.py
+++ b/tests/standins/test_cli.py
@@ -1,5 +1,6 @@
 import asyncio
 import json
+import os
 import signal
 import sys
 import tempfile
@@ -11,19 +12,38 @@
 
 from tests.standins.clients import error_of, query
 
+PROCESS_TIMEOUT_S = 20
+SOURCES = Path(__file__).resolve().parents[2] / "src"
 SERVER_GONE = 2006
 SERVER_LOST = 2013
 
 
 class ProcessTest(IsolatedAsyncioTestCase):
     async def start(self, module: str, *flags: str) -> Process:
-        return await asyncio.create_subprocess_exec(
-            sys.executable, "-m", module, *flags, stdout=PIPE, stderr=PIPE
+        proc = await asyncio.create_subprocess_exec(
+            *(sys.executable, "-m", module, *flags),
+            stdout=PIPE,
+            stderr=PIPE,
+            env=os.environ | {"PYTHONPATH": str(SOURCES)},
         )
+        self.addAsyncCleanup(self.end, proc)
+        return proc
+
+    async def end(self, proc: Process) -> None:
+        if proc.returncode is None:
+            proc.kill()
+            await proc.wait()
+
+    async def output(self, proc: Process) -> tuple[bytes, bytes]:
+        async with asyncio.timeout(PROCESS_TIMEOUT_S):
+            return await proc.communicate()
 
     async def ready(self, proc: Process) -> tuple[str, int]:
-        async with asyncio.timeout(20):
-            line = json.loads(await proc.stdout.readline())
+        async with asyncio.timeout(PROCESS_TIMEOUT_S):
+            text = await proc.stdout.readline()
+        if not text:
+            self.fail((await self.output(proc))[1].decode())
+        line = json.loads(text)
         self.assertTrue(line["ready"])
         host, port = line["address"].split(":")
         return host, int(port)
@@ -37,7 +57,7 @@
             ("standins.platform", ["--listen", "nowhere"], "--listen"),
         ):
             proc = await self.start(module, *flags)
-            out, err = await proc.communicate()
+            out, err = await self.output(proc)
             self.assertEqual((proc.returncode, out), (2, b""), flags)
             self.assertIn(reason, err.decode())
 
@@ -51,7 +71,7 @@
         await asyncio.sleep(0.1)
         proc.send_signal(signal.SIGTERM)
         self.assertEqual((await slow).rows, ((0, "done"),))
-        out, err = await proc.communicate()
+        out, err = await self.output(proc)
         self.assertEqual((proc.returncode, out, err), (0, b"", b""))
         lost = await error_of(idle, "SELECT 1")
         self.assertIn(lost[0], (SERVER_GONE, SERVER_LOST))
@@ -64,5 +84,5 @@
         proc = await self.start("standins.platform", "--delay-ms=0")
         await self.ready(proc)
         proc.send_signal(signal.SIGTERM)
-        out, err = await proc.communicate()
+        out, err = await self.output(proc)
         self.assertEqual((proc.returncode, out, err), (0, b"", b""))
