Quote the parameters of prepared statements in the stand-in instance

The server library writes text parameters in without quoting: a quote in a parameter ended its literal. A test with mysql-connector-python shows it.

--- /dev/null
+++ b/src/standins/prepared.py
@@ -0,0 +1,77 @@
+"""Parameters of prepared statements, written into their text with quoting.
+
+The server library writes them in without quoting, so that a text with a quote
+ends its literal.
+"""
+
+import io
+import struct
+from dataclasses import dataclass
+from typing import Any
+
+from mysql_mimic import packets
+from mysql_mimic.charset import CharacterSet
+from mysql_mimic.prepared import REGEX_PARAM, PreparedStatement
+from mysql_mimic.types import Capabilities, read_uint_len
+
+_HEAD = struct.Struct("<IBI")  # statement id, flags, iteration count
+_CURSOR_FLAGS = 0x07
+
+
+@dataclass(frozen=True)
+class Execution:
+    """A COM_STMT_EXECUTE without its parameters.
+
+    Attributes:
+        stmt: The statement with the parameters in its text.
+        data: The command for the statement.
+    """
+
+    stmt: PreparedStatement
+    data: bytes
+
+
+def statement_id(data: bytes) -> int:
+    """Return the id of the statement that a COM_STMT_EXECUTE names."""
+    return _HEAD.unpack_from(data)[0]
+
+
+def bind(
+    stmt: PreparedStatement,
+    data: bytes,
+    capabilities: Capabilities,
+    charset: CharacterSet,
+) -> Execution:
+    """Write the parameters of a COM_STMT_EXECUTE into the statement.
+
+    Args:
+        stmt: The prepared statement; it has parameters.
+        data: The command, without its first byte.
+        capabilities: What the client has agreed to.
+        charset: Character set of the client.
+    """
+    stmt_id, flags, iterations = _HEAD.unpack_from(data)
+    reader = io.BytesIO(data[_HEAD.size :])
+    number = stmt.num_params
+    if Capabilities.CLIENT_QUERY_ATTRIBUTES in capabilities:
+        number = read_uint_len(reader)
+    params = packets._read_params(
+        capabilities, charset, reader, number, stmt.param_buffers
+    )
+    parts = REGEX_PARAM.split(stmt.sql)
+    values = [value for _, value in params[: stmt.num_params]]
+    text = parts[0] + "".join(
+        _literal(value) + part for value, part in zip(values, parts[1:], strict=True)
+    )
+    bound = PreparedStatement(stmt_id=stmt_id, sql=text, num_params=0)
+    return Execution(bound, _HEAD.pack(stmt_id, flags & _CURSOR_FLAGS, iterations))
+
+
+def _literal(value: Any) -> str:
+    if value is None:
+        return "NULL"
+    if not isinstance(value, str):
+        return str(value)
+    for char, escaped in (("\\", "\\\\"), ("'", "''"), ("\0", "\\0")):
+        value = value.replace(char, escaped)
+    return f"'{value}'"
--- a/src/standins/server.py
+++ b/src/standins/server.py
@@ -19,6 +19,7 @@
 from mysql_mimic.stream import ConnectionClosed, MysqlStream
 from mysql_mimic.types import ColumnType
 
+from standins import prepared
 from standins.controls import Controls
 from standins.exceptions import (
     ACCESS_DENIED,
@@ -179,6 +180,21 @@
         if self.session.username is None:
             raise SqlError(ACCESS_DENIED, f"Access denied for user '{username}'")
 
+    async def handle_stmt_execute(self, data: bytes) -> None:
+        """Execute a prepared statement with its parameters quoted."""
+        stmt = self.get_stmt(prepared.statement_id(data))
+        if not stmt.num_params:
+            await super().handle_stmt_execute(data)
+            return
+        bound = prepared.bind(stmt, data, self.capabilities, self.client_charset)
+        self.prepared_stmts[stmt.stmt_id] = bound.stmt
+        try:
+            await super().handle_stmt_execute(bound.data)
+        finally:
+            self.prepared_stmts[stmt.stmt_id] = stmt
+            stmt.cursor = bound.stmt.cursor
+            stmt.param_buffers = None
+
     def peer_left(self) -> None:
         """End the statement in progress; across a cut, nobody would notice."""
         if not self.stream.is_cut:
--- a/tests/standins/test_target.py
+++ b/tests/standins/test_target.py
@@ -247,10 +247,16 @@
                 cur = conn.cursor()
                 cur.execute("INSERT INTO jobs (note) VALUES (%s)", ("it's",))
                 conn.commit()
-                cur.execute("SELECT id, note FROM jobs")
+                cur = conn.cursor(prepared=True)
+                add = "INSERT INTO jobs (note) VALUES (?)"
+                for value in ("it's ? \\ \0", None, 7):
+                    cur.execute(add, (value,))
+                conn.commit()
+                cur.execute("SELECT id, note FROM jobs WHERE id < ?", (9,))
                 return cur.fetchall()
 
-        self.assertEqual(await asyncio.to_thread(use_connector), [(1, "it's")])
+        notes = [row[1] for row in await asyncio.to_thread(use_connector)]
+        self.assertEqual(notes, ["it's", "it's ? \\ \0", None, "7"])
 
 
 class LimitsTest(GroupTest):
