--- /dev/null
+++ b/spec/floors.pml
@@ -0,0 +1,89 @@
+/*
+ * Read your writes (rule 3): a session writes, then reads on any instance at or above
+ * its floor, either with its token or after it arrived elsewhere without one.
+ */
+
+#define OWN 1
+#define OTHER 2
+
+bool read_below_own_write; /* an instance served a read that lacks the own write */
+
+#define CHECK_PROMOTED(i) skip
+
+#include "group.pml"
+
+/* Asks the primary i for its position, which becomes the floor. */
+#define ASK(i) IS_PRIMARY(i) -> p = i; floor_term = inst[i].lead; floor = inst[i].size
+
+/* Reads on instance i, which compares its position with the floor as it serves. */
+#define READ(i) \
+	:: d_step { AT_OR_ABOVE(i, floor_term, floor) -> \
+		read_below_own_write = !HOLDS(i, OWN); \
+		assert(!read_below_own_write); \
+		floor_term = LAST_TERM(i); \
+		floor = inst[i].size }
+
+#define SHOWS_NO_GREATER_TERM(i) (p != i && inst[i].fence <= floor_term)
+
+proctype Session()
+{
+	byte p;
+	byte floor_term;
+	byte floor;
+
+end:	atomic {
+		pick_primary(p);
+		append(p, OWN);
+		floor_term = inst[p].lead;
+		floor = inst[p].size
+	}
+end_waiting:
+	d_step { MAJORITY_HOLDS(p, floor_term, floor) -> p = 0 }
+end_reading:
+	do
+	READ(0)
+	READ(1)
+	READ(2)
+	:: atomic { true -> floor_term = 0; floor = 0 } /* arrives without its token */
+end_asking:
+		do
+		:: atomic {
+			if
+			:: ASK(0)
+			:: ASK(1)
+			:: ASK(2)
+			fi
+		   }
+#ifndef FLOOR_UNCONFIRMED
+		:: d_step {
+			floor != 0 &&
+			(SHOWS_NO_GREATER_TERM(0) || SHOWS_NO_GREATER_TERM(1) ||
+			 SHOWS_NO_GREATER_TERM(2)) -> p = 0
+		   }
+		   break
+#else
+		:: atomic { floor != 0 -> p = 0; break }
+#endif
+		od
+	od
+}
+
+/* Writes of another session, which lengthen the log that takes them. */
+proctype Writer()
+{
+	byte p;
+
+end:	atomic {
+		pick_primary(p);
+		append(p, OTHER);
+		p = 0
+	}
+}
+
+init {
+	atomic {
+		start_group();
+		run Session();
+		run Writer()
+	}
+}
--- /dev/null
+++ b/spec/group.pml
@@ -0,0 +1,259 @@
+/*
+ * One database group and the pools that fail it over: fencing, promotion,
+ * replication and the majority rule. Included by every model of this folder.
+ *
+ * A remote call is one atomic step. A lost call is a step that is never taken; a
+ * lost answer is a step whose caller learns nothing. A pause, a partition and an
+ * instance that is gone for good are steps that are not taken for a while or never.
+ *
+ * The including file defines the macro CHECK_PROMOTED(i), which is run when instance
+ * i has become primary.
+ */
+
+#ifndef TERMS
+#define TERMS 4 /* greatest term */
+#endif
+#ifndef RESTARTS
+#define RESTARTS 1 /* restarts of a primary */
+#endif
+
+#define INSTANCES 3
+#define MAJORITY 2
+
+#ifdef PROMOTE_BEFORE_FENCED_MAJORITY
+#define FENCES_NEEDED 1
+#else
+#define FENCES_NEEDED MAJORITY
+#endif
+
+#define LEN 6   /* entries a log can hold */
+#define NO_ID 0 /* an opening entry */
+
+typedef Instance {
+	byte fence;     /* greatest term taken */
+	byte lead;      /* term that this instance is primary of, or 0 */
+	byte opening;   /* length of the log up to the opening entry of that term */
+	byte size;       /* entries in the log */
+	byte term[LEN]; /* term of each entry */
+	byte id[LEN]    /* request id or kind of each entry */
+};
+
+Instance inst[INSTANCES];
+byte newest = 1; /* greatest term promoted */
+byte restarts = RESTARTS;
+
+#define LAST_TERM(i) inst[i].term[inst[i].size - 1]
+#define IS_PRIMARY(i) (inst[i].lead != 0)
+#define HAS_ROOM(i) (inst[i].size < LEN)
+
+/* The log of instance i has an entry x; unused places of a log are zero. */
+#define HOLDS(i, x) \
+	(inst[i].id[0] == x || inst[i].id[1] == x || inst[i].id[2] == x || \
+	 inst[i].id[3] == x || inst[i].id[4] == x || inst[i].id[5] == x)
+
+/*
+ * Instance i is judged against what was said in term t. The variants of the majority
+ * rule acknowledge in a later term than the entry's own, so that an older primary
+ * proves nothing: there only the primary of the greatest term is judged.
+ */
+#if defined(OLD_TERM_COUNTED) || defined(FENCE_NOT_COMPARED)
+#define JUDGED(i, t) (inst[i].lead > t && inst[i].lead == newest)
+#else
+#define JUDGED(i, t) (inst[i].lead > t)
+#endif
+
+/* The position of instance i is at or above (t, n). */
+#define AT_OR_ABOVE(i, t, n) \
+	(LAST_TERM(i) > t || (LAST_TERM(i) == t && inst[i].size >= n))
+
+/* Instance i counts towards the majority of the position (t, n). */
+#if defined(OLD_TERM_COUNTED)
+#define COUNTS(i, t, n) (inst[i].size >= n && inst[i].term[n - 1] == t)
+#elif defined(FENCE_NOT_COMPARED)
+#define COUNTS(i, t, n) (LAST_TERM(i) == t && inst[i].size >= n)
+#else
+#define COUNTS(i, t, n) \
+	(inst[i].fence == t && LAST_TERM(i) == t && inst[i].size >= n)
+#endif
+
+/* The primary p held (t, n) when it answered, so one more instance is a majority. */
+#define MAJORITY_HOLDS(p, t, n) \
+	((p != 0 && COUNTS(0, t, n)) || (p != 1 && COUNTS(1, t, n)) || \
+	 (p != 2 && COUNTS(2, t, n)))
+
+/* Instance i appends an entry in the term that it leads. */
+inline append(i, x)
+{
+	inst[i].term[inst[i].size] = inst[i].lead;
+	inst[i].id[inst[i].size] = x;
+	inst[i].size++
+}
+
+/* Selects any instance that believes it is primary, the old one included. */
+inline pick_primary(p)
+{
+	if
+	:: IS_PRIMARY(0) && HAS_ROOM(0) -> p = 0
+	:: IS_PRIMARY(1) && HAS_ROOM(1) -> p = 1
+	:: IS_PRIMARY(2) && HAS_ROOM(2) -> p = 2
+	fi
+}
+
+/* Instance i takes term t, which is greater than its fence, and steps down. */
+inline take_fence(i, t)
+{
+	inst[i].fence = t;
+	inst[i].lead = 0;
+	inst[i].opening = 0
+}
+
+/* Instance i becomes primary of term t if its fence is still t. */
+inline promote(i, t)
+{
+	if
+	:: inst[i].fence == t ->
+		inst[i].lead = t;
+		append(i, NO_ID);
+		inst[i].opening = inst[i].size;
+		if
+		:: t > newest -> newest = t
+		:: else
+		fi;
+		CHECK_PROMOTED(i)
+	:: else
+	fi
+}
+
+/* Cuts the log of instance i to k entries. */
+inline cut(i)
+{
+	do
+	:: inst[i].size > k ->
+		inst[i].size--;
+		inst[i].term[inst[i].size] = 0;
+		inst[i].id[inst[i].size] = 0
+	:: else -> break
+	od;
+	k = 0
+}
+
+/* Replica i rewinds its divergent suffix, or else takes the next entry of p. */
+inline pull(i, p)
+{
+	k = 0;
+	do
+	:: k < inst[i].size && k < inst[p].size && inst[i].term[k] == inst[p].term[k] -> k++
+	:: else -> break
+	od;
+	if
+	:: k < inst[i].size ->
+		cut(i)
+	:: else ->
+		inst[i].term[k] = inst[p].term[k];
+		inst[i].id[k] = inst[p].id[k];
+		inst[i].size++;
+		k = 0
+	fi
+}
+
+#define CAN_FOLLOW(i, p) (IS_PRIMARY(p) && inst[p].lead > inst[i].fence)
+#define CAN_PULL(i, p) \
+	(IS_PRIMARY(p) && inst[p].lead == inst[i].fence && !IS_PRIMARY(i) && \
+	 (LAST_TERM(i) != inst[p].term[inst[p].size - 1] || inst[i].size != inst[p].size))
+
+#define FOLLOW_OR_PULL(i, p) \
+	:: d_step { CAN_FOLLOW(i, p) -> take_fence(i, inst[p].lead) } \
+	:: d_step { CAN_PULL(i, p) -> pull(i, p) }
+
+#ifdef LOG_LOST_AT_RESTART
+#define REOPEN(i) k = 1; cut(i); take_fence(i, 1)
+#else
+#define REOPEN(i) take_fence(i, inst[i].fence)
+#endif
+
+#define RESTART(i) \
+	:: d_step { restarts > 0 && IS_PRIMARY(i) -> restarts--; REOPEN(i) }
+
+/* The instances: replicas follow and pull, and a primary may restart as replica. */
+proctype Replication()
+{
+	byte k;
+
+end:	do
+	FOLLOW_OR_PULL(0, 1)
+	FOLLOW_OR_PULL(0, 2)
+	FOLLOW_OR_PULL(1, 0)
+	FOLLOW_OR_PULL(1, 2)
+	FOLLOW_OR_PULL(2, 0)
+	FOLLOW_OR_PULL(2, 1)
+	RESTART(0)
+	RESTART(1)
+	RESTART(2)
+	od
+}
+
+/* Pool: instance i is fenced, its answer arrives and it is the best one so far. */
+inline fence_counted(i)
+{
+	take_fence(i, t);
+	fenced++;
+	if
+	:: fenced == 1 || LAST_TERM(i) > best_term ||
+	   (LAST_TERM(i) == best_term && inst[i].size > best_size) ->
+		best = i;
+		best_term = LAST_TERM(i);
+		best_size = inst[i].size
+	:: else
+	fi
+}
+
+inline forget_fenced()
+{
+	fenced = 0;
+	best = 0;
+	best_term = 0;
+	best_size = 0
+}
+
+#define FENCE(i) \
+	:: d_step { inst[i].fence < t -> fence_counted(i) } \
+	:: d_step { inst[i].fence < t -> take_fence(i, t) } /* the answer is lost */
+
+/*
+ * Two pools, each of which believes that it owns the group. Either may start a
+ * failover at any term at any time, give one up, and pause between any two calls.
+ */
+proctype Pool()
+{
+	byte t = 1;
+	byte fenced;
+	byte best;
+	byte best_term;
+	byte best_size;
+
+end:	do
+	:: d_step { t < TERMS -> t++; forget_fenced() }
+	FENCE(0)
+	FENCE(1)
+	FENCE(2)
+	:: d_step { fenced >= FENCES_NEEDED -> promote(best, t); forget_fenced() }
+	od
+}
+
+#define START(i) \
+	inst[i].fence = 1; \
+	inst[i].size = 1; \
+	inst[i].term[0] = 1
+
+/* Instance 0 is primary of term 1; every log holds the opening entry of term 1. */
+inline start_group()
+{
+	START(0);
+	START(1);
+	START(2);
+	inst[0].lead = 1;
+	inst[0].opening = 1;
+	run Replication();
+	run Pool();
+	run Pool()
+}
