--- a/spec/floors.pml
+++ b/spec/floors.pml
@@ -13,23 +13,33 @@
 #include "group.pml"
 
 /* Asks the primary i for its position, which becomes the floor. */
-#define ASK(i) IS_PRIMARY(i) -> p = i; floor_term = inst[i].lead; floor = inst[i].size
+#define ASK(i) IS_PRIMARY(i) -> \
+	p = i; \
+	floor_term = inst[i].lead; \
+	floor = inst[i].size; \
+	printf("primary %d gives floor (%d, %d)\n", i, floor_term, floor)
 
 /* Reads on instance i, which compares its position with the floor as it serves. */
 #define READ(i) \
 	:: d_step { AT_OR_ABOVE(i, floor_term, floor) -> \
+		printf("instance %d serves a read at floor (%d, %d)\n", \
+			i, floor_term, floor); \
 		read_below_own_write = !HOLDS(i, OWN); \
 		assert(!read_below_own_write); \
 		floor_term = LAST_TERM(i); \
 		floor = inst[i].size }
 
-#define SHOWS_NO_GREATER_TERM(i) (p != i && inst[i].fence <= floor_term)
+/* Polls instance i, whose answer is kept until it is judged. */
+#define POLL(i) polled = i; seen = inst[i].fence; \
+	printf("instance %d shows term %d\n", i, seen)
 
 proctype Session()
 {
 	byte p;
 	byte floor_term;
 	byte floor;
+	byte polled;
+	byte seen;
 
 end:	atomic {
 		pick_primary(p);
@@ -38,13 +48,16 @@
 		floor = inst[p].size
 	}
 end_waiting:
-	d_step { MAJORITY_HOLDS(p, floor_term, floor) -> p = 0 }
+	d_step { MAJORITY_HOLDS(p, floor_term, floor) ->
+		p = 0;
+		printf("own write is acknowledged\n")
+	}
 end_reading:
 	do
 	READ(0)
 	READ(1)
 	READ(2)
-	:: atomic { true -> floor_term = 0; floor = 0 } /* arrives without its token */
+	:: d_step { true -> floor_term = 0; floor = 0; printf("session arrives without a token\n") };
 end_asking:
 		do
 		:: atomic {
@@ -54,15 +67,23 @@
 			:: ASK(2)
 			fi
 		   }
-#ifndef FLOOR_UNCONFIRMED
-		:: d_step {
-			floor != 0 &&
-			(SHOWS_NO_GREATER_TERM(0) || SHOWS_NO_GREATER_TERM(1) ||
-			 SHOWS_NO_GREATER_TERM(2)) -> p = 0
-		   }
+#ifdef FLOOR_UNCONFIRMED
+		:: d_step { floor != 0 -> p = 0 };
 		   break
 #else
-		:: atomic { floor != 0 -> p = 0; break }
+		:: atomic {
+			if
+			:: POLL(0)
+			:: POLL(1)
+			:: POLL(2)
+			fi
+		   }
+		:: d_step { floor != 0 && seen != 0 && polled != p && seen <= floor_term ->
+			p = 0;
+			polled = 0;
+			seen = 0
+		   };
+		   break
 #endif
 		od
 	od
--- a/spec/group.pml
+++ b/spec/group.pml
@@ -66,27 +66,35 @@
 #define AT_OR_ABOVE(i, t, n) \
 	(LAST_TERM(i) > t || (LAST_TERM(i) == t && inst[i].size >= n))
 
-/* Instance i counts towards the majority of the position (t, n). */
+/*
+ * Instance i counts towards the majority of the position (t, n) that the primary p
+ * gave out. Its fence is compared as well as its position: a replica of a later
+ * primary may hold an older entry as its last one and still be promoted over.
+ */
 #if defined(OLD_TERM_COUNTED)
-#define COUNTS(i, t, n) (inst[i].size >= n && inst[i].term[n - 1] == t)
+#define HOLDS_ENTRY(i, t, n) (inst[i].size >= n && inst[i].term[n - 1] == t)
+#define COUNTS(i, p, t, n) \
+	(inst[i].fence == inst[p].lead && HOLDS_ENTRY(i, t, n) && HOLDS_ENTRY(p, t, n))
 #elif defined(FENCE_NOT_COMPARED)
-#define COUNTS(i, t, n) (LAST_TERM(i) == t && inst[i].size >= n)
+#define COUNTS(i, p, t, n) (LAST_TERM(i) == t && inst[i].size >= n)
 #else
-#define COUNTS(i, t, n) \
+#define COUNTS(i, p, t, n) \
 	(inst[i].fence == t && LAST_TERM(i) == t && inst[i].size >= n)
 #endif
 
 /* The primary p held (t, n) when it answered, so one more instance is a majority. */
 #define MAJORITY_HOLDS(p, t, n) \
-	((p != 0 && COUNTS(0, t, n)) || (p != 1 && COUNTS(1, t, n)) || \
-	 (p != 2 && COUNTS(2, t, n)))
+	((p != 0 && COUNTS(0, p, t, n)) || (p != 1 && COUNTS(1, p, t, n)) || \
+	 (p != 2 && COUNTS(2, p, t, n)))
 
 /* Instance i appends an entry in the term that it leads. */
 inline append(i, x)
 {
 	inst[i].term[inst[i].size] = inst[i].lead;
 	inst[i].id[inst[i].size] = x;
-	inst[i].size++
+	inst[i].size++;
+	printf("instance %d appends entry %d (term %d, id %d)\n",
+		i, inst[i].size, inst[i].lead, x)
 }
 
 /* Selects any instance that believes it is primary, the old one included. */
@@ -99,7 +107,7 @@
 	fi
 }
 
-/* Instance i takes term t, which is greater than its fence, and steps down. */
+/* Instance i takes term t, which is not below its fence, and steps down. */
 inline take_fence(i, t)
 {
 	inst[i].fence = t;
@@ -112,6 +120,7 @@
 {
 	if
 	:: inst[i].fence == t ->
+		printf("instance %d is promoted at term %d\n", i, t);
 		inst[i].lead = t;
 		append(i, NO_ID);
 		inst[i].opening = inst[i].size;
@@ -120,7 +129,8 @@
 		:: else
 		fi;
 		CHECK_PROMOTED(i)
-	:: else
+	:: else ->
+		printf("instance %d refuses promotion at term %d\n", i, t)
 	fi
 }
 
@@ -147,11 +157,14 @@
 	od;
 	if
 	:: k < inst[i].size ->
+		printf("instance %d follows %d and rewinds to entry %d\n", i, p, k);
 		cut(i)
 	:: else ->
 		inst[i].term[k] = inst[p].term[k];
 		inst[i].id[k] = inst[p].id[k];
 		inst[i].size++;
+		printf("instance %d pulls entry %d (term %d, id %d) from %d\n",
+			i, inst[i].size, inst[i].term[k], inst[i].id[k], p);
 		k = 0
 	fi
 }
@@ -162,7 +175,9 @@
 	 (LAST_TERM(i) != inst[p].term[inst[p].size - 1] || inst[i].size != inst[p].size))
 
 #define FOLLOW_OR_PULL(i, p) \
-	:: d_step { CAN_FOLLOW(i, p) -> take_fence(i, inst[p].lead) } \
+	:: d_step { CAN_FOLLOW(i, p) -> \
+		take_fence(i, inst[p].lead); \
+		printf("instance %d follows %d at term %d\n", i, p, inst[i].fence) } \
 	:: d_step { CAN_PULL(i, p) -> pull(i, p) }
 
 #ifdef LOG_LOST_AT_RESTART
@@ -172,7 +187,10 @@
 #endif
 
 #define RESTART(i) \
-	:: d_step { restarts > 0 && IS_PRIMARY(i) -> restarts--; REOPEN(i) }
+	:: d_step { restarts > 0 && IS_PRIMARY(i) -> \
+		printf("instance %d restarts\n", i); \
+		restarts--; \
+		REOPEN(i) }
 
 /* The instances: replicas follow and pull, and a primary may restart as replica. */
 proctype Replication()
@@ -196,6 +214,7 @@
 inline fence_counted(i)
 {
 	take_fence(i, t);
+	printf("instance %d is fenced at term %d\n", i, t);
 	fenced++;
 	if
 	:: fenced == 1 || LAST_TERM(i) > best_term ||
@@ -217,7 +236,9 @@
 
 #define FENCE(i) \
 	:: d_step { inst[i].fence < t -> fence_counted(i) } \
-	:: d_step { inst[i].fence < t -> take_fence(i, t) } /* the answer is lost */
+	:: d_step { inst[i].fence < t -> \
+		take_fence(i, t); \
+		printf("instance %d is fenced at term %d, answer lost\n", i, t) }
 
 /*
  * Two pools, each of which believes that it owns the group. Either may start a
@@ -232,7 +253,11 @@
 	byte best_size;
 
 end:	do
-	:: d_step { t < TERMS -> t++; forget_fenced() }
+	:: d_step { t < TERMS ->
+		t++;
+		forget_fenced();
+		printf("pool turns to term %d\n", t)
+	   }
 	FENCE(0)
 	FENCE(1)
 	FENCE(2)
--- a/spec/replication.pml
+++ b/spec/replication.pml
@@ -18,6 +18,7 @@
 
 inline acknowledge(w, t)
 {
+	printf("write %d of term %d is acknowledged\n", w, t);
 	acked[w] = t;
 	old_primary_acknowledged = LOST(0, w) || LOST(1, w) || LOST(2, w);
 	assert(!old_primary_acknowledged)
--- a/spec/requests.pml
+++ b/spec/requests.pml
@@ -76,6 +76,10 @@
 /* Says the verdict that was found in term t. */
 inline say()
 {
+	if
+	:: ran -> printf("RAN is said in term %d\n", t)
+	:: else -> printf("NOT_RUN is said in term %d\n", t)
+	fi;
 	if
 	:: ran && (said_ran == 0 || t < said_ran) -> said_ran = t
 	:: !ran && (said_not_run == 0 || t < said_not_run) -> said_not_run = t
