--- a/spec/replication.pml
+++ b/spec/replication.pml
@@ -39,7 +39,7 @@
 	}
 #ifndef ACK_BEFORE_MAJORITY
 end_waiting:
-	MAJORITY_HOLDS(p, t, n);
+	d_step { MAJORITY_HOLDS(p, t, n) -> printf("a majority is seen to hold write %d\n", w) };
 #endif
 	d_step {
 		acknowledge(w, t);
