--- a/spec/floors.pml
+++ b/spec/floors.pml
@@ -106,5 +106,9 @@
 		start_group();
 		run Session();
 		run Writer()
+#ifdef TWO_WRITERS
+		;
+		run Writer()
+#endif
 	}
 }
--- a/spec/group.pml
+++ b/spec/group.pml
@@ -33,7 +33,7 @@
 	byte fence;     /* greatest term taken */
 	byte lead;      /* term that this instance is primary of, or 0 */
 	byte opening;   /* length of the log up to the opening entry of that term */
-	byte size;       /* entries in the log */
+	byte size;      /* entries in the log */
 	byte term[LEN]; /* term of each entry */
 	byte id[LEN]    /* request id or kind of each entry */
 };
@@ -62,9 +62,13 @@
 #define JUDGED(i, t) (inst[i].lead > t)
 #endif
 
-/* The position of instance i is at or above (t, n). */
+/* The position of instance i is at or above (t, n): the term is compared first. */
+#ifdef FLOOR_WITHOUT_TERM
+#define AT_OR_ABOVE(i, t, n) (inst[i].size >= n)
+#else
 #define AT_OR_ABOVE(i, t, n) \
 	(LAST_TERM(i) > t || (LAST_TERM(i) == t && inst[i].size >= n))
+#endif
 
 /*
  * Instance i counts towards the majority of the position (t, n) that the primary p
