Count a copy as held only under the fence of its own term

Cause: the model check found a run of four terms in which a replica that a later term had fenced pulled an older term's entry from that term's primary and was counted for the older write's acknowledgement; the instance that led the term between was then promoted without the write.

--- a/src/wasabipitch/acks.py
+++ b/src/wasabipitch/acks.py
@@ -80,17 +80,19 @@
     def is_held(self, position: Position) -> bool:
         """Return whether a majority of the members holds a position.
 
-        Only copies whose last entry is of the position's own term count: the
-        log of a later term may lack the entry, and counting an older term's
-        entry before the later term's opening entry is held would be unsafe.
+        Only instances count whose last entry and fence are both of the
+        position's own term. The log of a later term may lack the entry, and
+        one that a later term has fenced may have got an older term's entry
+        from that term's primary, which another may still replace.
         """
         holders = 0
         for view in self._view.instances.values():
             status = view.status
             if status is None or not status.member:
                 continue
-            same_term = status.position.term == position.term
-            if same_term and status.position.index >= position.index:
+            last = status.position
+            same_term = last.term == status.fence == position.term
+            if same_term and last.index >= position.index:
                 holders += 1
         return holders >= self._view.majority
 
