--- a/src/standins/fleet.py
+++ b/src/standins/fleet.py
@@ -3,7 +3,7 @@
 import asyncio
 import dataclasses
 import json
-import os
+import secrets
 import signal
 import sys
 import tempfile
@@ -214,7 +214,10 @@
                 record = await store.get(CONFIGURATION_KEY)
                 expect = record.revision if record else 0
             document = deployments.dump(deployment)
-            return await apply(store, CONFIGURATION_KEY, document, expect)
+            nonce = secrets.token_hex(8)
+            return await apply(
+                store, CONFIGURATION_KEY, document, expect, nonce, HARNESS_USER
+            )
         finally:
             await store.close()
 
@@ -302,7 +305,9 @@
         command = [sys.executable, "-m", module, *arguments]
         with open(self._directory / f"{name}.log", "ab") as log:
             process = await asyncio.create_subprocess_exec(
-                *command, stdout=asyncio.subprocess.PIPE, stderr=log, env=os.environ
+                *command,
+                stdout=asyncio.subprocess.PIPE,
+                stderr=log,
             )
         try:
             async with asyncio.timeout(READY_TIMEOUT_S):
--- a/src/wasabipitch/dispatch.py
+++ b/src/wasabipitch/dispatch.py
@@ -181,7 +181,6 @@
                 self._count += 1
                 return self._links.pop(0)
             if self._rounds:
-                self._count += 1
                 wait_s = backoff_s(self._rounds, self._rng)
                 await asyncio.sleep(min(wait_s, max(self._req.left_s, 0)))
             self._rounds += 1
