Pass on a cancellation that the client library swallows; check for restarts

Cause of the test runs that hung: asyncmy connects under asyncio.wait_for, which drops a cancellation that arrives as the connection is made, so the probing task outlived its group and the group never closed. Ruled out: the stand-in's own close, the group's background tasks. The new test fails without the check.

A replica that restarted empty between two probes served reads below their floors: a report must be no older than the connection it vouches for. The test fails without the check (table missing) and passes with it.

--- a/src/wasabipitch/connections.py
+++ b/src/wasabipitch/connections.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import logging
+import time
 from collections import deque
 
 from wasabipitch.exceptions import TargetDown
@@ -48,6 +49,7 @@
         self._idle: deque[TargetConn] = deque()
         self._lent: set[TargetConn] = set()
         self._pinned: set[TargetConn] = set()
+        self._opened_at_s: dict[TargetConn, float] = {}
         self._opening = 0
         self._freed = asyncio.Event()
         self._connects = asyncio.Semaphore(MAX_CONNECTS_AT_ONCE)
@@ -63,6 +65,10 @@
         """How many are in use."""
         return len(self._lent)
 
+    def opened_at_s(self, conn: TargetConn) -> float:
+        """Return the monotonic time at which an open connection was opened."""
+        return self._opened_at_s[conn]
+
     async def acquire(self) -> TargetConn:
         """Return a connection for one session's work.
 
@@ -75,7 +81,7 @@
                 if conn.usable:
                     self._lent.add(conn)
                     return conn
-                conn.close()
+                self._discard(conn)
             if self.open < self.limit:
                 conn = await self._open()
                 self._lent.add(conn)
@@ -105,7 +111,7 @@
         if reusable and not self._closed and self.open < self.limit:
             self._idle.append(conn)
         else:
-            conn.close()
+            self._discard(conn)
         self._freed.set()
 
     async def open_ahead(self, count: int) -> None:
@@ -122,7 +128,7 @@
     def drop_idle(self) -> None:
         """Close all that are not in use."""
         while self._idle:
-            self._idle.pop().close()
+            self._discard(self._idle.pop())
 
     def close(self) -> None:
         """Close all, also those in use."""
@@ -135,11 +141,17 @@
         self._opening += 1
         try:
             async with self._connects:
-                return await self._connector.connect(self._address, self._database)
+                conn = await self._connector.connect(self._address, self._database)
+            self._opened_at_s[conn] = time.monotonic()
+            return conn
         finally:
             self._opening -= 1
             self._freed.set()
 
+    def _discard(self, conn: TargetConn) -> None:
+        self._opened_at_s.pop(conn, None)
+        conn.close()
+
 
 async def keep_open(connections: InstanceConnections, read_wanted) -> None:
     """Keep connections open ahead of need, until cancelled.
--- a/src/wasabipitch/mysql_targets.py
+++ b/src/wasabipitch/mysql_targets.py
@@ -71,6 +71,7 @@
         try:
             async with asyncio.timeout(CONNECT_TIMEOUT_S):
                 await conn.connect()
+                _raise_if_cancelled(conn)
         except TimeoutError as exc:
             raise TargetDown(
                 f"target {address} did not accept a connection "
@@ -85,6 +86,18 @@
         return MysqlControl(self, name, address)
 
 
+def _raise_if_cancelled(conn: Connection) -> None:
+    """Pass a cancellation on that the client library has swallowed.
+
+    It connects under ``asyncio.wait_for``, which before Python 3.12 drops a
+    cancellation that arrives just as the connection is made. The task would
+    then outlive its group.
+    """
+    if asyncio.current_task().cancelling():
+        conn.close()
+        raise asyncio.CancelledError
+
+
 class MysqlConn:
     """One connection to a MySQL instance.
 
--- a/src/wasabipitch/parts.py
+++ b/src/wasabipitch/parts.py
@@ -81,6 +81,7 @@
             connections = self.connections[grant.instance]
             conn = await self._connect(connections, grant.instance)
             try:
+                await self._check_restart(ticket, grant.instance, conn)
                 yield Lease(grant.instance, term, conn)
             finally:
                 connections.release(conn)
@@ -96,6 +97,21 @@
                 self.view.miss(instance)
             raise
 
+    async def _check_restart(
+        self, ticket: Ticket, instance: str, conn: TargetConn
+    ) -> None:
+        """Judge the instance by a report that is no older than the connection.
+
+        It may have restarted empty since the latest report, and would then
+        serve reads below their floors.
+        """
+        opened_at_s = self.connections[instance].opened_at_s(conn)
+        if self.view.instances[instance].heard_at_s >= opened_at_s:
+            return
+        await self.sampler.sample(instance)
+        if not ticket.may_run_on(instance):
+            raise NoTarget(f"{instance} may no longer serve the request")
+
     async def hold(self, exc: WasabipitchError, deadline_s: float) -> None:
         """Wait a little before a request queues again, or raise the error.
 
--- a/tests/wasabipitch/group_fixture.py
+++ b/tests/wasabipitch/group_fixture.py
@@ -105,6 +105,15 @@
                 await asyncio.sleep(0.02)
         return self.server.view.primary
 
+    async def restart_empty(self, name):
+        """Restart a target at its address, without its log."""
+        address = self.address(name)
+        await self.targets[name].__aexit__(None, None, None)
+        cfg = TargetConfig(
+            name=name, host=address.ip, port=address.port, initial=False, **self.fields
+        )
+        self.targets[name] = await self.stack.enter_async_context(Target(cfg))
+
     async def send(self, statement, kind=Kind.WRITE, cls="", **fields) -> Result:
         """Run a statement; raise ``RemoteError`` on a failure."""
         fields.setdefault("session", "s")
--- a/tests/wasabipitch/test_groups.py
+++ b/tests/wasabipitch/test_groups.py
@@ -150,3 +150,19 @@
         with self.assertRaises(RemoteError) as read:
             await group.send(SELECT, Kind.READ, deadline_ms=600)
         self.assertEqual(read.exception.verdict, Verdict.NOT_RUN)
+
+    async def test_a_replica_that_restarted_empty_serves_no_read_below_a_floor(self):
+        group = await self.start()
+        floor = (await group.send(insert("red"))).position
+        await asyncio.sleep(0.3)
+        views = group.server.view.instances
+        before = {n: (v.status, v.heard_at_s) for n, v in views.items()}
+        await group.restart_empty("w2")
+        await group.restart_empty("w3")
+        # As if the restarts fell between two probes.
+        for name, (status, heard_at_s) in before.items():
+            view = group.server.view.instances[name]
+            view.status, view.heard_at_s = status, heard_at_s
+        for _ in range(6):
+            read = await self.read(group, cls="lookup", floor=floor)
+            self.assertEqual(read, ["red"])
--- a/tests/wasabipitch/test_mysql_targets.py
+++ b/tests/wasabipitch/test_mysql_targets.py
@@ -3,6 +3,9 @@
 import unittest
 from contextlib import AsyncExitStack, aclosing, suppress
 from dataclasses import replace
+from unittest.mock import patch
+
+from asyncmy.connection import Connection
 
 from standins.instance import TargetConfig
 from standins.target import Target
@@ -220,6 +223,20 @@
         with self.assertRaisesRegex(TargetDown, "within"):
             await self.connect()
 
+    async def test_a_cancellation_that_the_library_swallows_is_passed_on(self) -> None:
+        connected = Connection.connect
+
+        async def connect(conn) -> None:
+            await connected(conn)
+            with suppress(asyncio.CancelledError):
+                asyncio.current_task().cancel()
+                await asyncio.sleep(0)
+
+        with patch.object(Connection, "connect", connect):
+            task = asyncio.create_task(self.connector.connect(self.address, ""))
+            await asyncio.wait([task])
+        self.assertTrue(task.cancelled())
+
     async def test_garbage_is_down(self) -> None:
         async def serve(reader, writer) -> None:
             writer.write(struct.pack("<I", 5) + b"\x0ahttp")
