Fence the old primary first in every planned change

A long poll of the acknowledgements holds the connection for waits for up to half a second, so the catch-up of the new primary asks for its status instead.

--- a/src/wasabipitch/health.py
+++ b/src/wasabipitch/health.py
@@ -35,6 +35,9 @@
 class Monitor:
     """Keeps the view of a group up to date, with one task an instance.
 
+    A probe over the MySQL protocol carries some 650 bytes, nearly all of them
+    descriptions of the status columns: 10 KB a second for three instances.
+
     Args:
         view: gets every report and every miss.
         timeline: records when an instance is lost and when it is back.
--- a/src/wasabipitch/promotion.py
+++ b/src/wasabipitch/promotion.py
@@ -22,6 +22,7 @@
 FOLLOW_TIMEOUT_S = 0.5
 OPENING_TIMEOUT_S = 1.0
 CATCH_UP_TIMEOUT_S = 1.0
+CATCH_UP_POLL_S = 0.01
 GRACE_S = 0.02  # for the other instances, once a majority has answered
 
 Order = Callable[[ControlChannel], Awaitable[InstanceStatus]]
@@ -35,7 +36,8 @@
     Args:
         old: the last known primary, or empty.
         prefer: the instance to promote if none is ahead of it.
-        planned: whether the old primary is well and may finish its work.
+        planned: whether the old primary is well and may finish its work; then
+            both ``old`` and ``prefer`` are named.
     """
 
     reason: str
@@ -68,7 +70,7 @@
         """
         term = await self._terms.allot(self._view.greatest_term())
         stopped: set[str] = set()
-        if change.planned and change.prefer != change.old:
+        if change.planned:
             await self._stop_old(change, term)
             stopped.add(change.old)
         fenced = await self.fence_majority(term, stopped)
@@ -217,9 +219,11 @@
         )
         if status is None or not _took_fence(status):
             raise NoTarget(f"{change.old} did not take the fence of term {term}")
-        await self.order(
-            change.prefer, lambda ch: ch.wait(status.position, CATCH_UP_TIMEOUT_S)
-        )
+        deadline_s = time.monotonic() + CATCH_UP_TIMEOUT_S
+        preferred = self._view.instances[change.prefer]
+        while preferred.position < status.position and time.monotonic() < deadline_s:
+            await asyncio.sleep(CATCH_UP_POLL_S)
+            await self.order(change.prefer, lambda ch: ch.status(FENCE_TIMEOUT_S))
 
     async def _order_all(
         self, names: Collection[str], order: Order, counts: Counts, enough: int
