--- a/src/wasabipitch/health.py
+++ b/src/wasabipitch/health.py
@@ -3,6 +3,7 @@
 import asyncio
 import time
 from bisect import bisect_right
+from collections import Counter
 from collections.abc import Iterator
 from dataclasses import dataclass
 
@@ -17,8 +18,10 @@
 RETRY_INTERVAL_S = 0.1  # after a miss, so that a lost primary is known sooner
 
 # A probe that took this much longer than its timeout says that this process
-# was paused, and nothing about the instance.
+# was paused, and nothing about the instance. On a host that is slow all the
+# time that must not hide a lost instance, so only a few in a row are excused.
 PAUSE_S = 0.1
+MAX_EXCUSED = 2
 
 SUSPECT_MISSES = 2  # one slow probe never deposes a primary
 MAX_SAMPLES = 512  # 102 s of positions at one sample a probe
@@ -48,6 +51,7 @@
         self._view = view
         self._timeline = timeline
         self._metrics = metrics
+        self._excused: Counter[str] = Counter()
 
     async def run(self) -> None:
         """Probe all instances until cancelled."""
@@ -61,9 +65,10 @@
         try:
             status = await view.channel.status(PROBE_TIMEOUT_S)
         except RequestError as exc:
-            if time.monotonic() - asked_at_s < PROBE_TIMEOUT_S + PAUSE_S:
+            if not self._is_excused(view, time.monotonic() - asked_at_s):
                 self._note_miss(view, str(exc))
             return
+        self._excused[view.name] = 0
         self._note_report(view, status, asked_at_s)
 
     async def _probe_forever(self, view: InstanceView) -> None:
@@ -74,6 +79,12 @@
             elapsed_s = time.monotonic() - started_s
             await asyncio.sleep(max(RETRY_INTERVAL_S / 2, interval_s - elapsed_s))
 
+    def _is_excused(self, view: InstanceView, elapsed_s: float) -> bool:
+        if elapsed_s < PROBE_TIMEOUT_S + PAUSE_S:
+            return False
+        self._excused[view.name] += 1
+        return self._excused[view.name] <= MAX_EXCUSED
+
     def _note_report(
         self, view: InstanceView, status: InstanceStatus, asked_at_s: float
     ) -> None:
--- a/tests/wasabipitch/test_health.py
+++ b/tests/wasabipitch/test_health.py
@@ -59,22 +59,23 @@
 
 
 class MonitorTest(unittest.IsolatedAsyncioTestCase):
-    async def probe(self, pause_s: float) -> int:
+    async def probe(self, pause_s: float, times: int) -> int:
+        self.timeline = Timeline("pool1")
         view = make_view(SilentChannel(pause_s))
-        timeline = Timeline("pool1")
-        monitor = Monitor(view, timeline, StatsdMetrics())
-        for _ in range(health.SUSPECT_MISSES):
+        monitor = Monitor(view, self.timeline, StatsdMetrics())
+        for _ in range(times):
             await monitor.probe(view.instances["a"])
-        lost = [e for e in timeline.select(AskEvents()) if e.kind == "health.lost"]
-        self.assertEqual(len(lost), int(pause_s == 0))
         return view.instances["a"].misses
 
     async def test_silence_is_a_miss(self) -> None:
-        self.assertEqual(await self.probe(0), health.SUSPECT_MISSES)
+        self.assertEqual(await self.probe(0, 2), 2)
+        kinds = [e.kind for e in self.timeline.select(AskEvents())]
+        self.assertEqual(kinds, ["health.lost"])
 
-    async def test_pause_of_this_process_is_no_miss(self) -> None:
+    async def test_pause_of_this_process_is_excused_a_few_times(self) -> None:
         pause_s = health.PROBE_TIMEOUT_S + health.PAUSE_S
-        self.assertEqual(await self.probe(pause_s), 0)
+        self.assertEqual(await self.probe(pause_s, health.MAX_EXCUSED), 0)
+        self.assertEqual(await self.probe(pause_s, health.MAX_EXCUSED + 1), 1)
 
 
 class EstablishedTest(unittest.TestCase):
