Don't lose a cancellation while a connection to a target opens

asyncmy connects under asyncio.wait_for, which in Python 3.11 swallows a cancellation that arrives as the connection opens: a cancelled probe or order went on.

--- a/src/wasabipitch/mysql_targets.py
+++ b/src/wasabipitch/mysql_targets.py
@@ -68,6 +68,9 @@
         # A second statement hidden behind a semicolon could end a transaction
         # unseen, so the target is told to take one statement at a time.
         conn._client_flag &= ~CLIENT.MULTI_STATEMENTS
+        # The library's own timeout uses asyncio.wait_for, which in Python 3.11
+        # loses a cancellation that comes just as the connection opens.
+        conn._connect_timeout = None
         try:
             async with asyncio.timeout(CONNECT_TIMEOUT_S):
                 await conn.connect()
--- a/tests/wasabipitch/test_mysql_targets.py
+++ b/tests/wasabipitch/test_mysql_targets.py
@@ -220,6 +220,15 @@
         with self.assertRaisesRegex(TargetDown, "within"):
             await self.connect()
 
+    async def test_cancellation_is_never_lost(self) -> None:
+        for turns in range(60):
+            task = asyncio.ensure_future(self.connector.connect(self.address, ""))
+            for _ in range(turns % 12):
+                await asyncio.sleep(0)
+            self.assertTrue(task.cancel())
+            await asyncio.wait([task])
+            self.assertTrue(task.cancelled(), f"after {turns % 12} turns of the loop")
+
     async def test_garbage_is_down(self) -> None:
         async def serve(reader, writer) -> None:
             writer.write(struct.pack("<I", 5) + b"\x0ahttp")
