--- a/src/wasabipitch/callers.py
+++ b/src/wasabipitch/callers.py
@@ -6,7 +6,6 @@
 import struct
 from collections.abc import AsyncIterator
 
-from mysql_mimic import packets as mimic_packets
 from mysql_mimic.errors import ErrorCode, MysqlError
 from mysql_mimic.server import MysqlServer
 from mysql_mimic.types import ColumnType, Commands
@@ -15,13 +14,13 @@
 from wasabipitch.answers import AnswerWriter
 from wasabipitch.exceptions import InDoubt, Refused, Stopping, WasabipitchError
 from wasabipitch.handshake import GreetedConnection, Listener
+from wasabipitch.logins import read_change_user
 from wasabipitch.messages import Message, Result
 from wasabipitch.models import Column
 from wasabipitch.parameters import (
     Prepared,
     read_execute,
     read_query,
-    refuse_malformed,
 )
 from wasabipitch.statements import read_statement, split_placeholders
 from wasabipitch.streams import (
@@ -42,6 +41,8 @@
 # Query attributes, besides the statement itself.
 PACKET_OVERHEAD_BYTES = 4096
 MAX_PREPARED_STATEMENTS = 256
+# Prepared statements with their data, as a multiple of the statement limit.
+MAX_HELD_STATEMENTS = 4
 
 logger = logging.getLogger(__name__)
 
@@ -163,23 +164,17 @@
 
     async def handle_change_user(self, data: bytes) -> None:
         """Authenticate another user; a failure ends the connection."""
-        # mysql-mimic's parser never ends on a string without its final NUL.
-        with refuse_malformed("change user"):
-            change = mimic_packets.parse_com_change_user(
-                self.capabilities, self.client_charset, data + b"\0\0\0\0"
-            )
+        login = read_change_user(data, self.capabilities, self.codec)
         self._listener.release(self)
         try:
-            await self.authenticate(
-                change.username, change.auth_response, change.client_plugin, {}
-            )
+            await self.authenticate(login)
         except Refused as exc:
             await self._refuse_connection(exc)
             raise ConnectionClosed from exc
         await self._reset()
         self.state.group = ""
-        if change.database:
-            self._runner.use(self.state, change.database)
+        if login.database:
+            self._runner.use(self.state, login.database)
         await self.stream.write(self.ok())
 
     async def handle_stmt_prepare(self, data: bytes) -> None:
@@ -189,6 +184,13 @@
                 f"the connection holds {MAX_PREPARED_STATEMENTS} prepared statements",
                 code=ER_MAX_PREPARED_STMT_COUNT,
             )
+        held = sum(p.held_bytes for p in self.prepared_stmts.values())
+        limit = MAX_HELD_STATEMENTS * self._listener.settings.max_statement_bytes
+        if held + len(data) > limit:
+            raise Refused(
+                f"the connection's prepared statements exceed {limit} bytes",
+                code=ER_MAX_PREPARED_STMT_COUNT,
+            )
         sql = self._decode(data)
         read_statement(sql)
         statement = Prepared(next(self.prepared_stmt_seq) + 1, split_placeholders(sql))
@@ -220,8 +222,9 @@
         statement = self._find_prepared(data)
         (index,) = struct.unpack_from("<H", data.ljust(6, b"\0"), 4)
         part = data[6:]
-        held = sum(len(p) for p in statement.long_data.values())
-        too_much = held + len(part) > self._listener.settings.max_statement_bytes
+        held = sum(p.held_bytes for p in self.prepared_stmts.values())
+        limit = MAX_HELD_STATEMENTS * self._listener.settings.max_statement_bytes
+        too_much = held + len(part) > limit
         if too_much or index >= statement.parameter_count:
             statement.overlong = True
             return
--- a/src/wasabipitch/handshake.py
+++ b/src/wasabipitch/handshake.py
@@ -7,15 +7,14 @@
 from mysql_mimic.auth import NativePasswordAuthPlugin, User
 from mysql_mimic.connection import Connection
 from mysql_mimic.errors import get_sqlstate
-from mysql_mimic.packets import SSLRequest
 from mysql_mimic.server import MysqlServer
 from mysql_mimic.types import ServerStatus
 
 from wasabipitch import packets
 from wasabipitch.exceptions import Refused, WasabipitchError
 from wasabipitch.local import LocalSession
+from wasabipitch.logins import Login, read_handshake
 from wasabipitch.metrics import Metrics
-from wasabipitch.parameters import refuse_malformed
 from wasabipitch.session_runner import SessionRunner
 from wasabipitch.sessions import Session
 from wasabipitch.settings import Caller, EntrySettings
@@ -25,7 +24,6 @@
 ER_ACCESS_DENIED = 1045
 ER_SECURE_TRANSPORT_REQUIRED = 3159
 
-SSL_REQUEST_LENGTH = 32
 PLUGIN_NAME = "mysql_native_password"
 # No caller's password has this hash, so an unknown user is always denied.
 IMPOSSIBLE_HASH = "0" * 40
@@ -89,34 +87,23 @@
             Refused: if it may not connect.
         """
         self.handshake_auth_data = await self._greet()
-        response = self._parse_handshake(await self.stream.read())
-        if isinstance(response, SSLRequest):
+        login = read_handshake(await self.stream.read(), self.server_capabilities)
+        if login.is_tls_request:
             if self.ssl is None:
                 raise Refused("TLS is not configured", code=ER_HANDSHAKE_ERROR)
             await self.stream.start_tls(self.ssl)
-            response = self._parse_handshake(await self.stream.read())
+            login = read_handshake(await self.stream.read(), self.server_capabilities)
         elif self._requires_tls():
             raise Refused("TLS is required", code=ER_SECURE_TRANSPORT_REQUIRED)
-        self.capabilities = response.capabilities
-        self.local.variables.set("character_set_client", response.client_charset.name)
-        await self.authenticate(
-            response.username, response.auth_response, response.client_plugin, {}
-        )
+        self.capabilities = login.capabilities
+        await self.authenticate(login)
         self.state = self._runner.open_session()
         self.local.state = self.state
-        if response.database:
-            self._runner.use(self.state, response.database)
+        if login.database:
+            self._runner.use(self.state, login.database)
         await self.stream.write(self.ok())
 
-    async def authenticate(
-        self,
-        username: str,
-        auth_response: bytes,
-        client_plugin_name: str | None,
-        connect_attrs: dict[str, str],
-        auth_state=None,
-        server_plugin=None,
-    ) -> None:
+    async def authenticate(self, login: Login) -> None:
         """Check the caller's password and count its connection.
 
         Raises:
@@ -124,24 +111,27 @@
                 connections.
         """
         nonce = self.handshake_auth_data.rstrip(b"\0")
-        if client_plugin_name not in (None, "", PLUGIN_NAME):
+        response = login.response
+        if login.plugin not in ("", PLUGIN_NAME):
             request = mimic_packets.make_auth_switch_request(
                 self.server_charset, PLUGIN_NAME, nonce + b"\0"
             )
             await self.stream.write(request)
-            auth_response = await self.stream.read()
-        caller = self._listener.callers.get(username)
+            response = await self.stream.read()
+        caller = self._listener.callers.get(login.username)
         secret = caller.password_sha1 if caller else IMPOSSIBLE_HASH
-        user = User(username, auth_string=secret)
-        if not NativePasswordAuthPlugin().password_matches(user, auth_response, nonce):
-            used = "YES" if auth_response else "NO"
+        user = User(login.username, auth_string=secret)
+        if not NativePasswordAuthPlugin().password_matches(user, response, nonce):
+            used = "YES" if response else "NO"
             raise Refused(
-                f"access denied for user {username!r} (using password: {used})",
+                f"access denied for user {login.username!r} (using password: {used})",
                 code=ER_ACCESS_DENIED,
             )
         self._listener.admit(self, caller)
-        self.local.username = username
-        self.local.variables.set("external_user", username, force=True)
+        self.local.username = login.username
+        self.local.variables.set("external_user", login.username, force=True)
+        if login.charset is not None:
+            self.local.variables.set("character_set_client", login.charset.name)
 
     async def _greet(self) -> bytes:
         plugin = self.identity_provider.get_default_plugin()
@@ -158,14 +148,6 @@
         await self.stream.write(greeting)
         return nonce
 
-    def _parse_handshake(self, data: bytes):
-        # mysql-mimic's parser never ends on a string without its final NUL.
-        padded = data if len(data) <= SSL_REQUEST_LENGTH else data + b"\0\0\0"
-        with refuse_malformed("handshake"):
-            return mimic_packets.parse_handshake_response(
-                self.server_capabilities, padded
-            )
-
     async def _refuse_connection(self, exc: WasabipitchError) -> None:
         """Send an error in the connection phase; no request has a verdict yet."""
         self._listener.metrics.count("entry.connections.refused")
--- a/src/wasabipitch/parameters.py
+++ b/src/wasabipitch/parameters.py
@@ -1,14 +1,13 @@
 """Statements with parameters and query attributes, as callers send them."""
 
 import contextlib
-import io
 import struct
 from dataclasses import dataclass, field
 from decimal import Decimal, InvalidOperation
 from typing import Any
 
 from mysql_mimic.errors import ErrorCode, MysqlError
-from mysql_mimic.types import Capabilities, ColumnType, read_str_len, read_uint_len
+from mysql_mimic.types import Capabilities, ColumnType
 
 from wasabipitch.statements import quote
 
@@ -16,9 +15,64 @@
 UNSIGNED_PARAMETER = 0x80
 
 _NO_ATTRIBUTES = b"\x00\x01"
+_LENGTH_SIZES = {0xFC: 2, 0xFD: 3, 0xFE: 8}
 _DATE_TYPES = {ColumnType.DATE, ColumnType.DATETIME, ColumnType.TIMESTAMP}
 
 
+class PacketReader:
+    """Reads a packet's fields; each raises ``ValueError`` where it is cut short.
+
+    Args:
+        data: the packet's payload.
+    """
+
+    def __init__(self, data: bytes) -> None:
+        self.size = len(data)
+        self._data = data
+        self._start = 0
+
+    @property
+    def at_end(self) -> bool:
+        """Whether everything has been read."""
+        return self._start >= self.size
+
+    def take(self, size: int) -> bytes:
+        """Return so many bytes."""
+        end = self._start + size
+        if end > self.size:
+            raise ValueError(f"{size} bytes are expected at {self._start}")
+        data = self._data[self._start : end]
+        self._start = end
+        return data
+
+    def take_rest(self) -> bytes:
+        """Return what is left."""
+        return self.take(self.size - self._start)
+
+    def take_integer(self, size: int) -> int:
+        """Return an unsigned integer of so many bytes."""
+        return int.from_bytes(self.take(size), "little")
+
+    def take_length(self) -> int:
+        """Return a length-encoded integer."""
+        first = self.take_integer(1)
+        size = _LENGTH_SIZES.get(first)
+        return first if size is None else self.take_integer(size)
+
+    def take_string(self) -> bytes:
+        """Return a string that follows its length."""
+        return self.take(self.take_length())
+
+    def take_null_string(self) -> bytes:
+        """Return a string that ends with a NUL, or with the packet."""
+        end = self._data.find(b"\0", self._start)
+        if end < 0:
+            return self.take_rest()
+        data = self.take(end - self._start)
+        self.take(1)
+        return data
+
+
 @dataclass(slots=True)
 class Prepared:
     """A prepared statement of one connection.
@@ -36,6 +90,12 @@
     long_data: dict[int, bytearray] = field(default_factory=dict)
     overlong: bool = False
 
+    @property
+    def held_bytes(self) -> int:
+        """How much text and data it holds."""
+        text = sum(map(len, self.pieces))
+        return text + sum(map(len, self.long_data.values()))
+
     def forget_long_data(self) -> None:
         """Drop the parameters that came in parts."""
         self.long_data.clear()
@@ -62,7 +122,7 @@
         MysqlError: if the packet breaks the protocol.
     """
     with refuse_malformed("execute"):
-        return _read_execute(io.BytesIO(data), statement, capabilities, codec)
+        return _read_execute(PacketReader(data), statement, capabilities, codec)
 
 
 def read_query(
@@ -78,14 +138,14 @@
     if data.startswith(_NO_ATTRIBUTES):
         return data[len(_NO_ATTRIBUTES) :], {}
     with refuse_malformed("query"):
-        reader = io.BytesIO(data)
-        count = read_uint_len(reader)
-        read_uint_len(reader)  # the number of parameter sets, always 1
+        reader = PacketReader(data)
+        count = reader.take_length()
+        reader.take_length()  # the number of parameter sets, always 1
         _check_count(count, 0, len(data))
         bound = Prepared(0, [""])
         values, names = _read_values(reader, bound, count, True, codec)
         named = zip(names, values, strict=True)
-        return reader.read(), {k: _as_attribute(v, codec) for k, v in named if k}
+        return reader.take_rest(), {k: _as_attribute(v, codec) for k, v in named if k}
 
 
 @contextlib.contextmanager
@@ -104,13 +164,15 @@
         raise ValueError(f"{count} parameters in {size} bytes, for {least}")
 
 
-def _read_execute(reader, statement: Prepared, capabilities: int, codec: str):
-    flags, _ = struct.unpack("<BI", reader.read(5))
+def _read_execute(
+    reader: PacketReader, statement: Prepared, capabilities: int, codec: str
+):
+    flags, _ = struct.unpack("<BI", reader.take(5))
     named = bool(capabilities & Capabilities.CLIENT_QUERY_ATTRIBUTES)
     count = statement.parameter_count
     if named and (count or flags & PARAMETER_COUNT_AVAILABLE):
-        count = read_uint_len(reader)
-    _check_count(count, statement.parameter_count, len(reader.getbuffer()))
+        count = reader.take_length()
+    _check_count(count, statement.parameter_count, reader.size)
     values, names = _read_values(reader, statement, count, named, codec)
     texts = [quote(v) for v in values[: statement.parameter_count]]
     sql = "".join(
@@ -121,11 +183,13 @@
     return sql, {k: _as_attribute(v, codec) for k, v in attributes if k}
 
 
-def _read_values(reader, statement: Prepared, count: int, named: bool, codec: str):
+def _read_values(
+    reader: PacketReader, statement: Prepared, count: int, named: bool, codec: str
+):
     if not count:
         return [], []
-    nulls = reader.read((count + 7) // 8)
-    if reader.read(1) == b"\x01":
+    nulls = reader.take((count + 7) // 8)
+    if reader.take(1) == b"\x01":
         statement.types = [_read_type(reader, named, codec) for _ in range(count)]
     if len(statement.types) != count:
         raise ValueError("the parameters' types are not bound")
@@ -140,9 +204,9 @@
     return values, [name for _, _, name in statement.types]
 
 
-def _read_type(reader, named: bool, codec: str) -> tuple[int, bool, str]:
-    type_code, flags = struct.unpack("<BB", reader.read(2))
-    name = read_str_len(reader).decode(codec) if named else ""
+def _read_type(reader: PacketReader, named: bool, codec: str) -> tuple[int, bool, str]:
+    type_code, flags = struct.unpack("<BB", reader.take(2))
+    name = reader.take_string().decode(codec) if named else ""
     return type_code, bool(flags & UNSIGNED_PARAMETER), name
 
 
@@ -157,18 +221,20 @@
 }
 
 
-def _read_value(reader, type_code: int, unsigned: bool, codec: str) -> Any:
+def _read_value(
+    reader: PacketReader, type_code: int, unsigned: bool, codec: str
+) -> Any:
     if type_code in _INTEGER_FORMATS:
         form = _INTEGER_FORMATS[type_code]
         form = "<" + (form.upper() if unsigned else form)
-        return struct.unpack(form, reader.read(struct.calcsize(form)))[0]
+        return struct.unpack(form, reader.take(struct.calcsize(form)))[0]
     if type_code == ColumnType.DOUBLE:
-        return struct.unpack("<d", reader.read(8))[0]
+        return struct.unpack("<d", reader.take(8))[0]
     if type_code == ColumnType.FLOAT:
-        return struct.unpack("<f", reader.read(4))[0]
+        return struct.unpack("<f", reader.take(4))[0]
     if type_code == ColumnType.NULL:
         return None
-    data = _read_exactly(reader, read_uint_len(reader))
+    data = reader.take_string()
     if type_code in _DATE_TYPES:
         return _read_date(data, type_code)
     if type_code == ColumnType.TIME:
@@ -178,13 +244,6 @@
     return _decode(data, codec)
 
 
-def _read_exactly(reader, size: int) -> bytes:
-    data = reader.read(size)
-    if len(data) != size:
-        raise ValueError("a value is cut short")
-    return data
-
-
 def _decode(data: bytes, codec: str) -> str | bytes:
     try:
         return data.decode(codec)
--- a/tests/wasabipitch/entry_harness.py
+++ b/tests/wasabipitch/entry_harness.py
@@ -25,6 +25,7 @@
 PASSWORD = "pass word"
 # Protocol 4.1, secure connection, authentication plugins, query attributes.
 CAPABILITIES = 0x080A8200
+PLUGIN = b"mysql_native_password"
 
 
 def hash_password(password: str) -> str:
@@ -210,11 +211,10 @@
     return await reader.readexactly(word & 0xFFFFFF)
 
 
-def make_handshake(user: bytes, scramble: bytes) -> bytes:
+def make_handshake(user: bytes, scramble: bytes, plugin: bytes = PLUGIN) -> bytes:
     head = struct.pack("<IIB23x", CAPABILITIES, 2**24, 45)
     secret = bytes([len(scramble)]) + scramble
-    name = b"mysql_native_password\0"
-    return make_packet(1, head + user + b"\0" + secret + name)
+    return make_packet(1, head + user + b"\0" + secret + plugin + b"\0")
 
 
 async def fetch(conn, sql: str, args=None):
--- a/tests/wasabipitch/test_frontend.py
+++ b/tests/wasabipitch/test_frontend.py
@@ -1,14 +1,19 @@
 import asyncio
+import contextlib
 import datetime
+import random
 import socket
 import ssl
 import struct
 import tempfile
+import unittest
 from decimal import Decimal
 from pathlib import Path
 
 import asyncmy.errors
 import mysql.connector
+from mysql_mimic.errors import MysqlError
+from mysql_mimic.types import Capabilities
 
 from tests.wasabipitch.certificates import CERTIFICATE, KEY
 from tests.wasabipitch.entry_harness import (
@@ -21,8 +26,10 @@
 )
 from wasabipitch.contracts import pack_rows
 from wasabipitch.exceptions import TargetError
+from wasabipitch.logins import read_change_user, read_handshake
 from wasabipitch.messages import Result, Rows
 from wasabipitch.models import Column, Position
+from wasabipitch.parameters import Prepared, read_execute, read_query
 from wasabipitch.settings import Tls
 
 COLUMNS = (
@@ -328,6 +335,14 @@
         await conn.ping()
         self.assertEqual(len(self.runner.sessions), 1)
 
+    async def test_another_plugin_is_switched(self):
+        reader, writer = await self.open_socket()
+        await read_packet(reader)
+        writer.write(make_handshake(b"open", b"x" * 32, b"caching_sha2_password"))
+        self.assertEqual((await read_packet(reader))[:6], b"\xfemysql")
+        writer.write(make_packet(3, b""))
+        self.assertEqual((await read_packet(reader))[:1], b"\x00")
+
     async def test_malformed_commands_end_only_their_connection(self):
         other = await self.connect()
         commands = (b"", b"\x03\x05\x01", b"\x03\xfe", b"\x03\x01\x01\x00\x01", b"\xee")
@@ -381,6 +396,25 @@
         return data
 
 
+class ParserTests(unittest.TestCase):
+    def test_any_bytes_are_read_or_refused(self):
+        rng = random.Random(5)
+        marks = [0, 1, 2, 5, 8, 0xFB, 0xFC, 0xFD, 0xFE, 0xFF]
+        everything = Capabilities(0xFFFFFFFF)
+        for _ in range(3000):
+            body = bytes(rng.choices([*marks, rng.randrange(256)], k=rng.randrange(60)))
+            start = struct.pack("<IIB23x", rng.choice([2**32 - 1, 0x0A8200]), 9, 45)
+            bound = Prepared(1, ["SELECT ", ", ", ""])
+            with contextlib.suppress(MysqlError):
+                read_handshake(start + body, everything)
+            with contextlib.suppress(MysqlError):
+                read_change_user(body, everything, "utf8")
+            with contextlib.suppress(MysqlError):
+                read_query(body, everything, "utf8")
+            with contextlib.suppress(MysqlError):
+                read_execute(b"\0\1\0\0\0" + body, bound, everything, "utf8")
+
+
 class TlsTests(EntryCase):
     def make_settings(self):
         folder = Path(self.enterContext(tempfile.TemporaryDirectory()))
