--- a/src/wasabipitch/callers.py
+++ b/src/wasabipitch/callers.py
@@ -13,7 +13,7 @@
 from wasabipitch import packets
 from wasabipitch.answers import AnswerWriter
 from wasabipitch.exceptions import InDoubt, Refused, Stopping, WasabipitchError
-from wasabipitch.handshake import GreetedConnection, Listener
+from wasabipitch.handshake import HandshakeConnection, Listener
 from wasabipitch.logins import read_change_user
 from wasabipitch.messages import Message, Result
 from wasabipitch.models import Column
@@ -47,7 +47,7 @@
 logger = logging.getLogger(__name__)
 
 
-class CallerConnection(GreetedConnection):
+class CallerConnection(HandshakeConnection):
     """One caller's connection.
 
     Args:
--- a/src/wasabipitch/dispatch.py
+++ b/src/wasabipitch/dispatch.py
@@ -21,6 +21,7 @@
 )
 from wasabipitch.linkbook import LinkBook
 from wasabipitch.links import Link, RemoteError
+from wasabipitch.members import DEAD
 from wasabipitch.messages import EndSession, Message
 from wasabipitch.metrics import Metrics
 from wasabipitch.models import Host
@@ -58,6 +59,9 @@
     def doubt(self, name: str) -> None:
         """Probe a host soon, because work sent to it failed."""
 
+    def state(self, name: str) -> str:
+        """Return a host's state, such as ``live`` or ``dead``."""
+
 
 class OwnerRouter:
     """Routes to the owners of a group.
@@ -70,17 +74,30 @@
     def __init__(self, membership: Owners, read_policy: Callable[[], Policy]) -> None:
         self._membership = membership
         self._read_policy = read_policy
+        self._used: set[str] = set()
 
     async def route(self, group: str) -> list[Link]:
         """Return links to the pools of a group, the preferred one first."""
         local = self._read_policy().pooling == "entry"
         owners = self._membership.owners(group, local=local)[:MAX_OWNERS]
+        self._used.update(host.name for host in owners)
         return [self._membership.links.find(host) for host in owners]
 
     def doubt(self, link: Link) -> None:
         """Note that work sent over a link failed."""
         self._membership.doubt(link.peer)
 
+    def drop_dead(self) -> None:
+        """Close the links to dead pools.
+
+        Requests that wait for a frozen pool then fail, or go to another one,
+        before their deadline.
+        """
+        dead = {n for n in self._used if self._membership.state(n) in ("", DEAD)}
+        for name in dead:
+            self._membership.links.drop(name)
+        self._used -= dead
+
 
 class Dispatcher:
     """Sends requests to pools until one answers or the deadline passes.
--- a/src/wasabipitch/handshake.py
+++ b/src/wasabipitch/handshake.py
@@ -40,14 +40,14 @@
     stopping: bool
     callers: dict[str, Caller]
 
-    def admit(self, conn: "GreetedConnection", caller: Caller) -> None:
+    def admit(self, conn: "HandshakeConnection", caller: Caller) -> None:
         """Count a caller's connection, or raise ``Refused`` at its limit."""
 
-    def release(self, conn: "GreetedConnection") -> None:
+    def release(self, conn: "HandshakeConnection") -> None:
         """Count a caller's connection no more."""
 
 
-class GreetedConnection(Connection):
+class HandshakeConnection(Connection):
     """A caller's connection, as far as its handshake goes.
 
     Args:
--- a/tests/wasabipitch/entry_harness.py
+++ b/tests/wasabipitch/entry_harness.py
@@ -32,13 +32,13 @@
     return hashlib.sha1(hashlib.sha1(password.encode()).digest()).hexdigest()
 
 
-def make_group(name: str) -> Group:
-    return Group(name, (Instance(f"{name}-1", "127.0.0.1:1", "rome"),))
+def make_group(name: str, port: int) -> Group:
+    return Group(name, (Instance(f"{name}-1", f"127.0.0.1:{port}", "rome"),))
 
 
 DEPLOYMENT = Deployment(
     name="test",
-    groups=(make_group("workshop"), make_group("ledger")),
+    groups=(make_group("workshop", 1), make_group("ledger", 2)),
     classes=(
         RequestClass(
             name="payment",
--- a/tests/wasabipitch/test_entry.py
+++ b/tests/wasabipitch/test_entry.py
@@ -1,12 +1,21 @@
 import asyncio
+import contextlib
+import io
 import re
+import unittest
 from pathlib import Path
+from unittest import mock
 
 import asyncmy.errors
 
-from tests.wasabipitch.entry_harness import DEPLOYMENT, PASSWORD, EntryCase, fetch
+from tests.wasabipitch.entry_harness import DEPLOYMENT, HOST, PASSWORD, EntryCase, fetch
+from tests.wasabipitch.memory_store import MemoryStore
+from wasabipitch.configuration import apply
 from wasabipitch.contracts import pack_rows
-from wasabipitch.deployment import Deployment
+from wasabipitch.deployment import Deployment, Policy, dump
+from wasabipitch.dispatch import OwnerRouter
+from wasabipitch.entry import Entry
+from wasabipitch.events import Clock
 from wasabipitch.exceptions import (
     InDoubt,
     NotOwner,
@@ -14,12 +23,16 @@
     TargetError,
     TransactionLost,
 )
-from wasabipitch.links import MIN_RECONNECT_S, describe_failure
-from wasabipitch.messages import AskEvents, Kind, Result
-from wasabipitch.models import Column, Position
+from wasabipitch.linkbook import LinkBook
+from wasabipitch.links import MIN_RECONNECT_S, Link, describe_failure
+from wasabipitch.members import DEAD
+from wasabipitch.messages import AskEvents, AskStatus, Hello, Kind, Result
+from wasabipitch.models import Address, Column, Host, Position
 from wasabipitch.sessions import encode_token
+from wasabipitch.settings import Caller, EntrySettings
 
 CALLERS_PAGE = Path(__file__).parents[2] / "docs" / "CALLERS.md"
+KEY = "wasabipitch/configuration"
 PAYMENT = "INSERT INTO payments VALUES (1, 2)"
 
 
@@ -113,6 +126,55 @@
         await conn.ping()
 
 
+class FixedOwners:
+    """A membership of pools at fixed addresses, with settable states."""
+
+    def __init__(self, pools):
+        self.links = LinkBook(Hello(HOST, "i1"), Clock())
+        self.states = {}
+        self.hosts = [
+            Host(f"pool-{i}", "pool", str(p.address), "rome")
+            for i, p in enumerate(pools, 1)
+        ]
+
+    def owners(self, group, *, local=False):
+        live = [h for h in self.hosts if self.state(h.name) != DEAD]
+        return tuple(reversed(live) if local else live)
+
+    def state(self, name):
+        return self.states.get(name, "live")
+
+    def doubt(self, name):
+        pass
+
+
+class OwnerRouterTests(RunCase):
+    async def asyncSetUp(self):
+        self.policy = Policy()
+        await super().asyncSetUp()
+        self.owners = FixedOwners([self.pool, self.spare])
+        self.stack.push_async_callback(self.owners.links.close)
+        self.router = OwnerRouter(self.owners, lambda: self.policy)
+
+    async def route(self, group):
+        return await self.router.route(group)
+
+    async def test_a_dead_pool_releases_what_waits_for_it(self):
+        self.pool.answer("SELECT", never)
+        self.spare.answer("SELECT", one_row)
+        conn = await self.connect()
+        reading = asyncio.create_task(fetch(conn, "SELECT id FROM t"))
+        await self.until(lambda: self.pool.asked)
+        self.owners.states["pool-1"] = DEAD
+        self.router.drop_dead()
+        self.assertEqual(await reading, ((7,),))
+
+    async def test_without_owners_the_entry_uses_its_own_pool(self):
+        self.policy = Policy(pooling="entry")
+        links = await self.route("workshop")
+        self.assertEqual([link.peer for link in links], ["pool-2", "pool-1"])
+
+
 class TransactionTests(RunCase):
     async def test_all_of_it_goes_to_one_pool_under_one_session(self):
         conn, other = await self.connect(), await self.connect()
@@ -363,6 +425,37 @@
         self.assertEqual((failed.detail, failed.group), ("MAY_HAVE_RUN", "workshop"))
 
 
+class ProcessTests(unittest.IsolatedAsyncioTestCase):
+    async def test_it_serves_links_and_callers_and_stops(self):
+        store = MemoryStore()
+        await apply(store, KEY, dump(DEPLOYMENT), 0, "n1", "tests")
+        cfg = EntrySettings(
+            host="entry-1",
+            data_centre="rome",
+            platform="127.0.0.1:1",
+            callers=(Caller("open"),),
+            configuration_key=KEY,
+        )
+        with mock.patch("wasabipitch.entry.PlatformStore", lambda *_, **__: store):
+            entry = Entry(cfg)
+            host = await entry.start()
+        address = Address.parse(entry.describe_ready()["address"])
+        conn = await asyncmy.connect(
+            host=address.ip, port=address.port, user="open", db="ledger"
+        )
+        link = Link(Address.parse(host.address), Hello(HOST, "i1"), Clock())
+        state = await link.call(AskStatus())
+        self.assertEqual((state.sessions, state.revision), (1, 1))
+        events = (await link.call(AskEvents())).events
+        self.assertIn("session.opened", {e.kind for e in events})
+        await link.close()
+        stopping = asyncio.create_task(entry.stop())
+        with self.assertRaisesRegex(asyncmy.errors.Error, "1053|Lost connection"):
+            await stopping
+            await fetch(conn, "SELECT DATABASE()")
+        conn.close()
+
+
 class CallersPageTests(EntryCase):
     """Runs the examples of docs/CALLERS.md against an entry."""
 
@@ -377,5 +470,7 @@
             source = source.replace("the password", PASSWORD)
             with self.subTest(f"example {number}"):
                 code = compile(source, f"CALLERS.md example {number}", "exec")
-                await self.in_thread(exec, code, {"__name__": "example"})
+                with contextlib.redirect_stdout(io.StringIO()) as output:
+                    await self.in_thread(exec, code, {"__name__": "example"})
+                self.assertTrue(output.getvalue() or "payments" in source)
         self.assertTrue(any(m.request_id for m in self.pool.asked))
