--- a/tests/wasabipitch/entry_harness.py
+++ b/tests/wasabipitch/entry_harness.py
@@ -7,22 +7,25 @@
 import unittest
 
 import asyncmy
+import asyncmy.errors
 import mysql.connector
 
+from wasabipitch.contracts import pack_rows
 from wasabipitch.deployment import Deployment, Group, Instance, RequestClass
 from wasabipitch.dispatch import Dispatcher
 from wasabipitch.events import Clock, Timeline
 from wasabipitch.frontend import Frontend
-from wasabipitch.links import Exchange, Link, LinkServer
+from wasabipitch.links import Exchange, Link, LinkServer, describe_failure
 from wasabipitch.messages import EndSession, Execute, Hello, Kind, Message, Result
 from wasabipitch.metrics import StatsdMetrics
-from wasabipitch.models import Address, Host, Position
+from wasabipitch.models import Address, Column, Host, Position
 from wasabipitch.session_runner import SessionRunner
 from wasabipitch.settings import Caller, EntrySettings
 
 ANY = Address("127.0.0.1", 0)
 HOST = Host("entry-1", "entry", "127.0.0.1:0", "rome")
 PASSWORD = "pass word"
+PAYMENT = "INSERT INTO payments VALUES (1, 2)"
 # Protocol 4.1, secure connection, authentication plugins, query attributes.
 CAPABILITIES = 0x080A8200
 PLUGIN = b"mysql_native_password"
@@ -197,6 +200,10 @@
             while not condition():
                 await asyncio.sleep(0.01)
 
+    async def assert_fails(self, conn, sql: str, pattern: str) -> None:
+        with self.assertRaisesRegex(asyncmy.errors.Error, pattern):
+            await fetch(conn, sql)
+
     async def in_thread(self, function, *args):
         async with asyncio.timeout(20):
             return await asyncio.to_thread(function, *args)
@@ -221,3 +228,22 @@
     async with conn.cursor() as cursor:
         await cursor.execute(sql, args)
         return await cursor.fetchall()
+
+
+def fail_with(exc, in_transaction=False):
+    async def answer(exchange):
+        return describe_failure(exc, in_transaction)
+
+    return answer
+
+
+async def break_link(exchange):
+    exchange.connection.close()
+
+
+async def never(exchange):
+    await asyncio.Event().wait()
+
+
+async def one_row(exchange):
+    return Result((Column("id", 8),), pack_rows([[b"7"]]), position=Position(4, 2))
