--- a/src/wasabipitch/callers.py
+++ b/src/wasabipitch/callers.py
@@ -15,7 +15,7 @@
 from wasabipitch.exceptions import InDoubt, Refused, Stopping, WasabipitchError
 from wasabipitch.handshake import HandshakeConnection, Listener
 from wasabipitch.logins import read_change_user
-from wasabipitch.messages import Message, Result
+from wasabipitch.messages import Kind, Message, Result
 from wasabipitch.models import Column
 from wasabipitch.parameters import (
     Prepared,
@@ -38,6 +38,7 @@
 
 HANDSHAKE_TIMEOUT_S = 10.0
 GOODBYE_TIMEOUT_S = 0.5
+CALLER_CHECK_S = 0.5
 # Query attributes, besides the statement itself.
 PACKET_OVERHEAD_BYTES = 4096
 MAX_PREPARED_STATEMENTS = 256
@@ -66,6 +67,7 @@
     ) -> None:
         super().__init__(listener, stream, server, connection_id)
         self.task = asyncio.current_task()
+        self._is_left = False
         self._handlers = {
             Commands.COM_QUERY: self.handle_query,
             Commands.COM_INIT_DB: self.handle_init_db,
@@ -142,6 +144,9 @@
                 raise
             await self._write_error(Refused(exc.msg, code=int(exc.code)))
         except asyncio.CancelledError:
+            if self._is_left:
+                self.task.uncancel()
+                raise ConnectionClosed from None
             reason = "the entry stopped before the request was answered"
             with contextlib.suppress(OSError, TimeoutError):
                 await self._write_error(InDoubt(reason))
@@ -267,10 +272,35 @@
             await self._write_answer(result, None, binary)
             return
         replies = self._runner.run(self.state, statement)
-        async with contextlib.aclosing(replies):
+        async with contextlib.AsyncExitStack() as stack:
+            await stack.enter_async_context(contextlib.aclosing(replies))
+            if statement.kind is Kind.READ or self.state.in_transaction:
+                stack.enter_context(self._watch_caller())
             result = await anext(replies)
             await self._write_answer(result, replies, binary)
 
+    @contextlib.contextmanager
+    def _watch_caller(self):
+        """Cancel the request if its caller leaves while it runs.
+
+        A lone write goes on: its effect is wanted all the same.
+        """
+        loop = asyncio.get_running_loop()
+
+        def check() -> None:
+            nonlocal handle
+            if self.stream.left_by_caller:
+                self._is_left = True
+                self.task.cancel()
+            else:
+                handle = loop.call_later(CALLER_CHECK_S, check)
+
+        handle = loop.call_later(CALLER_CHECK_S, check)
+        try:
+            yield
+        finally:
+            handle.cancel()
+
     async def _write_answer(
         self, result: Result, replies: AsyncIterator[Message] | None, binary: bool
     ) -> None:
--- a/src/wasabipitch/catalogue.py
+++ b/src/wasabipitch/catalogue.py
@@ -97,7 +97,9 @@
         return cls(frozenset(g.name for g in deployment.groups), classes, shapes)
 
     def check_group(self, name: str) -> None:
-        """Raise ``UnknownGroup`` unless a group of that name is declared."""
+        """Raise ``Refused`` unless a group of that name is declared."""
+        if not self.groups:
+            raise Refused("no configuration is in force yet")
         if name not in self.groups:
             raise UnknownGroup(f"unknown database {name!r}: no such group is declared")
 
--- a/src/wasabipitch/session_runner.py
+++ b/src/wasabipitch/session_runner.py
@@ -176,6 +176,9 @@
             self._timeline.record("request.failed", detail=verdict, **about)
             self._metrics.count(f"entry.failed.{verdict.lower()}")
             raise
+        except BaseException:
+            self._timeline.record("request.abandoned", **about)
+            raise
         self._timeline.record("request.answered", **about)
         self._metrics.timing("entry.request_ms", (left_s - req.left_s) * 1000)
 
--- a/src/wasabipitch/streams.py
+++ b/src/wasabipitch/streams.py
@@ -48,6 +48,11 @@
         """How much was written since the latest ``drain``."""
         return len(self._buffer)
 
+    @property
+    def left_by_caller(self) -> bool:
+        """Whether the caller has closed its end of the connection."""
+        return self._reader.at_eof() or self._writer.transport.is_closing()
+
     def limit_packets(self, max_bytes: int) -> None:
         """Refuse packets longer than this from now on."""
         self._max_bytes = max_bytes
--- a/tests/wasabipitch/test_session_runner.py
+++ b/tests/wasabipitch/test_session_runner.py
@@ -1,5 +1,7 @@
 import asyncio
 
+import asyncmy.errors
+
 from tests.wasabipitch.entry_harness import (
     DEPLOYMENT,
     PAYMENT,
@@ -10,6 +12,7 @@
     never,
     one_row,
 )
+from wasabipitch.catalogue import Catalogue
 from wasabipitch.deployment import Deployment
 from wasabipitch.exceptions import (
     InDoubt,
@@ -169,6 +172,26 @@
         await conn.commit()
         await self.assert_fails(conn, PAYMENT, "non-idempotent")
 
+    async def test_a_caller_that_leaves_ends_its_running_request(self):
+        cancelled = asyncio.Event()
+
+        async def wait(exchange):
+            try:
+                await asyncio.Event().wait()
+            finally:
+                cancelled.set()
+
+        self.pool.answer("SELECT", wait)
+        conn = await self.connect()
+        reading = asyncio.create_task(fetch(conn, "SELECT id FROM t"))
+        await self.until(lambda: self.pool.asked)
+        conn.close()
+        with self.assertRaises(asyncmy.errors.Error):
+            await reading
+        async with asyncio.timeout(5):
+            await cancelled.wait()
+        await self.until(lambda: not self.runner.sessions)
+
     async def test_no_change_of_database_within_it(self):
         conn = await self.connect()
         await conn.begin()
@@ -203,6 +226,11 @@
         await self.assert_fails(bare, "SELECT 1 FROM t", "1046.*no database.*NOT_RUN")
         self.assertEqual(self.pool.asked, [])
 
+    async def test_nothing_is_served_without_a_configuration(self):
+        conn = await self.connect()
+        self.runner.catalogue = Catalogue()
+        await self.assert_fails(conn, "SELECT 1 FROM t", "no configuration.*NOT_RUN")
+
     async def test_a_group_that_is_no_longer_declared(self):
         conn = await self.connect()
         rest = Deployment("test", DEPLOYMENT.groups[1:], DEPLOYMENT.classes)
