--- a/src/wasabipitch/callers.py
+++ b/src/wasabipitch/callers.py
@@ -6,7 +6,6 @@
 import struct
 from collections.abc import AsyncIterator
 
-from mysql_mimic import packets as mimic_packets
 from mysql_mimic.errors import ErrorCode, MysqlError
 from mysql_mimic.server import MysqlServer
 from mysql_mimic.types import ColumnType, Commands
@@ -14,14 +13,14 @@
 from wasabipitch import packets
 from wasabipitch.answers import AnswerWriter
 from wasabipitch.exceptions import InDoubt, Refused, Stopping, WasabipitchError
-from wasabipitch.handshake import GreetedConnection, Listener
-from wasabipitch.messages import Message, Result
+from wasabipitch.handshake import HandshakeConnection, Listener
+from wasabipitch.logins import read_change_user
+from wasabipitch.messages import Kind, Message, Result
 from wasabipitch.models import Column
 from wasabipitch.parameters import (
     Prepared,
     read_execute,
     read_query,
-    refuse_malformed,
 )
 from wasabipitch.statements import read_statement, split_placeholders
 from wasabipitch.streams import (
@@ -39,14 +38,17 @@
 
 HANDSHAKE_TIMEOUT_S = 10.0
 GOODBYE_TIMEOUT_S = 0.5
+CALLER_CHECK_S = 0.5
 # Query attributes, besides the statement itself.
 PACKET_OVERHEAD_BYTES = 4096
 MAX_PREPARED_STATEMENTS = 256
+# Prepared statements with their data, as a multiple of the statement limit.
+MAX_HELD_STATEMENTS = 4
 
 logger = logging.getLogger(__name__)
 
 
-class CallerConnection(GreetedConnection):
+class CallerConnection(HandshakeConnection):
     """One caller's connection.
 
     Args:
@@ -65,6 +67,7 @@
     ) -> None:
         super().__init__(listener, stream, server, connection_id)
         self.task = asyncio.current_task()
+        self._is_left = False
         self._handlers = {
             Commands.COM_QUERY: self.handle_query,
             Commands.COM_INIT_DB: self.handle_init_db,
@@ -141,6 +144,9 @@
                 raise
             await self._write_error(Refused(exc.msg, code=int(exc.code)))
         except asyncio.CancelledError:
+            if self._is_left:
+                self.task.uncancel()
+                raise ConnectionClosed from None
             reason = "the entry stopped before the request was answered"
             with contextlib.suppress(OSError, TimeoutError):
                 await self._write_error(InDoubt(reason))
@@ -163,23 +169,17 @@
 
     async def handle_change_user(self, data: bytes) -> None:
         """Authenticate another user; a failure ends the connection."""
-        # mysql-mimic's parser never ends on a string without its final NUL.
-        with refuse_malformed("change user"):
-            change = mimic_packets.parse_com_change_user(
-                self.capabilities, self.client_charset, data + b"\0\0\0\0"
-            )
+        login = read_change_user(data, self.capabilities, self.codec)
         self._listener.release(self)
         try:
-            await self.authenticate(
-                change.username, change.auth_response, change.client_plugin, {}
-            )
+            await self.authenticate(login)
         except Refused as exc:
             await self._refuse_connection(exc)
             raise ConnectionClosed from exc
         await self._reset()
         self.state.group = ""
-        if change.database:
-            self._runner.use(self.state, change.database)
+        if login.database:
+            self._runner.use(self.state, login.database)
         await self.stream.write(self.ok())
 
     async def handle_stmt_prepare(self, data: bytes) -> None:
@@ -189,6 +189,13 @@
                 f"the connection holds {MAX_PREPARED_STATEMENTS} prepared statements",
                 code=ER_MAX_PREPARED_STMT_COUNT,
             )
+        held = sum(p.held_bytes for p in self.prepared_stmts.values())
+        limit = MAX_HELD_STATEMENTS * self._listener.settings.max_statement_bytes
+        if held + len(data) > limit:
+            raise Refused(
+                f"the connection's prepared statements exceed {limit} bytes",
+                code=ER_MAX_PREPARED_STMT_COUNT,
+            )
         sql = self._decode(data)
         read_statement(sql)
         statement = Prepared(next(self.prepared_stmt_seq) + 1, split_placeholders(sql))
@@ -220,8 +227,9 @@
         statement = self._find_prepared(data)
         (index,) = struct.unpack_from("<H", data.ljust(6, b"\0"), 4)
         part = data[6:]
-        held = sum(len(p) for p in statement.long_data.values())
-        too_much = held + len(part) > self._listener.settings.max_statement_bytes
+        held = sum(p.held_bytes for p in self.prepared_stmts.values())
+        limit = MAX_HELD_STATEMENTS * self._listener.settings.max_statement_bytes
+        too_much = held + len(part) > limit
         if too_much or index >= statement.parameter_count:
             statement.overlong = True
             return
@@ -264,10 +272,35 @@
             await self._write_answer(result, None, binary)
             return
         replies = self._runner.run(self.state, statement)
-        async with contextlib.aclosing(replies):
+        async with contextlib.AsyncExitStack() as stack:
+            await stack.enter_async_context(contextlib.aclosing(replies))
+            if statement.kind is Kind.READ or self.state.in_transaction:
+                stack.enter_context(self._watch_caller())
             result = await anext(replies)
             await self._write_answer(result, replies, binary)
 
+    @contextlib.contextmanager
+    def _watch_caller(self):
+        """Cancel the request if its caller leaves while it runs.
+
+        A lone write goes on: its effect is wanted all the same.
+        """
+        loop = asyncio.get_running_loop()
+
+        def check() -> None:
+            nonlocal handle
+            if self.stream.left_by_caller:
+                self._is_left = True
+                self.task.cancel()
+            else:
+                handle = loop.call_later(CALLER_CHECK_S, check)
+
+        handle = loop.call_later(CALLER_CHECK_S, check)
+        try:
+            yield
+        finally:
+            handle.cancel()
+
     async def _write_answer(
         self, result: Result, replies: AsyncIterator[Message] | None, binary: bool
     ) -> None:
