Never send a write to the platform twice

aiohttp sends a PUT again when its connection broke before the answer, also on a connection of its own: the compare-and-swap then conflicted with itself.

--- a/src/wasabipitch/cli/ctl.py
+++ b/src/wasabipitch/cli/ctl.py
@@ -6,7 +6,7 @@
 
 from wasabipitch.ctl import Command, Commands, execute
 from wasabipitch.exceptions import SettingsError
-from wasabipitch.outcomes import EXIT_USAGE
+from wasabipitch.outcomes import EXIT_IN_DOUBT, EXIT_USAGE
 
 NAME = "wasabipitch-ctl"
 SWITCHES = ("--json", "--undo")
@@ -24,7 +24,11 @@
     if not isinstance(command, Command):
         print(f"no command was given; see {NAME} --help", file=sys.stderr)
         sys.exit(EXIT_USAGE)
-    sys.exit(execute(command))
+    try:
+        sys.exit(execute(command))
+    except KeyboardInterrupt:
+        print("interrupted: a change may have taken effect", file=sys.stderr)
+        sys.exit(EXIT_IN_DOUBT)
 
 
 if __name__ == "__main__":
--- a/src/wasabipitch/store.py
+++ b/src/wasabipitch/store.py
@@ -111,10 +111,6 @@
 class PlatformStore:
     """The platform's service over HTTP and JSON.
 
-    Writes use a connection each, because aiohttp sends a PUT again by itself
-    when a reused connection breaks, and a compare-and-swap sent twice
-    conflicts with itself.
-
     Args:
         address: where the service listens.
         timeout_s: how long to wait for an answer, beyond the time of a watch.
@@ -131,8 +127,7 @@
         self.address = address
         self.timeout_s = timeout_s
         self._metrics = metrics or StatsdMetrics()
-        self._read_session: aiohttp.ClientSession | None = None
-        self._write_session: aiohttp.ClientSession | None = None
+        self._session: aiohttp.ClientSession | None = None
 
     async def get(
         self, key: str, after: int | None = None, wait_s: float = 0.0
@@ -173,48 +168,34 @@
 
     async def close(self) -> None:
         """Close the connections to the platform."""
-        for session in (self._read_session, self._write_session):
-            if session is not None:
-                await session.close()
-        self._read_session = self._write_session = None
+        if self._session is not None:
+            await self._session.close()
+        self._session = None
 
     async def _read(self, path: str, after: int | None, wait_s: float) -> Answer:
         self._metrics.count("store.reads")
-        if self._read_session is None:
-            self._read_session = aiohttp.ClientSession()
         params = {}
         if after is not None:
             params["after"] = str(after)
         if wait_s > 0:
             params["wait"] = f"{wait_s:g}"
-        return await self._request(
-            self._read_session, "GET", path, wait_s=wait_s, params=params
-        )
+        return await self._request("GET", path, wait_s=wait_s, params=params)
 
     async def _write(
         self, method: str, path: str, *, body: Any = None, params: Any = None
     ) -> Answer:
         self._metrics.count("store.writes")
-        if self._write_session is None:
-            connector = aiohttp.TCPConnector(force_close=True)
-            self._write_session = aiohttp.ClientSession(connector=connector)
-        return await self._request(
-            self._write_session, method, path, json=body, params=params
-        )
+        return await self._request(method, path, json=body, params=params)
 
     async def _request(
-        self,
-        session: aiohttp.ClientSession,
-        method: str,
-        path: str,
-        *,
-        wait_s: float = 0.0,
-        **options: Any,
+        self, method: str, path: str, *, wait_s: float = 0.0, **options: Any
     ) -> Answer:
+        if self._session is None:
+            self._session = aiohttp.ClientSession(middlewares=(_send_once,))
         timeout = aiohttp.ClientTimeout(total=self.timeout_s + wait_s)
         call = f"{method} {path} at {self.address}"
         try:
-            async with session.request(
+            async with self._session.request(
                 method, f"http://{self.address}{path}", timeout=timeout, **options
             ) as response:
                 answer = Answer(response.status, _decode(await response.read()))
@@ -266,6 +247,25 @@
             raise StoreUnavailable(message) from exc
 
 
+async def _send_once(
+    request: aiohttp.ClientRequest, handler: aiohttp.ClientHandlerType
+) -> aiohttp.ClientResponse:
+    """Keep aiohttp from sending a write again when its connection broke.
+
+    A compare-and-swap sent twice conflicts with itself, and the conflict would
+    hide that it took effect. Only certain errors are sent again by aiohttp, so
+    they are raised as another one.
+    """
+    try:
+        return await handler(request)
+    except aiohttp.ClientConnectorError:
+        raise
+    except (aiohttp.ClientOSError, aiohttp.ServerDisconnectedError) as exc:
+        if request.method == "GET":
+            raise
+        raise aiohttp.ClientError(str(exc)) from exc
+
+
 def _decode(data: bytes) -> dict[str, Any]:
     if not data.lstrip().startswith(b"{"):
         return {}
