--- a/tests/wasabipitch/test_store.py
+++ b/tests/wasabipitch/test_store.py
@@ -1,11 +1,18 @@
+import asyncio
+import dataclasses
 import unittest
 
+import aiohttp
 from aiohttp import web
 
-from wasabipitch.exceptions import StoreError, StoreUnavailable
+from standins.faults import Faults
+from standins.hosts import Host as StandinHost
+from standins.platform import Platform, PlatformConfig
+from wasabipitch import configuration
+from wasabipitch.exceptions import StoreConflict, StoreError, StoreUnavailable
 from wasabipitch.metrics import StatsdMetrics
-from wasabipitch.models import Address
-from wasabipitch.store import MAX_VALUE_BYTES, PlatformStore
+from wasabipitch.models import Address, Host
+from wasabipitch.store import ABSENT, MAX_VALUE_BYTES, PlatformStore
 from wasabipitch.verdict import Verdict
 
 
@@ -80,3 +87,76 @@
         with self.assertRaisesRegex(StoreError, "over 900000"):
             await self.store.put("a/b", "x" * (MAX_VALUE_BYTES + 1), 0)
         self.assertEqual(0, self.calls)
+
+
+class StandinTests(unittest.IsolatedAsyncioTestCase):
+    """The store against the stand-in of the platform."""
+
+    async def asyncSetUp(self):
+        faults = Faults(host_lag_s=0.0, delay_ms=0)
+        self.platform = Platform(PlatformConfig(faults=faults))
+        await self.platform.__aenter__()
+        self.addAsyncCleanup(self.platform.__aexit__, None, None, None)
+        self.store = PlatformStore(Address.parse(self.platform.address), timeout_s=2)
+        self.addAsyncCleanup(self.store.close)
+
+    async def set_faults(self, **faults):
+        async with (
+            aiohttp.ClientSession() as session,
+            session.put(
+                f"http://{self.platform.address}/admin/faults", json=faults
+            ) as response,
+        ):
+            self.assertEqual(200, response.status)
+
+    async def test_compare_and_swap(self):
+        self.assertIsNone(await self.store.get("w/configuration"))
+        first = await self.store.put("w/configuration", "one", ABSENT)
+        with self.assertRaises(StoreConflict) as caught:
+            await self.store.put("w/configuration", "two", ABSENT)
+        conflict = caught.exception
+        self.assertEqual((first, "one"), (conflict.revision, conflict.value))
+        second = await self.store.put("w/configuration", "two", first)
+        self.assertGreater(second, first)
+        record = await self.store.get("w/configuration")
+        self.assertEqual(("two", second), (record.value, record.revision))
+        with self.assertRaises(StoreConflict):
+            await self.store.delete("w/configuration", first)
+        await self.store.delete("w/configuration", second)
+        await self.store.delete("w/configuration")
+        self.assertIsNone(await self.store.get("w/configuration"))
+
+    async def test_watch(self):
+        revision = await self.store.put("w/configuration", "one", ABSENT)
+        self.assertIsNone(await self.store.get("w/configuration", revision, 0.05))
+        watch = asyncio.create_task(self.store.get("w/configuration", revision, 5))
+        await asyncio.sleep(0.05)
+        await self.store.put("w/configuration", "two", revision)
+        self.assertEqual("two", (await watch).value)
+
+    async def test_lost_answer_is_told_by_reading_back(self):
+        await self.set_faults(lose_answers=1)
+        document = "name: wheelcraft\ngroups: []\n"
+        revision = await configuration.apply(
+            self.store, "w/configuration", document, ABSENT, "n1", "malee"
+        )
+        record = await self.store.get("w/configuration")
+        self.assertEqual(revision, record.revision)
+        self.assertEqual(1, self.platform.calls["put kv"])
+
+    async def test_outage_ends_a_watch(self):
+        revision = await self.store.put("w/configuration", "one", ABSENT)
+        watch = asyncio.create_task(self.store.get("w/configuration", revision, 5))
+        await asyncio.sleep(0.05)
+        await self.set_faults(down=True)
+        with self.assertRaises(StoreUnavailable):
+            await watch
+        with self.assertRaises(StoreUnavailable):
+            await self.store.put("w/configuration", "two", revision)
+
+    async def test_host_list(self):
+        host = Host("pool-1", "pool", "127.0.0.1:4000", "bangna", "leaving")
+        self.platform.hosts.put(StandinHost(**dataclasses.asdict(host)))
+        listed = await self.store.hosts()
+        self.assertEqual((host,), listed.hosts)
+        self.assertIsNone(await self.store.hosts(listed.revision, 0.05))
