--- a/src/wasabipitch/configuration.py
+++ b/src/wasabipitch/configuration.py
@@ -270,6 +270,22 @@
     in_doubt: bool = False
     _current: Stored = NOTHING_STORED
 
+    async def carry_out(self, timeout_s: float) -> int:
+        """Write the change, or find out what became of it; see ``apply``."""
+        deadline_s = time.monotonic() + timeout_s
+        while True:
+            try:
+                revision = await self.find_outcome()
+                if revision is None:
+                    revision = await self.write()
+                if revision is not None:
+                    return revision
+            except StoreUnavailable as exc:
+                if time.monotonic() > deadline_s:
+                    maybe = Verdict.MAY_HAVE_RUN if self.in_doubt else Verdict.NOT_RUN
+                    raise StoreUnavailable(exc.message, verdict=maybe) from exc
+            await asyncio.sleep(APPLY_RETRY_S)
+
     async def find_outcome(self) -> int | None:
         """Return the revision of the change, or None if it is still to write.
 
@@ -346,16 +362,4 @@
         StoreUnavailable: the store gave no answer; see its verdict.
     """
     change = Change(store, key, document, expect, nonce, author)
-    deadline_s = time.monotonic() + timeout_s
-    while True:
-        try:
-            revision = await change.find_outcome()
-            if revision is None:
-                revision = await change.write()
-            if revision is not None:
-                return revision
-        except StoreUnavailable as exc:
-            if time.monotonic() > deadline_s:
-                verdict = Verdict.MAY_HAVE_RUN if change.in_doubt else Verdict.NOT_RUN
-                raise StoreUnavailable(exc.message, verdict=verdict) from exc
-        await asyncio.sleep(APPLY_RETRY_S)
+    return await change.carry_out(timeout_s)
