--- a/src/standins/cli.py
+++ b/src/standins/cli.py
@@ -49,12 +49,12 @@
     """
     host, port = _address(listen)
     faults = Faults(
-        delay_ms=_duration("delay-ms", delay_ms),
-        host_lag_s=_duration("host-lag-s", host_lag_s),
-        reads_per_s=_duration("reads-per-s", reads_per_s),
-        writes_per_s=_duration("writes-per-s", writes_per_s),
+        delay_ms=_duration("delay_ms", delay_ms),
+        host_lag_s=_duration("host_lag_s", host_lag_s),
+        reads_per_s=_duration("reads_per_s", reads_per_s),
+        writes_per_s=_duration("writes_per_s", writes_per_s),
     )
-    return PlatformConfig(host, port, faults, _count("seed", seed))
+    return PlatformConfig(host, port, faults, _count("seed", seed, least=0))
 
 
 def _target_config(
@@ -88,25 +88,22 @@
         user: Let in only this user; any user if empty.
         password: Password of that user.
     """
+    return _make_target_config(**locals())
+
+
+def _make_target_config(*, listen: object, **flags: Any) -> TargetConfig:
     host, port = _address(listen)
-    cfg = TargetConfig(
-        name=str(name),
-        host=host,
-        port=port,
-        data_centre=str(data_centre),
-        slots=_count("slots", slots),
-        connections=_count("connections", connections),
-        connect_ms=_duration("connect-ms", connect_ms),
-        lag_ms=_duration("lag-ms", lag_ms),
-        work_ms=_duration("work-ms", work_ms),
-        initial=_flag("initial", initial),
-        primary=_flag("primary", primary),
-        user=str(user),
-        password=str(password),
-    )
-    if cfg.primary and not cfg.initial:
+    for name in ("slots", "connections"):
+        flags[name] = _count(name, flags[name])
+    for name in ("connect_ms", "lag_ms", "work_ms"):
+        flags[name] = _duration(name, flags[name])
+    for name in ("initial", "primary"):
+        flags[name] = _flag(name, flags[name])
+    for name in ("name", "data_centre", "user", "password"):
+        flags[name] = str(flags[name])
+    if flags["primary"] and not flags["initial"]:
         raise UsageError("--primary needs --initial: a rejoining instance is empty")
-    return cfg
+    return TargetConfig(host=host, port=port, **flags)
 
 
 def _run(
@@ -136,9 +133,9 @@
     return host, int(port)
 
 
-def _count(flag: str, value: object) -> int:
-    if isinstance(value, bool) or not isinstance(value, int) or value < 1:
-        raise UsageError(f"--{flag}: {value!r} is not a whole number above 0")
+def _count(flag: str, value: object, least: int = 1) -> int:
+    if isinstance(value, bool) or not isinstance(value, int) or value < least:
+        raise UsageError(f"--{flag}: {value!r} is not a whole number from {least} on")
     return value
 
 
--- a/tests/standins/test_cli.py
+++ b/tests/standins/test_cli.py
@@ -51,6 +51,7 @@
     async def test_wrong_flags_are_refused(self) -> None:
         for module, flags, reason in (
             ("standins.target", ["--slots", "x"], "--slots"),
+            ("standins.target", ["--lag-ms=-1"], "--lag_ms"),
             ("standins.target", ["--bogus", "1"], "--bogus"),
             ("standins.target", ["bogus"], "bogus"),
             ("standins.target", ["--primary", "--initial=false"], "--initial"),
