--- a/src/standins/exceptions.py
+++ b/src/standins/exceptions.py
@@ -3,10 +3,13 @@
 import re
 import sqlite3
 from collections.abc import Callable
-from typing import TypeVar
+from typing import TYPE_CHECKING, TypeVar
 
 from mysql_mimic.errors import MysqlError
 
+if TYPE_CHECKING:
+    from standins.store import Item
+
 ACCESS_DENIED = 1045
 BAD_FIELD = 1054
 CHECK_VIOLATED = 3819
@@ -14,6 +17,7 @@
 FOREIGN_KEY_FAILED = 1452
 LOCK_WAIT_TIMEOUT = 1205
 NO_SUCH_FUNCTION = 1305
+WRONG_ARGUMENTS = 1318
 NO_SUCH_TABLE = 1146
 NOT_NULL = 1048
 PARSE_ERROR = 1064
@@ -28,6 +32,7 @@
     DUPLICATE_ENTRY: "23000",
     FOREIGN_KEY_FAILED: "23000",
     NO_SUCH_FUNCTION: "42000",
+    WRONG_ARGUMENTS: "42000",
     NO_SUCH_TABLE: "42S02",
     NOT_NULL: "23000",
     PARSE_ERROR: "42000",
@@ -91,6 +96,32 @@
     """Replication stopped because the leader is cut off from this instance."""
 
 
+class StoreError(StandinError):
+    """Base class of the refusals of the store."""
+
+
+class ValueTooLargeError(StoreError):
+    """A value is above the limit."""
+
+
+class NoSuchLeaseError(StoreError):
+    """A lease does not exist, or has lapsed."""
+
+
+class ConflictError(StoreError):
+    """A compare-and-swap expected another revision.
+
+    Attributes:
+        current: The present state of the key.
+    """
+
+    def __init__(self, current: "Item", expect: int) -> None:
+        super().__init__(
+            f"key {current.key!r} is at revision {current.expected}, not {expect}"
+        )
+        self.current = current
+
+
 def syntax_error(detail: str) -> SqlError:
     """Return the error for a statement that can't be read."""
     return SqlError(
