--- a/src/wasabipitch/hosts.py
+++ b/src/wasabipitch/hosts.py
@@ -12,6 +12,8 @@
 processes, that is 2 processes x 2 exchanges x 1.4 KB/s = 5.6 KB/s a node, of
 the 7 KB/s allowed. The platform's list adds at most 1 KB/s a process, and only
 while it changes.
+
+Links stay open, so a process needs two sockets for each other process.
 """
 
 import asyncio
@@ -26,7 +28,7 @@
 from wasabipitch.events import Timeline
 from wasabipitch.exceptions import WasabipitchError
 from wasabipitch.hostlist import watch_hosts
-from wasabipitch.linkbook import LinkBook
+from wasabipitch.linkbook import LinkBook, lacks_descriptors
 from wasabipitch.links import Cuts, Exchange, RemoteError
 from wasabipitch.members import (
     DEAD,
@@ -139,7 +141,8 @@
         if role == TARGET_ROLE:
             listed = self._listed.values()
             return tuple(h for h in listed if h.role == role and h.state == LIVE)
-        hosts = [self.host] if self.host.role == role and self._is_own_live() else []
+        own = self.table.own
+        hosts = [self.host] if self.host.role == role and own.state == LIVE else []
         suspects = []
         for member in self.table.others.values():
             if member.host.role != role or self._is_leaving(member.host.name):
@@ -264,9 +267,6 @@
             except Exception:
                 logger.exception("a membership subscriber failed")
 
-    def _is_own_live(self) -> bool:
-        return self.table.own.state == LIVE
-
     def _is_leaving(self, name: str) -> bool:
         listed = self._listed.get(name)
         return listed is not None and listed.state == LEAVING
@@ -317,7 +317,7 @@
             self._suspect(peer.name)
 
     async def _exchange(self, peer: Host) -> bool:
-        """Exchange digests with a peer; return whether it answered."""
+        """Exchange digests with a peer; return whether it seems alive."""
         digest = self.table.digest(self._keeper.revision, peer.name)
         try:
             reply = await self.links.find(peer).call(digest, PROBE_TIMEOUT_S)
@@ -325,7 +325,7 @@
             return True
         except WasabipitchError as exc:
             logger.debug("digest to %s: %s", peer.name, exc)
-            return False
+            return lacks_descriptors(exc)
         if isinstance(reply, Digest):
             self._merge(reply, peer)
         return True
--- a/src/wasabipitch/linkbook.py
+++ b/src/wasabipitch/linkbook.py
@@ -1,13 +1,24 @@
 """The links of one process to its peers."""
 
 import asyncio
+import errno
 
 from wasabipitch.events import Clock
+from wasabipitch.exceptions import WasabipitchError
 from wasabipitch.links import Cuts, Link
 from wasabipitch.messages import Hello
 from wasabipitch.models import Address, Host
 
 
+def lacks_descriptors(exc: WasabipitchError) -> bool:
+    """Return whether a link failed because this process can open no more files.
+
+    That says nothing about the peer.
+    """
+    cause = exc.__cause__
+    return isinstance(cause, OSError) and cause.errno in (errno.EMFILE, errno.ENFILE)
+
+
 class LinkBook:
     """One link for each peer, made on demand.
 
--- a/tests/wasabipitch/test_hosts.py
+++ b/tests/wasabipitch/test_hosts.py
@@ -1,6 +1,8 @@
 import asyncio
+import errno
 import random
 import unittest
+from unittest import mock
 
 from tests.wasabipitch.memory_store import MemoryStore
 from tests.wasabipitch.processes import Process, wait_until
@@ -179,6 +181,14 @@
         self.assertFalse(seen & {SUSPECT, DEAD})
         self.assertIn(fleet[1].host, fleet[0].membership.live("pool"))
 
+    async def test_lack_of_file_descriptors_is_not_taken_for_a_dead_peer(self):
+        fleet = await self.start_fleet(3)
+        await fleet[0].membership.links.close()
+        full = OSError(errno.EMFILE, "too many open files")
+        with mock.patch("asyncio.open_connection", side_effect=full):
+            await fleet[0].membership._probe(fleet[1].host)
+        self.assertEqual(LIVE, state(fleet[0], "pool-1"))
+
     async def test_owner_that_freezes_and_wakes(self):
         fleet = await self.start_fleet(4)
         frozen, others = fleet[1], [fleet[0], *fleet[2:]]
