--- a/src/standins/replication.py
+++ b/src/standins/replication.py
@@ -36,16 +36,18 @@
     def restart(self) -> None:
         """Start over with the present leader, or stop if there is none."""
         if self._task is not None:
+            self._puller.stopped = True
             self._task.cancel()
             self._task = None
         if self._instance.leader:
-            puller = Puller(self._instance)
-            self._task = asyncio.get_running_loop().create_task(puller.run())
+            self._puller = Puller(self._instance)
+            self._task = asyncio.get_running_loop().create_task(self._puller.run())
 
     async def stop(self) -> None:
         """Stop pulling."""
         if self._task is None:
             return
+        self._puller.stopped = True
         self._task.cancel()
         with contextlib.suppress(asyncio.CancelledError):
             await self._task
@@ -53,17 +55,24 @@
 
 
 class Puller:
-    """Pulls from one leader, at the address and term that the instance follows."""
+    """Pulls from one leader, at the address and term that the instance follows.
+
+    Attributes:
+        stopped: set with the cancellation of its task. The client library
+            connects under ``asyncio.wait_for``, which in Python 3.11 loses a
+            cancellation that comes just as the connection opens.
+    """
 
     def __init__(self, instance: Instance) -> None:
+        self.stopped = False
         self._instance = instance
         self._address = instance.leader
         self._term = instance.term
         self._leader_name = ""
 
     async def run(self) -> None:
-        """Pull until cancelled; a lost link is opened again."""
-        while True:
+        """Pull until stopped; a lost link is opened again."""
+        while not self.stopped:
             try:
                 async with self._connect() as conn:
                     await self._pull(conn)
@@ -139,6 +148,8 @@
         return is_current and leader_term >= max(inst.fence_term, 1)
 
     def _check_link(self) -> None:
+        if self.stopped:
+            raise LinkCutError("replication has stopped")
         if self._leader_name in self._instance.cut:
             raise LinkCutError(f"cut off from {self._leader_name}")
 
