--- a/src/wasabipitch/links.py
+++ b/src/wasabipitch/links.py
@@ -14,13 +14,26 @@
 from wasabipitch.contracts import FRAME_HEADER, MAX_FRAME_BYTES, Envelope
 from wasabipitch.events import Clock
 from wasabipitch.exceptions import LinkDown, LinkError, LinkLost, WasabipitchError
-from wasabipitch.messages import Cancel, Done, Execute, Failure, Hello, Message
+from wasabipitch.messages import (
+    Cancel,
+    Done,
+    Execute,
+    Failure,
+    Heartbeat,
+    Hello,
+    Message,
+)
 from wasabipitch.models import Address, Host
 from wasabipitch.verdict import Verdict
 
 CONNECT_TIMEOUT_S = 1.0
 CALL_TIMEOUT_S = 5.0
 MIN_RECONNECT_S = 0.05
+# While requests wait and the peer is silent, it is asked for a heartbeat; a
+# longer silence means that it is frozen or cut off.
+HEARTBEAT_S = 0.5
+SILENCE_LIMIT_S = 1.5
+HEARTBEAT_NUMBER = 0
 WRITE_HIGH_WATER_BYTES = 1024 * 1024
 
 logger = logging.getLogger(__name__)
@@ -109,6 +122,7 @@
         self._waiting: dict[int, asyncio.Queue[Envelope | None]] = {}
         self._writer: asyncio.StreamWriter | None = None
         self._reader_task: asyncio.Task | None = None
+        self._heard_at_s = 0.0
         self._connecting = asyncio.Lock()
         self._retry_at_s = 0.0
         self.generation = 0
@@ -188,7 +202,8 @@
             reader, writer = await self._open()
             self._writer = writer
             self.generation += 1
-            self._reader_task = asyncio.create_task(self._read_replies(reader, writer))
+            self._heard_at_s = loop.time()
+            self._reader_task = asyncio.create_task(self._serve(reader, writer))
             self._send(Envelope(0, self._clock.tick(), self._hello))
 
     async def _open(self) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
@@ -206,26 +221,52 @@
             return
         self._writer.write(contracts.pack(envelope))
 
-    async def _read_replies(
+    async def _serve(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
+        heartbeat = asyncio.create_task(self._check_silence(writer))
         try:
-            while True:
-                envelope = await read_envelope(reader)
-                if self._cuts.drops(self.peer):
-                    continue
-                self._clock.observe(envelope.clock)
-                inbox = self._waiting.get(envelope.number)
-                if inbox is not None:
-                    inbox.put_nowait(envelope)
+            await self._read_replies(reader)
         except (OSError, asyncio.IncompleteReadError):
             logger.debug("link to %s closed", self.peer)
         except LinkError as exc:
             logger.warning("link to %s: %s", self.peer, exc)
         finally:
+            heartbeat.cancel()
             if self._writer is writer:
                 self._drop_connection()
 
+    async def _read_replies(self, reader: asyncio.StreamReader) -> None:
+        loop = asyncio.get_running_loop()
+        while True:
+            envelope = await read_envelope(reader)
+            if self._cuts.drops(self.peer):
+                continue
+            self._heard_at_s = loop.time()
+            self._clock.observe(envelope.clock)
+            inbox = self._waiting.get(envelope.number)
+            if inbox is not None:
+                inbox.put_nowait(envelope)
+
+    async def _check_silence(self, writer: asyncio.StreamWriter) -> None:
+        loop = asyncio.get_running_loop()
+        asked_at_s = 0.0
+        while True:
+            await asyncio.sleep(HEARTBEAT_S)
+            now_s = loop.time()
+            paused = asked_at_s and now_s - asked_at_s > 2 * HEARTBEAT_S
+            if not self._waiting or paused:
+                # After a pause of this process the silence is its own.
+                self._heard_at_s = now_s
+            elif now_s - self._heard_at_s >= SILENCE_LIMIT_S:
+                logger.warning("no heartbeat from %s", self.peer)
+                writer.transport.abort()
+                return
+            asked_at_s = now_s
+            if now_s - self._heard_at_s >= HEARTBEAT_S:
+                number = HEARTBEAT_NUMBER
+                self._send(Envelope(number, self._clock.tick(), Heartbeat()))
+
     def _drop_connection(self) -> None:
         writer, self._writer = self._writer, None
         if writer is not None:
@@ -310,6 +351,8 @@
         if isinstance(message, Hello):
             self.peer = message.host
             self.incarnation = message.incarnation
+        elif isinstance(message, Heartbeat):
+            self._answer_heartbeat()
         elif isinstance(message, Cancel):
             task = self._tasks.get(envelope.number)
             if task is not None:
@@ -319,6 +362,11 @@
             self._tasks[envelope.number] = task
             task.add_done_callback(lambda _: self._tasks.pop(envelope.number, None))
 
+    def _answer_heartbeat(self) -> None:
+        clock = self._server.clock.tick()
+        envelope = Envelope(HEARTBEAT_NUMBER, clock, Heartbeat())
+        self._writer.write(contracts.pack(envelope))
+
     async def _serve(self, envelope: Envelope) -> None:
         exchange = Exchange(self, envelope)
         try:
--- a/src/wasabipitch/messages.py
+++ b/src/wasabipitch/messages.py
@@ -95,6 +95,11 @@
     incarnation: str
 
 
+@dataclass(frozen=True, slots=True)
+class Heartbeat:
+    """Asks whether the peer still reads its link; answered by another one."""
+
+
 @dataclass(frozen=True, slots=True)
 class EndSession:
     """The caller is gone: roll back and forget what its session holds."""
@@ -297,6 +302,7 @@
 
 ControlMessage = (
     Hello
+    | Heartbeat
     | EndSession
     | Done
     | AskOpinion
--- a/tests/wasabipitch/test_links.py
+++ b/tests/wasabipitch/test_links.py
@@ -1,10 +1,18 @@
 import asyncio
 import contextlib
 import unittest
+from unittest.mock import patch
 
 from wasabipitch.events import Clock
 from wasabipitch.exceptions import LinkDown, LinkLost, NoTarget
-from wasabipitch.links import Cuts, Link, LinkServer, RemoteError
+from wasabipitch.links import (
+    HEARTBEAT_S,
+    Cuts,
+    Link,
+    LinkConnection,
+    LinkServer,
+    RemoteError,
+)
 from wasabipitch.messages import AskStatus, Done, EndSession, Hello, Rows
 from wasabipitch.models import Address, Host
 from wasabipitch.verdict import Verdict
@@ -70,6 +78,16 @@
             await self.link.call(EndSession("never"), timeout_s=0.05)
         self.assertEqual(lost.exception.verdict, Verdict.MAY_HAVE_RUN)
 
+    async def test_a_silent_peer_fails_what_is_in_flight(self):
+        waiting = asyncio.create_task(self.link.call(EndSession("never"), 30))
+        await asyncio.sleep(2 * HEARTBEAT_S + 0.1)
+        self.assertFalse(waiting.done())  # heartbeats are answered
+        silent = patch.object(LinkConnection, "_answer_heartbeat", lambda _: None)
+        with silent, self.assertRaises(LinkLost):
+            await waiting
+        await asyncio.sleep(0.06)
+        await self.link.call(EndSession("fast"))
+
     async def test_a_broken_link_fails_what_is_in_flight_and_reconnects(self):
         call = asyncio.create_task(self.link.call(EndSession("never")))
         await self.link.call(EndSession("fast"))
