--- a/src/wasabipitch/cli/run.py
+++ b/src/wasabipitch/cli/run.py
@@ -68,20 +68,29 @@
         make: builds the process from its settings.
     """
 
-    def run(settings_file: str) -> None:
-        cfg = _load(settings_file, kind)
-        logs.configure(cfg.host, cfg.logs.level)
-        serve(lambda: make(cfg))
-
-    def command(settings: str) -> None:
+    def command(settings: str) -> _Start:
         """Run until SIGTERM, then finish what is in progress and stop.
 
         Args:
             settings: the YAML file with this process's settings.
         """
-        run(settings)
+        return _Start(settings)
+
+    # What the command returns runs only here, after fire has seen every flag:
+    # it would report a wrong one only when the process has ended.
+    start = fire.Fire(command, name=name, serialize=lambda _: None)
+    if not isinstance(start, _Start):
+        return
+    cfg = _load(start._settings, kind)
+    logs.configure(cfg.host, cfg.logs.level)
+    serve(lambda: make(cfg))
+
+
+class _Start:
+    """What the command line asked for; it has nothing that fire could call."""
 
-    fire.Fire(command, name=name)
+    def __init__(self, settings: str) -> None:
+        self._settings = settings
 
 
 def serve(make: Callable[[], Process]) -> None:
--- a/src/wasabipitch/messages.py
+++ b/src/wasabipitch/messages.py
@@ -157,7 +157,7 @@
 
     Args:
         heartbeat: counts up at the host itself; a greater one is newer.
-        state: ``live``, ``leaving`` or ``dead``.
+        state: ``live``, ``suspect``, ``leaving`` or ``dead``.
     """
 
     host: Host
--- a/src/wasabipitch/pool.py
+++ b/src/wasabipitch/pool.py
@@ -252,7 +252,7 @@
 
     def _share_connections(self, name: str, deployment: Deployment) -> float:
         if deployment.policy.pooling == "entry":
-            return 1 / max(1, len(self._membership.owners(name)))
+            return 1 / max(1, len(self._membership.live("pool")))
         rank = self._membership.rank(name)
         return FIRST_OWNER_SHARE if rank == 0 else 1 - FIRST_OWNER_SHARE
 
