--- a/src/wasabipitch/deployment.py
+++ b/src/wasabipitch/deployment.py
@@ -14,6 +14,7 @@
 from wasabipitch.models import Address
 
 DEFAULT_CLASS = "default"
+DEFAULT_RETENTION_S = 7 * 24 * 3600.0
 NAME_PATTERN = r"^[a-z][a-z0-9_-]{0,62}$"
 
 _STRICT = ConfigDict(extra="forbid")
@@ -51,12 +52,15 @@
         instances: three or more, an odd number.
         slots: how many statements run at once on an instance.
         connections: how many connections an instance takes.
+        request_retention_s: how long request ids are kept; a repeat that comes
+            later runs again.
     """
 
     name: Name
     instances: Annotated[tuple[Instance, ...], Field(min_length=1)]
     slots: Annotated[int, Field(ge=1)] = 2
     connections: Annotated[int, Field(ge=3)] = 16
+    request_retention_s: Annotated[float, Field(ge=3600)] = DEFAULT_RETENTION_S
 
     def instance(self, name: str) -> Instance:
         """Return the instance of that name, or raise ``KeyError``."""
--- a/src/wasabipitch/groups.py
+++ b/src/wasabipitch/groups.py
@@ -39,6 +39,8 @@
 
 WAKE_INTERVAL_S = 0.1
 REAP_INTERVAL_S = 1.0
+PURGE_INTERVAL_S = 600.0
+PURGE_CLASS = RequestClass(name="purge", weight=1)
 DRAIN_POLL_S = 0.02
 # Connections opened ahead on each instance, beyond its slots.
 SPARE_CONNECTIONS = 1
@@ -199,6 +201,7 @@
         yield self._failover.run()
         yield self._wake()
         yield self._reap()
+        yield self._purge()
         yield watch_leaving(self.view, self._failover)
         if self.policy.open_ahead:
             for name in self.view.instances:
@@ -228,6 +231,16 @@
             self.parts.router.holding_writes = False
             self.parts.scheduler.dispatch()
 
+    async def _purge(self) -> None:
+        while True:
+            await asyncio.sleep(PURGE_INTERVAL_S)
+            if self._ctx.read_rank(self.group.name) > 0:
+                continue
+            try:
+                await self._writes.purge(PURGE_CLASS, self.group.request_retention_s)
+            except WasabipitchError as exc:
+                self._record("requests.purge_failed", "", exc.message)
+
     def _read_wanted(self, name: str) -> int:
         view = self.view.instances[name]
         if view.leaving or not view.reachable:
--- a/src/wasabipitch/requests.py
+++ b/src/wasabipitch/requests.py
@@ -5,6 +5,7 @@
 """
 
 import enum
+import time
 from dataclasses import dataclass
 
 from wasabipitch.exceptions import Refused, TargetError, TargetLost
@@ -20,7 +21,8 @@
 CREATE_TABLE = (
     f"CREATE TABLE IF NOT EXISTS {TABLE} ("
     "id VARCHAR(200) PRIMARY KEY, state VARCHAR(8) NOT NULL, "
-    "affected_rows BIGINT NOT NULL, last_insert_id BIGINT NOT NULL)"
+    "affected_rows BIGINT NOT NULL, last_insert_id BIGINT NOT NULL, "
+    "created_s BIGINT NOT NULL)"
 )
 
 
@@ -133,10 +135,7 @@
     Returns:
         The record that stands under the id already, or None if there was none.
     """
-    insert = (
-        f"INSERT INTO {TABLE} (id, state, affected_rows, last_insert_id) "
-        f"VALUES ('{request_id}', '{RecordState.RAN.value}', 0, 0)"
-    )
+    insert = _make_insert(request_id, RecordState.RAN)
     try:
         await conn.run(insert)
     except TargetError as exc:
@@ -167,10 +166,7 @@
     Returns:
         The record that stands under the id now.
     """
-    insert = (
-        f"INSERT INTO {TABLE} (id, state, affected_rows, last_insert_id) "
-        f"VALUES ('{request_id}', '{RecordState.VOID.value}', 0, 0)"
-    )
+    insert = _make_insert(request_id, RecordState.VOID)
     try:
         await conn.run(insert)
     except TargetError as exc:
@@ -189,6 +185,26 @@
         raise Refused(f"request {request_id!r} was given up: it did not run")
 
 
+async def purge(conn: TargetConn, retention_s: float) -> int:
+    """Delete the records that are older than the retention, in seconds.
+
+    Returns:
+        How many were deleted. A repeat of their requests would run again.
+    """
+    before_s = int(time.time() - retention_s)
+    answer = await conn.run(f"DELETE FROM {TABLE} WHERE created_s < {before_s}")
+    return answer.affected_rows
+
+
+def _make_insert(request_id: str, state: RecordState) -> str:
+    # The wall clock only serves the retention; no promise rests on it.
+    return (
+        f"INSERT INTO {TABLE} "
+        "(id, state, affected_rows, last_insert_id, created_s) "
+        f"VALUES ('{request_id}', '{state.value}', 0, 0, {int(time.time())})"
+    )
+
+
 async def _record_outcome(conn: TargetConn, request_id: str, answer: Answer) -> None:
     if not answer.affected_rows and not answer.last_insert_id:
         return
--- a/src/wasabipitch/writes.py
+++ b/src/wasabipitch/writes.py
@@ -24,6 +24,7 @@
 RESOLVE_GRACE_S = 3.0
 # Of the deadline, what attempts may use before an outcome is settled.
 ATTEMPT_SHARE = 0.8
+PURGE_TIMEOUT_S = 10.0
 
 T = TypeVar("T")
 
@@ -88,6 +89,22 @@
             await lease.conn.run(requests.CREATE_TABLE)
             self._table_term = lease.term
 
+    async def purge(self, cls: RequestClass, retention_s: float) -> None:
+        """Delete old request ids, if this pool has recorded any in this term.
+
+        Args:
+            cls: whose weight the deletion has in the queue.
+            retention_s: how long ids are kept, in seconds.
+        """
+        if self._table_term != self._parts.view.term:
+            return
+        deadline_s = time.monotonic() + PURGE_TIMEOUT_S
+        req = Execute(group="", session="purge", statement="")
+        ticket = self.make_ticket(req, cls, deadline_s)
+        async with self._parts.lease(ticket) as lease:
+            count = await requests.purge(lease.conn, retention_s)
+        self._parts.metrics.count("pool.ids.purged", count)
+
     def make_ticket(self, req: Execute, cls: RequestClass, deadline_s: float) -> Ticket:
         """Return a ticket for a slot on the primary."""
         return Ticket(
--- a/tests/wasabipitch/test_groups.py
+++ b/tests/wasabipitch/test_groups.py
@@ -3,6 +3,7 @@
 
 from tests.wasabipitch.group_fixture import ServedGroup
 from wasabipitch.contracts import unpack_rows
+from wasabipitch.deployment import RequestClass
 from wasabipitch.links import RemoteError
 from wasabipitch.messages import Kind
 from wasabipitch.models import Position
@@ -61,6 +62,16 @@
         await group.send(insert("red"))
         self.assertEqual(await self.read(group), ["red", "red"])
 
+    async def test_old_ids_are_purged_and_young_ones_kept(self):
+        group = await self.start()
+        await group.send(insert("red"), request_id="old")
+        await group.send("UPDATE wasabipitch_requests SET created_s = 1000")
+        await group.send(insert("blue"), request_id="young")
+        await group.server._writes.purge(RequestClass(name="purge"), 3600)
+        repeat = await group.send(insert("blue"), request_id="young")
+        self.assertTrue(repeat.repeated)
+        self.assertFalse((await group.send(insert("red"), request_id="old")).repeated)
+
     async def test_a_failed_request_leaves_its_id_free(self):
         group = await self.start()
         with self.assertRaises(RemoteError) as caught:
