--- a/src/wasabipitch/dispatch.py
+++ b/src/wasabipitch/dispatch.py
@@ -30,6 +30,8 @@
 from wasabipitch.verdict import SQLSTATE_NOT_RUN, Verdict
 
 MAX_ATTEMPTS = 10
+# Attempts after one without an answer, each of which may run the statement.
+MAX_REPEATS = 2
 MAX_OWNERS = 3
 END_SESSION_TIMEOUT_S = 1.0
 # The pool's own verdict at the deadline is better than none.
@@ -126,6 +128,7 @@
             WasabipitchError: with the verdict over all attempts.
         """
         latest: WasabipitchError | None = None
+        repeats = 0
         attempts = _Attempts(self._router, req, self._rng)
         while (link := await attempts.next_link()) is not None:
             started = False
@@ -144,6 +147,9 @@
                     raise
                 latest = exc
                 req.in_doubt = True
+                if repeats == MAX_REPEATS:
+                    break
+                repeats += 1
             except RemoteError as exc:
                 if started or not _should_move_on(exc):
                     raise
--- a/tests/wasabipitch/test_dispatch.py
+++ b/tests/wasabipitch/test_dispatch.py
@@ -51,6 +51,13 @@
         conn = await self.connect()
         self.assertEqual(await fetch(conn, "SELECT id FROM t"), ((7,),))
 
+    async def test_repeats_are_bounded(self):
+        for pool in (self.pool, self.spare):
+            pool.answer("SELECT", break_link)
+        conn = await self.connect()
+        await self.assert_fails(conn, "SELECT id FROM t", "verdict: MAY_HAVE_RUN")
+        self.assertEqual(len(self.pool.asked + self.spare.asked), 3)
+
     async def test_a_write_without_an_answer_is_in_doubt(self):
         self.pool.answer("INSERT", break_link)
         conn = await self.connect()
