--- a/src/wasabipitch/callers.py
+++ b/src/wasabipitch/callers.py
@@ -39,6 +39,7 @@
 HANDSHAKE_TIMEOUT_S = 10.0
 GOODBYE_TIMEOUT_S = 0.5
 CALLER_CHECK_S = 0.5
+MAX_UTF8_BYTES = 4
 # Query attributes, besides the statement itself.
 PACKET_OVERHEAD_BYTES = 4096
 MAX_PREPARED_STATEMENTS = 256
@@ -264,7 +265,8 @@
             await self._runner.close_session(self.state)
 
     async def _run(self, sql: str, attributes: dict, *, binary: bool) -> None:
-        if len(sql) > self._listener.settings.max_statement_bytes:
+        limit = self._listener.settings.max_statement_bytes
+        if len(sql) * MAX_UTF8_BYTES > limit and len(sql.encode()) > limit:
             raise self._make_too_long()
         statement = read_statement(sql, attributes)
         if statement.local:
--- a/src/wasabipitch/catalogue.py
+++ b/src/wasabipitch/catalogue.py
@@ -126,7 +126,8 @@
         """
         if not session.group:
             raise Refused("no database is selected", code=ER_NO_DB)
-        self.check_group(session.group)
+        if session.pin is None:
+            self.check_group(session.group)
         cls = self.find_class(statement)
         hints = statement.hints
         request_id = hints.request_id or session.transaction_id
--- a/src/wasabipitch/session_runner.py
+++ b/src/wasabipitch/session_runner.py
@@ -4,6 +4,7 @@
 import itertools
 import logging
 from collections.abc import AsyncIterator, Callable
+from dataclasses import replace
 from typing import Protocol
 
 from wasabipitch.catalogue import Catalogue, Request
@@ -132,7 +133,8 @@
         req = self.catalogue.admit(session, statement)
         if not session.in_transaction and not session.autocommit:
             if kind is not Kind.BEGIN:
-                await self._run_silently(session, BEGIN)
+                hints = replace(statement.hints, request_id="")
+                await self._run_silently(session, replace(BEGIN, hints=hints))
             req.floor = session.floors.get(session.group)
         async with contextlib.aclosing(self._observe(session, req)) as replies:
             async for message in replies:
--- a/tests/wasabipitch/test_session_runner.py
+++ b/tests/wasabipitch/test_session_runner.py
@@ -42,6 +42,14 @@
         )
         self.assertNotEqual(self.spare.asked[0].session, self.pool.asked[0].session)
 
+    async def test_an_implicit_begin_has_its_statements_deadline(self):
+        conn = await self.connect(autocommit=False)
+        hint = "/* wasabipitch: id=a, class=lookup, deadline_ms=700 */"
+        await fetch(conn, f"{hint} INSERT INTO t VALUES (1)")
+        begin = self.pool.asked[0]
+        self.assertEqual((begin.request_id, begin.request_class), ("", "lookup"))
+        self.assertLessEqual(begin.deadline_ms, 700)
+
     async def test_autocommit_off_begins_and_on_commits(self):
         conn = await self.connect(autocommit=False)
         await fetch(conn, "SELECT DATABASE()")
@@ -233,8 +241,12 @@
 
     async def test_a_group_that_is_no_longer_declared(self):
         conn = await self.connect()
+        other = await self.connect()
+        await other.begin()
         rest = Deployment("test", DEPLOYMENT.groups[1:], DEPLOYMENT.classes)
         self.configuration.callback(rest, 2)
+        await fetch(other, "INSERT INTO t VALUES (1)")
+        await other.commit()
         await self.assert_fails(conn, "SELECT 1 FROM t", "1049.*NOT_RUN")
 
     async def test_query_attributes_are_hints(self):
