--- /dev/null
+++ b/src/proofs/scenarios.py
@@ -0,0 +1,134 @@
+"""Runs callers against a fleet while faults come, and reads the final state."""
+
+import asyncio
+from collections.abc import Sequence
+from dataclasses import dataclass
+
+import asyncmy
+
+from proofs.checker import Violation, check
+from proofs.faults import GROUP, Fault, find_primary
+from proofs.history import FinalState, History
+from proofs.recorder import SCHEMA, Recorder
+from standins.fleet import HARNESS_USER, Fleet, FleetConfig
+from wasabipitch.deployment import Deployment, Group, Instance, RequestClass
+from wasabipitch.models import Address
+
+DATA_CENTRES = ("thonburi", "bangna", "chatuchak")
+CALLERS = 8
+QUIET_S = 0.4  # of undisturbed work before and after each fault
+SETTLE_S = 20.0
+SETTLE_POLL_S = 0.1
+PAYMENT_DEADLINE_S = 4.0
+
+
+@dataclass(frozen=True)
+class Report:
+    """What came of a run.
+
+    Args:
+        violations: of the promises, judged by the checker.
+    """
+
+    history: History
+    state: FinalState
+    violations: list[Violation]
+
+
+def make_deployment(name: str = "proofs") -> Deployment:
+    """Return one group of three instances and the classes that callers use."""
+    instances = tuple(
+        Instance(name=f"w{number}", address="127.0.0.1:1", data_centre=data_centre)
+        for number, data_centre in enumerate(DATA_CENTRES, 1)
+    )
+    classes = (
+        RequestClass(name="lookup", max_age_s=2.0),
+        RequestClass(name="payment", idempotent=False, deadline_s=PAYMENT_DEADLINE_S),
+    )
+    return Deployment(name, (Group(name=GROUP, instances=instances),), classes)
+
+
+def make_fleet(**fields) -> Fleet:
+    """Return a fleet of three targets, two entries and two pools."""
+    return Fleet(FleetConfig(make_deployment(), DATA_CENTRES[:2], **fields))
+
+
+async def connect(address: Address, user: str = "app") -> asyncmy.Connection:
+    """Open a plain client connection to an entry or a target."""
+    return await asyncmy.connect(
+        host=address.ip, port=address.port, user=user, database=GROUP, autocommit=True
+    )
+
+
+async def run_statements(address: Address, statements: Sequence[str]) -> None:
+    """Run statements over one connection of their own."""
+    conn = await connect(address)
+    try:
+        async with conn.cursor() as cursor:
+            for statement in statements:
+                await cursor.execute(statement)
+    finally:
+        conn.close()
+
+
+async def run_scenario(
+    fleet: Fleet, faults: Sequence[Fault], seed: int, callers: int = CALLERS
+) -> Report:
+    """Run callers while faults come one after another, then judge the history.
+
+    Args:
+        fleet: running, and fresh: the tables are created here.
+        faults: each heals what it broke.
+        seed: of the callers' choices.
+        callers: how many work at once.
+    """
+    await run_statements(fleet.entries[0].address, SCHEMA)
+
+    def list_entries() -> list[Address]:
+        return [entry.address for entry in fleet.entries]
+
+    async with Recorder(list_entries, callers, seed) as recorder:
+        await asyncio.sleep(QUIET_S)
+        for fault in faults:
+            await fault(fleet)
+            await asyncio.sleep(QUIET_S)
+    state = await read_final_state(fleet)
+    return Report(recorder.history, state, check(recorder.history, state))
+
+
+async def read_final_state(fleet: Fleet) -> FinalState:
+    """Return all rows on the primary, once a group is whole again."""
+    await wait_same_logs(fleet)
+    address = fleet.processes[await find_primary(fleet)].address
+    conn = await connect(address, HARNESS_USER)
+    try:
+        async with conn.cursor() as cursor:
+            jobs = await _read_column(cursor, "value", "jobs")
+            payments = await _read_column(cursor, "value", "payments")
+            pairs = await _read_column(cursor, "side || ':' || value", "pairs")
+    finally:
+        conn.close()
+    return FinalState(jobs, payments, pairs)
+
+
+async def wait_same_logs(fleet: Fleet) -> None:
+    """Wait until all instances of the group answer and hold the same log."""
+    names = [i.name for i in fleet.deployment.group(GROUP).instances]
+    async with asyncio.timeout(SETTLE_S):
+        while True:
+            try:
+                rows = [
+                    await fleet.call_target(n, "CALL wasabipitch_status()")
+                    for n in names
+                ]
+            except (OSError, asyncmy.errors.Error):
+                rows = []
+            positions = {(r["last_term"], r["last_index"]) for r in rows}
+            if len(positions) == 1:
+                return
+            await asyncio.sleep(SETTLE_POLL_S)
+
+
+async def _read_column(cursor, column: str, table: str) -> tuple[str, ...]:
+    await cursor.execute(f"SELECT {column} FROM {table} ORDER BY id")
+    return tuple(row[0] for row in await cursor.fetchall())
