--- a/src/proofs/faults.py
+++ b/src/proofs/faults.py
@@ -14,7 +14,8 @@
 
 GROUP = "workshop"
 SHORT_FAULT_S = 1.5
-LEASE_S = 3.5  # longer than the lease of a change and than any suspicion
+LEASE_S = 3.5  # longer than any lease, and than the suspicion of a primary
+TAKEOVER_S = 6.0  # by when the second owner has taken over from a silent one
 OWNER_POLL_S = 0.05
 OWNER_TIMEOUT_S = 15.0
 
@@ -72,7 +73,7 @@
 
 async def pause_owner(fleet: Fleet) -> None:
     """Stop the owner past any lease, then let it wake as if nothing had been."""
-    await _pause(await find_owner(fleet), LEASE_S)
+    await _pause(await find_owner(fleet), TAKEOVER_S)
 
 
 async def cut_primary_from_group(fleet: Fleet) -> None:
@@ -94,7 +95,7 @@
     """Cut the primary off from the first owner only, past any suspicion."""
     primary = await find_primary(fleet)
     async with _cut_targets(fleet, primary, [(await find_owner(fleet)).name]):
-        await asyncio.sleep(LEASE_S)
+        await asyncio.sleep(TAKEOVER_S)
 
 
 async def isolate_primary(fleet: Fleet) -> None:
--- /dev/null
+++ b/tests/proofs/fleet_case.py
@@ -0,0 +1,26 @@
+"""The base of proofs over real processes: one fleet a test."""
+
+import unittest
+
+from proofs import checker, scenarios
+from proofs.history import Outcome
+
+SEED = 20261204
+OUTER_GAP_S = 9.0  # the outer limit for a change of primary
+
+
+class FleetCase(unittest.IsolatedAsyncioTestCase):
+    async def start(self, **fields):
+        fleet = await self.enterAsyncContext(scenarios.make_fleet(**fields))
+        return fleet
+
+    async def prove(self, *faults, seed=SEED, **fields):
+        """Run callers under faults; no promise may be broken."""
+        fleet = await self.start(**fields)
+        report = await scenarios.run_scenario(fleet, faults, seed)
+        summary = f"seed {seed}: {report.history.describe()}"
+        problems = checker.describe(report.violations)
+        self.assertEqual(report.violations, [], f"{summary}\n{problems}")
+        self.assertGreater(report.history.count(Outcome.OK), 0, summary)
+        self.assertLess(report.history.longest_write_gap_s(), OUTER_GAP_S, summary)
+        return report
