--- /dev/null
+++ b/src/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Open-loop load and measurements against a fleet of real processes."""
--- /dev/null
+++ b/src/bench/recording.py
@@ -0,0 +1,110 @@
+"""What became of every request, and its response time."""
+
+import enum
+import time
+from collections import Counter
+from dataclasses import dataclass
+
+from hdrh.histogram import HdrHistogram
+
+from bench.schedule import Arrival
+
+LOWEST_US = 1
+HIGHEST_US = 600_000_000
+SIGNIFICANT_DIGITS = 3
+US_PER_S = 1_000_000
+US_PER_MS = 1000
+
+
+class Outcome(enum.Enum):
+    """What became of a request.
+
+    ``GOOD`` is answered within the deadline of its class, ``LATE`` after it.
+    ``REFUSED`` is refused at once, ``EXPIRED`` after waiting, both NOT_RUN.
+    ``UNSENT``: the deadline passed while all connections were busy.
+    ``UNSURE`` got the verdict MAY_HAVE_RUN, ``STALE`` an older row than the
+    session had written.
+    """
+
+    GOOD = "good"
+    LATE = "late"
+    REFUSED = "refused"
+    EXPIRED = "expired"
+    UNSENT = "unsent"
+    UNSURE = "unsure"
+    UNANSWERED = "unanswered"
+    FAILED = "failed"
+    STALE = "stale"
+
+
+ANSWERED = (Outcome.GOOD, Outcome.LATE, Outcome.STALE)
+
+
+@dataclass(frozen=True, slots=True)
+class Sample:
+    """One request that is over.
+
+    Args:
+        done_s: since the start of the schedule.
+        response_s: from its scheduled arrival, so that a late start counts.
+        exchange_s: from when it was sent.
+    """
+
+    arrival: Arrival
+    outcome: Outcome
+    done_s: float
+    response_s: float
+    exchange_s: float
+
+
+class Recorder:
+    """Keeps a sample of every request.
+
+    Args:
+        start_s: the monotonic time at which the schedule starts.
+    """
+
+    def __init__(self, start_s: float) -> None:
+        self.start_s = start_s
+        self.samples: list[Sample] = []
+        self.errors: Counter[str] = Counter()
+        self.start_delays = new_histogram()
+
+    def age_s(self, arrival: Arrival) -> float:
+        """Return the time since a request's scheduled arrival."""
+        return time.monotonic() - self.start_s - arrival.at_s
+
+    def started(self, arrival: Arrival) -> None:
+        """Note when a connection took a request up."""
+        add(self.start_delays, self.age_s(arrival))
+
+    def record(
+        self, arrival: Arrival, outcome: Outcome, exchange_s: float = 0.0
+    ) -> None:
+        """Add what became of a request."""
+        response_s = self.age_s(arrival)
+        done_s = arrival.at_s + response_s
+        sample = Sample(arrival, outcome, done_s, response_s, exchange_s)
+        self.samples.append(sample)
+
+    def note_error(self, text: str) -> None:
+        """Count an error that no measure names."""
+        self.errors[text[:160]] += 1
+
+
+def new_histogram() -> HdrHistogram:
+    """Return an empty histogram of microseconds."""
+    return HdrHistogram(LOWEST_US, HIGHEST_US, SIGNIFICANT_DIGITS)
+
+
+def add(histogram: HdrHistogram, seconds: float) -> None:
+    """Add a time to a histogram."""
+    us = min(max(int(seconds * US_PER_S), LOWEST_US), HIGHEST_US)
+    histogram.record_value(us)
+
+
+def percentile_ms(histogram: HdrHistogram, percentile: float) -> float:
+    """Return a percentile in milliseconds; 0 if the histogram is empty."""
+    if not histogram.get_total_count():
+        return 0.0
+    return round(histogram.get_value_at_percentile(percentile) / US_PER_MS, 3)
--- /dev/null
+++ b/src/bench/schedule.py
@@ -0,0 +1,99 @@
+"""Arrivals by a seeded schedule, which does not depend on the answers."""
+
+import bisect
+import itertools
+import random
+from collections.abc import Iterator
+from dataclasses import dataclass
+
+from bench.experiments import Experiment, Phase, Work
+
+
+@dataclass(frozen=True, slots=True)
+class Arrival:
+    """One request to be sent.
+
+    Args:
+        at_s: since the start of the schedule.
+        phase: the phase's index.
+        group: the database group's name.
+        roams: whether the caller reconnects to another entry before it.
+        with_token: whether it then brings the session's token.
+    """
+
+    at_s: float
+    phase: int
+    group: str
+    work: Work
+    roams: bool = False
+    with_token: bool = False
+
+
+class WorkMix:
+    """Picks works by their shares."""
+
+    def __init__(self, works: tuple[Work, ...]) -> None:
+        self._works = works
+        self._sums = list(itertools.accumulate(w.share for w in works))
+
+    def pick(self, rng: random.Random) -> Work:
+        """Return a work, at random by share."""
+        point = rng.random() * self._sums[-1]
+        return self._works[bisect.bisect_right(self._sums, point)]
+
+
+def plan(
+    experiment: Experiment, groups: dict[str, float], rng: random.Random
+) -> list[Arrival]:
+    """Return all arrivals in their order.
+
+    Args:
+        experiment: gives mix and phases.
+        groups: what the slots of each group carry, in arrivals a second.
+        rng: seeded.
+    """
+    arrivals: list[Arrival] = []
+    for group, capacity in groups.items():
+        start_s = load = 0.0
+        for index, phase in enumerate(experiment.phases):
+            before = load or phase.load
+            times = _draw_times(phase, start_s, before, capacity, rng)
+            arrivals += _fill(experiment, index, group, times, rng)
+            start_s += phase.seconds
+            load = phase.load
+    arrivals.sort(key=lambda a: a.at_s)
+    return arrivals
+
+
+def _draw_times(
+    phase: Phase, start_s: float, before: float, capacity: float, rng: random.Random
+) -> Iterator[float]:
+    elapsed_s = 0.0
+    while True:
+        load = phase.load
+        if elapsed_s < phase.ramp_s:
+            load = before + (phase.load - before) * elapsed_s / phase.ramp_s
+        elapsed_s += rng.expovariate(load * capacity)
+        if elapsed_s >= phase.seconds:
+            return
+        yield start_s + elapsed_s
+
+
+def _fill(
+    experiment: Experiment,
+    index: int,
+    group: str,
+    times: Iterator[float],
+    rng: random.Random,
+) -> Iterator[Arrival]:
+    short = WorkMix(experiment.short_works)
+    stragglers = WorkMix(experiment.stragglers) if experiment.stragglers else None
+    roaming = experiment.roaming
+    for at_s in times:
+        roams = rng.random() < roaming.share
+        with_token = rng.random() < roaming.with_token
+        work = short.pick(rng)
+        yield Arrival(at_s, index, group, work, roams, with_token)
+        straggles = rng.random() < experiment.straggler_share
+        if straggles and stragglers and experiment.phases[index].stragglers:
+            yield Arrival(at_s, index, group, stragglers.pick(rng))
--- /dev/null
+++ b/src/bench/summaries.py
@@ -0,0 +1,224 @@
+"""Turns samples into results."""
+
+import dataclasses
+import statistics
+from collections import Counter, defaultdict
+from collections.abc import Iterable, Sequence
+
+from bench.experiments import Experiment
+from bench.recording import (
+    ANSWERED,
+    Outcome,
+    Sample,
+    add,
+    new_histogram,
+    percentile_ms,
+)
+from bench.results import (
+    ClassResult,
+    Comparison,
+    Measures,
+    PhaseResult,
+    RunResult,
+    Second,
+    Spread,
+    VariantSummary,
+)
+
+INTERVAL_S = 0.5
+REFUSALS = (Outcome.REFUSED, Outcome.EXPIRED)
+MEDIAN = 50
+TAIL = 99
+CALM = "calm"
+STRAGGLERS = "stragglers"
+CREST = "crest"
+
+
+def summarize_phases(
+    experiment: Experiment, samples: Sequence[Sample], slots: int
+) -> tuple[PhaseResult, ...]:
+    """Return the result of each phase, by the arrivals that fell in it.
+
+    Args:
+        experiment: whose phases they are.
+        samples: of the whole run.
+        slots: of all instances of all groups together.
+    """
+    by_phase: dict[int, list[Sample]] = defaultdict(list)
+    for sample in samples:
+        by_phase[sample.arrival.phase].append(sample)
+    return tuple(
+        _summarize_phase(phase.name, phase.seconds, by_phase[i], slots)
+        for i, phase in enumerate(experiment.phases)
+    )
+
+
+def _summarize_phase(
+    name: str, seconds: float, samples: Sequence[Sample], slots: int
+) -> PhaseResult:
+    refusals = [s.exchange_s for s in samples if s.outcome in REFUSALS]
+    refused = _collect(refusals)
+    short = [
+        s
+        for s in samples
+        if s.outcome in ANSWERED and not s.arrival.work.straggler
+    ]
+    response = _collect(s.response_s for s in short)
+    wait = _collect(s.response_s - s.arrival.work.work_ms / 1000 for s in short)
+    good = [s for s in samples if s.outcome is Outcome.GOOD]
+    return PhaseResult(
+        name=name,
+        seconds=seconds,
+        offered_per_s=round(len(samples) / seconds, 1),
+        offered_load=_compute_load(samples, seconds, slots),
+        good_load=_compute_load(good, seconds, slots),
+        refusals=len(refusals),
+        refusal_p50_ms=percentile_ms(refused, MEDIAN),
+        refusal_p99_ms=percentile_ms(refused, TAIL),
+        short_p50_ms=percentile_ms(response, MEDIAN),
+        short_p99_ms=percentile_ms(response, TAIL),
+        short_wait_p50_ms=percentile_ms(wait, MEDIAN),
+        short_wait_p99_ms=percentile_ms(wait, TAIL),
+        classes=tuple(_summarize_classes(samples)),
+    )
+
+
+def _compute_load(samples: Iterable[Sample], seconds: float, slots: int) -> float:
+    work_s = sum(s.arrival.work.work_ms for s in samples) / 1000
+    return round(work_s / (slots * seconds), 3)
+
+
+def _summarize_classes(samples: Sequence[Sample]) -> Iterable[ClassResult]:
+    by_class: dict[str, list[Sample]] = defaultdict(list)
+    for sample in samples:
+        by_class[sample.arrival.work.name].append(sample)
+    for name, members in sorted(by_class.items()):
+        times = _collect(s.response_s for s in members if s.outcome in ANSWERED)
+        yield ClassResult(
+            name=name,
+            offered=len(members),
+            outcomes=dict(Counter(s.outcome.value for s in members)),
+            p50_ms=percentile_ms(times, MEDIAN),
+            p99_ms=percentile_ms(times, TAIL),
+            max_ms=percentile_ms(times, 100),
+        )
+
+
+def list_seconds(samples: Sequence[Sample]) -> tuple[Second, ...]:
+    """Return the time line: arrivals when they came, the rest when it was over."""
+    offered: Counter[int] = Counter()
+    good: Counter[int] = Counter()
+    refused: Counter[int] = Counter()
+    times = defaultdict(new_histogram)
+    for sample in samples:
+        offered[int(sample.arrival.at_s / INTERVAL_S)] += 1
+        slot = int(sample.done_s / INTERVAL_S)
+        good[slot] += sample.outcome is Outcome.GOOD
+        refused[slot] += sample.outcome in REFUSALS
+        if sample.outcome in ANSWERED:
+            add(times[slot], sample.response_s)
+    last = max((*offered, *good), default=-1)
+    return tuple(
+        Second(
+            at_s=i * INTERVAL_S,
+            offered=offered[i] / INTERVAL_S,
+            good=good[i] / INTERVAL_S,
+            refused=refused[i] / INTERVAL_S,
+            p50_ms=percentile_ms(times[i], MEDIAN),
+            p99_ms=percentile_ms(times[i], TAIL),
+        )
+        for i in range(last + 1)
+    )
+
+
+def find_gap_s(done_s: Iterable[float], start_s: float, end_s: float) -> float:
+    """Return the longest interval between events from start to end."""
+    inside = sorted(t for t in done_s if start_s < t < end_s)
+    marks = [start_s, *inside, end_s]
+    return max(b - a for a, b in zip(marks, marks[1:], strict=False))
+
+
+def find_write_gap_s(
+    samples: Sequence[Sample], group: str, start_s: float, end_s: float
+) -> float:
+    """Return a group's longest interval without an acknowledged write."""
+    acknowledged = (
+        s.done_s
+        for s in samples
+        if s.arrival.group == group
+        and s.arrival.work.write
+        and s.outcome in (Outcome.GOOD, Outcome.LATE)
+    )
+    return round(find_gap_s(acknowledged, start_s, end_s), 3)
+
+
+def measure(
+    experiment: Experiment,
+    phases: Sequence[PhaseResult],
+    counters: dict[str, float],
+    gap_s: float | None,
+) -> Measures:
+    """Return the four measures of a run."""
+    by_name = {phase.name: phase for phase in phases}
+    calm, mixed, crest = (by_name.get(n) for n in (CALM, STRAGGLERS, CREST))
+    important = None
+    if crest is not None:
+        found = [c for c in crest.classes if c.name == experiment.important]
+        important = round(found[0].good_share, 4) if found else None
+    aged = counters.get("pool.reads.aged", 0)
+    replica = counters.get("pool.reads.replica", 0)
+    ratio = None
+    if calm is not None and mixed is not None and calm.short_wait_p99_ms:
+        ratio = round(mixed.short_wait_p99_ms / calm.short_wait_p99_ms, 2)
+    stale = sum(c.outcomes.get("stale", 0) for p in phases for c in p.classes)
+    return Measures(
+        replica_share=round(replica / aged, 4) if aged else None,
+        failover_gap_s=gap_s,
+        important_good=important,
+        crest_offered_load=crest.offered_load if crest else None,
+        crest_good_load=crest.good_load if crest else None,
+        refusal_p99_ms=crest.refusal_p99_ms if crest and crest.refusals else None,
+        wait_p99_calm_ms=calm.short_wait_p99_ms if calm else None,
+        wait_p99_stragglers_ms=mixed.short_wait_p99_ms if mixed else None,
+        wait_ratio=ratio,
+        stale=stale,
+    )
+
+
+def compare(experiment: str, runs: Sequence[RunResult]) -> Comparison:
+    """Return two variants' measures over all rounds, and their ratios."""
+    variants = list(dict.fromkeys(run.variant for run in runs))
+    summaries = tuple(
+        VariantSummary(v, _spread([r.measures for r in runs if r.variant == v]))
+        for v in variants
+    )
+    ratios = {}
+    for first, second in zip(
+        summaries[0].measures, summaries[-1].measures, strict=True
+    ):
+        if first.median and second.median:
+            ratios[first.name] = round(first.median / second.median, 3)
+    rounds = len(runs) // len(variants)
+    return Comparison(experiment, rounds, summaries, ratios, tuple(runs))
+
+
+def _spread(measures: Sequence[Measures]) -> tuple[Spread, ...]:
+    spreads = []
+    for field in dataclasses.fields(Measures):
+        values = [getattr(m, field.name) for m in measures]
+        known = [v for v in values if v is not None]
+        if not known:
+            spreads.append(Spread(field.name, None, None, None))
+            continue
+        median = round(statistics.median(known), 4)
+        spreads.append(Spread(field.name, median, min(known), max(known)))
+    return tuple(spreads)
+
+
+def _collect(seconds: Iterable[float]):
+    histogram = new_histogram()
+    for value in seconds:
+        add(histogram, value)
+    return histogram
+
+
