--- a/src/bench/results.py
+++ b/src/bench/results.py
@@ -181,3 +181,29 @@
     variants: tuple[VariantSummary, ...]
     ratios: dict[str, float]
     runs: tuple[RunResult, ...]
+
+
+@dataclass(frozen=True)
+class Point:
+    """What was measured at one size."""
+
+    size: int
+    values: dict[str, float]
+
+
+@dataclass(frozen=True)
+class Slope:
+    """How a cost grows with a size.
+
+    Args:
+        size: what the size counts.
+        per_unit: the least-squares line's rise for each unit, by value.
+        base: the line's value at size 0, by value.
+    """
+
+    name: str
+    title: str
+    size: str
+    points: tuple[Point, ...]
+    per_unit: dict[str, float]
+    base: dict[str, float]
--- /dev/null
+++ b/src/bench/slopes.py
@@ -0,0 +1,335 @@
+"""How the cost of each part grows with a size, measured at three or more."""
+
+import asyncio
+import random
+import statistics
+import time
+import tracemalloc
+from collections.abc import Awaitable, Callable, Iterable, Sequence
+from contextlib import AsyncExitStack
+
+from bench.callers import connect
+from bench.loops import GROUP, INSERT, READ, make_deployment, prepare_table
+from bench.peers import DATA_CENTRES, ListStore, Peer
+from bench.results import Point, Slope
+from bench.runs import ENTRY_SETTINGS, read_counters
+from bench.usage import MB, UsageMeter, read_process
+from standins.fleet import Fleet, FleetConfig
+from wasabipitch import contracts
+from wasabipitch import deployment as deployments
+from wasabipitch.contracts import Envelope
+from wasabipitch.members import LIVE, MemberTable
+from wasabipitch.messages import HostFact
+from wasabipitch.models import Address, Host
+from wasabipitch.store import HostList
+
+KB = 1024
+US_PER_S = 1_000_000
+CONNECTION_SIZES = (500, 1000, 2000)
+CONNECTION_BATCH = 50
+RATES_PER_S = (200, 400, 800)
+PACED_CONNECTIONS = 32
+ARRIVAL_RATES_PER_S = (25, 50, 100)
+GROUP_SIZES = (1, 2, 4)
+PEER_SIZES = (10, 20, 40)
+TABLE_SIZES = (100, 400, 1560)
+CONFIGURATION_SIZES = (100, 400, 1700)
+DIGESTS = 200
+HEADER_BYTES = 52
+MEASURE_S = 4.0
+IDLE_S = 10.0
+SETTLE_S = 2.0
+SEED = 1
+
+
+async def measure_connections() -> Slope:
+    """Callers connected to one entry, each with a session, all idle."""
+    points = []
+    async with Fleet(_make_config()) as fleet, AsyncExitStack() as stack:
+        entry = fleet.entries[0]
+        await prepare_table(entry.address)
+        count = 0
+        for size in CONNECTION_SIZES:
+            while count < size:
+                batch = min(CONNECTION_BATCH, size - count)
+                for conn in await _open(entry.address, batch):
+                    stack.callback(conn.close)
+                count += batch
+            await asyncio.sleep(SETTLE_S)
+            meter = UsageMeter(fleet)
+            await asyncio.sleep(MEASURE_S)
+            memory = read_process(entry.process.pid).rss_bytes
+            cores = meter.read_cores()[entry.name]
+            points.append(Point(size, {"rss_kb": memory / KB, "cores": cores}))
+    return fit("connections", "idle callers at one entry", "connections", points)
+
+
+async def measure_reads() -> Slope:
+    """Reads a second through one entry and one pool."""
+    points = await _measure_rates(READ)
+    return fit("reads", "reads through one entry and pool", "statements/s", points)
+
+
+async def measure_writes() -> Slope:
+    """Writes a second through one entry and one pool."""
+    points = await _measure_rates(INSERT)
+    return fit("writes", "writes through one entry and pool", "statements/s", points)
+
+
+async def measure_arrivals() -> Slope:
+    """New callers a second, each with one read that needs a confirmed floor."""
+    points = []
+    async with Fleet(_make_config()) as fleet:
+        address = fleet.entries[0].address
+        await prepare_table(address)
+        for rate in ARRIVAL_RATES_PER_S:
+            meter = UsageMeter(fleet)
+            await _pace(rate, lambda: _arrive(address))
+            points.append(Point(rate, _pick_cores(meter)))
+    return fit("arrivals", "new callers that read once", "arrivals/s", points)
+
+
+async def measure_groups() -> Slope:
+    """Groups owned by one pool, idle."""
+    points = []
+    for size in GROUP_SIZES:
+        async with Fleet(_make_config(groups=size)) as fleet:
+            await asyncio.sleep(SETTLE_S)
+            before = await read_counters(fleet)
+            meter = UsageMeter(fleet)
+            await asyncio.sleep(IDLE_S)
+            after = await read_counters(fleet)
+            pool = fleet.pools[0]
+            values = _pick_cores(meter)
+            values["pool_rss_kb"] = read_process(pool.process.pid).rss_bytes / KB
+            for name in ("store.reads", "store.writes"):
+                values[f"{name}/s"] = (after[name] - before[name]) / IDLE_S
+            points.append(Point(size, values))
+    return fit("groups", "groups owned by one pool, idle", "groups", points)
+
+
+async def measure_processes() -> Slope:
+    """Entries and pools on one platform, idle."""
+    points = []
+    for size in (1, 2, 4):
+        centres = (DATA_CENTRES * 2)[:size]
+        async with Fleet(_make_config(data_centres=centres)) as fleet:
+            await asyncio.sleep(SETTLE_S)
+            before = await read_counters(fleet)
+            meter = UsageMeter(fleet)
+            await asyncio.sleep(IDLE_S)
+            after = await read_counters(fleet)
+            usage = {u.role: u.cores / u.processes for u in meter.summarize()}
+            values = {f"{r}_cores_each": usage[r] for r in ("entry", "pool")}
+            for name in ("store.reads", "store.writes"):
+                values[f"{name}/s"] = (after[name] - before[name]) / IDLE_S
+            points.append(Point(size, values))
+    return fit("processes", "hosts with an entry and a pool, idle", "hosts", points)
+
+
+async def measure_peers() -> Slope:
+    """Members that exchange digests, all of them in this process."""
+    points = []
+    for size in PEER_SIZES:
+        store = ListStore()
+        async with AsyncExitStack() as stack:
+            peers = [Peer(i, store) for i in range(size)]
+            hosts = []
+            for peer in peers:
+                hosts.append(await peer.start())
+                stack.push_async_callback(peer.stop)
+            store.listed = HostList(tuple(hosts), 1)
+            for peer in peers:
+                peer.run()
+            await asyncio.sleep(SETTLE_S)
+            points.append(Point(size, await _watch_peers(peers)))
+    return fit("peers", "members, each for itself", "members", points)
+
+
+async def measure_table() -> Slope:
+    """What one member holds and sends in a fleet of a size."""
+    points = []
+    for size in TABLE_SIZES:
+        rng = random.Random(SEED)
+        tracemalloc.start()
+        table = MemberTable(_make_host(0), "0005", rng)
+        for i in range(1, size):
+            table.merge(HostFact(_make_host(i), f"{i:016x}", i, LIVE), 0.0)
+        held, _ = tracemalloc.get_traced_memory()
+        tracemalloc.stop()
+        start_s = time.process_time()
+        digests = [table.digest(1, f"pool-{i % size}") for i in range(DIGESTS)]
+        spent_s = time.process_time() - start_s
+        frames = [len(contracts.pack(Envelope(1, 1, d))) for d in digests]
+        values = {
+            "table_kb": held / KB,
+            "digest_us": spent_s / DIGESTS * US_PER_S,
+            "digest_bytes": statistics.mean(frames),
+            "news_s": table.suspect_s(),
+        }
+        points.append(Point(size, values))
+    return fit("table", "the member table of one process", "members", points)
+
+
+async def measure_configuration() -> Slope:
+    """A configuration of so many groups: its text, and reading it."""
+    points = []
+    for size in CONFIGURATION_SIZES:
+        text = deployments.dump(_make_large(size))
+        tracemalloc.start()
+        start_s = time.process_time()
+        held = deployments.parse(text)
+        spent_s = time.process_time() - start_s
+        memory, peak = tracemalloc.get_traced_memory()
+        tracemalloc.stop()
+        plain_s = _time_parse(text)
+        values = {
+            "text_kb": len(text) / KB,
+            "parse_s": plain_s,
+            "traced_parse_s": spent_s,
+            "held_mb": memory / MB,
+            "peak_mb": peak / MB,
+            "groups": float(len(held.groups)),
+        }
+        points.append(Point(size, values))
+    return fit("configuration", "a configuration's size", "groups", points)
+
+
+def fit(name: str, title: str, size: str, points: Sequence[Point]) -> Slope:
+    """Return the points with the least-squares line of each value."""
+    sizes = [float(p.size) for p in points]
+    per_unit, base = {}, {}
+    for key in points[0].values:
+        line = statistics.linear_regression(sizes, [p.values[key] for p in points])
+        per_unit[key] = line.slope
+        base[key] = line.intercept
+    rounded = tuple(
+        Point(p.size, {k: round(v, 5) for k, v in p.values.items()}) for p in points
+    )
+    return Slope(name, title, size, rounded, per_unit, base)
+
+
+def _make_config(
+    groups: int = 1, data_centres: Iterable[str] = DATA_CENTRES[:1]
+) -> FleetConfig:
+    deployment = make_deployment(groups=groups, connections=64)
+    return FleetConfig(deployment, tuple(data_centres), entry_settings=ENTRY_SETTINGS)
+
+
+async def _open(address: Address, count: int) -> list:
+    return await asyncio.gather(*(connect(address, GROUP) for _ in range(count)))
+
+
+def _pick_cores(meter: UsageMeter) -> dict[str, float]:
+    cores = {u.role: u.cores for u in meter.summarize()}
+    return {f"{role}_cores": cores[role] for role in ("entry", "pool")}
+
+
+async def _measure_rates(statement: str) -> list[Point]:
+    points = []
+    async with Fleet(_make_config()) as fleet, AsyncExitStack() as stack:
+        await prepare_table(fleet.entries[0].address)
+        conns = await _open(fleet.entries[0].address, PACED_CONNECTIONS)
+        idle: asyncio.Queue = asyncio.Queue()
+        for conn in conns:
+            stack.callback(conn.close)
+            idle.put_nowait(conn)
+        for rate in RATES_PER_S:
+            meter = UsageMeter(fleet)
+            start_s = time.monotonic()
+            count = await _pace(rate, lambda: _send(idle, statement))
+            values = _pick_cores(meter)
+            values["sent/s"] = count / (time.monotonic() - start_s)
+            points.append(Point(rate, values))
+    return points
+
+
+async def _send(idle: asyncio.Queue, statement: str) -> None:
+    conn = await idle.get()
+    try:
+        async with conn.cursor() as cursor:
+            await cursor.execute(statement)
+    finally:
+        idle.put_nowait(conn)
+
+
+async def _arrive(address: Address) -> None:
+    conn = await connect(address, GROUP)
+    try:
+        async with conn.cursor() as cursor:
+            await cursor.execute(READ)
+    finally:
+        conn.close()
+
+
+async def _pace(rate: float, work: Callable[[], Awaitable[None]]) -> int:
+    """Start work at a rate, whether the work before is over or not."""
+    start_s = time.monotonic()
+    count = int(rate * MEASURE_S)
+    async with asyncio.TaskGroup() as tasks:
+        for i in range(count):
+            wait_s = start_s + i / rate - time.monotonic()
+            if wait_s > 0:
+                await asyncio.sleep(wait_s)
+            tasks.create_task(work())
+    return count
+
+
+async def _watch_peers(peers: Sequence[Peer]) -> dict[str, float]:
+    answered = sum(p.answered for p in peers)
+    start_s, cpu_s = time.monotonic(), time.process_time()
+    await asyncio.sleep(IDLE_S)
+    elapsed_s = time.monotonic() - start_s
+    exchanges = (sum(p.answered for p in peers) - answered) / elapsed_s / len(peers)
+    digest = peers[0].membership.table.digest(1, "")
+    size = len(contracts.pack(Envelope(1, 1, digest))) + HEADER_BYTES
+    return {
+        "cores_each": (time.process_time() - cpu_s) / elapsed_s / len(peers),
+        "exchanges/s": exchanges,
+        # Each starts as many exchanges as it answers, of two digests each.
+        "bytes/s": exchanges * 2 * 2 * size,
+        "known_live": float(len(peers[0].membership.live("pool"))),
+    }
+
+
+def _make_host(number: int) -> Host:
+    address = f"10.20.{number // 250}.{number % 250}:40000"
+    name = f"pool-{number}"
+    return Host(name, "pool", address, DATA_CENTRES[number % len(DATA_CENTRES)])
+
+
+def _make_large(groups: int) -> deployments.Deployment:
+    return deployments.Deployment(
+        name="large",
+        groups=tuple(
+            deployments.Group(
+                name=f"workshop{i}",
+                instances=tuple(
+                    deployments.Instance(
+                        f"workshop{i}-{dc}", f"10.{i // 250}.{i % 250}.{j}:3306", dc
+                    )
+                    for j, dc in enumerate(DATA_CENTRES, start=1)
+                ),
+            )
+            for i in range(groups)
+        ),
+    )
+
+
+def _time_parse(text: str) -> float:
+    start_s = time.process_time()
+    deployments.parse(text)
+    return time.process_time() - start_s
+
+
+SLOPES: dict[str, Callable[[], Awaitable[Slope]]] = {
+    "connections": measure_connections,
+    "reads": measure_reads,
+    "writes": measure_writes,
+    "arrivals": measure_arrivals,
+    "groups": measure_groups,
+    "processes": measure_processes,
+    "peers": measure_peers,
+    "table": measure_table,
+    "configuration": measure_configuration,
+}
--- a/src/bench/summaries.py
+++ b/src/bench/summaries.py
@@ -1,6 +1,7 @@
 """Turns samples into results."""
 
 import dataclasses
+import itertools
 import statistics
 from collections import Counter, defaultdict
 from collections.abc import Iterable, Sequence
@@ -59,9 +60,7 @@
     refusals = [s.exchange_s for s in samples if s.outcome in REFUSALS]
     refused = _collect(refusals)
     short = [
-        s
-        for s in samples
-        if s.outcome in ANSWERED and not s.arrival.work.straggler
+        s for s in samples if s.outcome in ANSWERED and not s.arrival.work.straggler
     ]
     response = _collect(s.response_s for s in short)
     wait = _collect(s.response_s - s.arrival.work.work_ms / 1000 for s in short)
@@ -135,7 +134,7 @@
     """Return the longest interval between events from start to end."""
     inside = sorted(t for t in done_s if start_s < t < end_s)
     marks = [start_s, *inside, end_s]
-    return max(b - a for a, b in zip(marks, marks[1:], strict=False))
+    return max(b - a for a, b in itertools.pairwise(marks))
 
 
 def find_write_gap_s(
@@ -220,5 +219,3 @@
     for value in seconds:
         add(histogram, value)
     return histogram
-
-
--- /dev/null
+++ b/src/wasabipitch/cli/bench.py
@@ -0,0 +1,27 @@
+"""The program ``wasabipitch-bench``."""
+
+import sys
+
+import fire
+
+from bench.commands import Commands
+from wasabipitch.exceptions import SettingsError
+
+NAME = "wasabipitch-bench"
+EXIT_USAGE = 2
+SWITCHES = ("--json",)
+
+
+def main() -> None:
+    """Read the command line and carry the command out."""
+    # ``fire`` would take the word after a switch for its value.
+    args = [f"{arg}=True" if arg in SWITCHES else arg for arg in sys.argv[1:]]
+    try:
+        fire.Fire(Commands, args, name=NAME, serialize=lambda _: None)
+    except SettingsError as exc:
+        print(exc.message, file=sys.stderr)
+        sys.exit(EXIT_USAGE)
+
+
+if __name__ == "__main__":
+    main()
