--- a/src/bench/peers.py
+++ b/src/bench/peers.py
@@ -7,7 +7,7 @@
 from wasabipitch.events import Timeline
 from wasabipitch.exceptions import NotOwner
 from wasabipitch.hosts import Membership
-from wasabipitch.links import Exchange, LinkServer
+from wasabipitch.linkserver import Exchange, LinkServer
 from wasabipitch.messages import Digest
 from wasabipitch.models import Address, Host
 from wasabipitch.store import HostList, Record
--- a/src/wasabipitch/control.py
+++ b/src/wasabipitch/control.py
@@ -6,7 +6,8 @@
 from wasabipitch.events import Timeline
 from wasabipitch.exceptions import LinkError, SettingsError
 from wasabipitch.hosts import Membership
-from wasabipitch.links import Cuts, Exchange, Handler
+from wasabipitch.links import Cuts
+from wasabipitch.linkserver import Exchange, Handler
 from wasabipitch.messages import (
     AskEvents,
     AskStatus,
--- a/src/wasabipitch/entry.py
+++ b/src/wasabipitch/entry.py
@@ -13,7 +13,8 @@
 from wasabipitch.events import Timeline
 from wasabipitch.frontend import Frontend
 from wasabipitch.hosts import Membership
-from wasabipitch.links import Cuts, Exchange, LinkServer
+from wasabipitch.links import Cuts
+from wasabipitch.linkserver import Exchange, LinkServer
 from wasabipitch.messages import Message, ProcessState
 from wasabipitch.metrics import StatsdMetrics
 from wasabipitch.models import Address, Host
--- a/src/wasabipitch/groups.py
+++ b/src/wasabipitch/groups.py
@@ -21,7 +21,8 @@
 from wasabipitch.floors import FloorConfirmer
 from wasabipitch.health import Monitor, age_s
 from wasabipitch.limits import Scheduler
-from wasabipitch.links import Exchange, describe_failure
+from wasabipitch.links import describe_failure
+from wasabipitch.linkserver import Exchange
 from wasabipitch.messages import Execute, GroupState, InstanceState, Kind, Opinion
 from wasabipitch.metrics import Metrics
 from wasabipitch.models import Host
--- a/src/wasabipitch/hosts.py
+++ b/src/wasabipitch/hosts.py
@@ -29,7 +29,8 @@
 from wasabipitch.exceptions import WasabipitchError
 from wasabipitch.hostlist import watch_hosts
 from wasabipitch.linkbook import LinkBook, lacks_descriptors
-from wasabipitch.links import Cuts, Exchange, RemoteError
+from wasabipitch.links import Cuts, RemoteError
+from wasabipitch.linkserver import Exchange
 from wasabipitch.members import (
     DEAD,
     LEAVING,
--- /dev/null
+++ b/src/wasabipitch/linkserver.py
@@ -0,0 +1,195 @@
+"""The serving end of links: accepts peers and hands requests to a handler."""
+
+import asyncio
+import contextlib
+import logging
+from collections.abc import Awaitable, Callable
+
+from wasabipitch import contracts
+from wasabipitch.contracts import Envelope
+from wasabipitch.events import Clock
+from wasabipitch.exceptions import LinkError, WasabipitchError
+from wasabipitch.links import (
+    HEARTBEAT_NUMBER,
+    WRITE_HIGH_WATER_BYTES,
+    Cuts,
+    describe_failure,
+    read_envelope,
+)
+from wasabipitch.messages import Cancel, Execute, Heartbeat, Hello, Message
+from wasabipitch.models import Address, Host
+from wasabipitch.verdict import Verdict
+
+logger = logging.getLogger(__name__)
+
+
+class Exchange:
+    """One request that came over a link, and the way to answer it.
+
+    Args:
+        message: the request.
+        peer: who sent it.
+    """
+
+    def __init__(self, connection: "LinkConnection", envelope: Envelope) -> None:
+        self.message = envelope.message
+        self.connection = connection
+        self._number = envelope.number
+
+    @property
+    def peer(self) -> Host | None:
+        """Who sent the request, if its hello has come."""
+        return self.connection.peer
+
+    async def send(self, message: Message, *, more: bool = False) -> None:
+        """Send a message of the reply; ``more`` if others follow it."""
+        await self.connection.send(self._number, message, more)
+
+
+Handler = Callable[[Exchange], Awaitable[Message | None]]
+PeerLost = Callable[["LinkConnection"], Awaitable[None]]
+
+
+class LinkConnection:
+    """The serving end of one connection from a peer."""
+
+    def __init__(
+        self, server: "LinkServer", reader: asyncio.StreamReader, writer
+    ) -> None:
+        self.peer: Host | None = None
+        self.incarnation = ""
+        self._server = server
+        self._reader = reader
+        self._writer = writer
+        self._tasks: dict[int, asyncio.Task] = {}
+
+    async def send(self, number: int, message: Message, more: bool = False) -> None:
+        """Send a message under a request's number."""
+        if self._dropped() or self._writer.is_closing():
+            return
+        envelope = Envelope(number, self._server.clock.tick(), message, more)
+        self._writer.write(contracts.pack(envelope))
+        if self._writer.transport.get_write_buffer_size() > WRITE_HIGH_WATER_BYTES:
+            with contextlib.suppress(OSError):
+                await self._writer.drain()
+
+    def close(self) -> None:
+        """Close the connection; what is being served is cancelled."""
+        self._writer.close()
+
+    async def run(self) -> None:
+        """Serve requests until the peer closes the connection."""
+        try:
+            while True:
+                envelope = await read_envelope(self._reader)
+                if not self._dropped():
+                    self._accept(envelope)
+        except (OSError, asyncio.IncompleteReadError):
+            pass
+        except LinkError as exc:
+            logger.warning("link from %s: %s", self._peer_name(), exc)
+        finally:
+            for task in list(self._tasks.values()):
+                task.cancel()
+            self._writer.close()
+
+    def _accept(self, envelope: Envelope) -> None:
+        self._server.clock.observe(envelope.clock)
+        message = envelope.message
+        if isinstance(message, Hello):
+            self.peer = message.host
+            self.incarnation = message.incarnation
+        elif isinstance(message, Heartbeat):
+            self._answer_heartbeat()
+        elif isinstance(message, Cancel):
+            task = self._tasks.get(envelope.number)
+            if task is not None:
+                task.cancel()
+        else:
+            task = asyncio.create_task(self._serve(envelope))
+            self._tasks[envelope.number] = task
+            task.add_done_callback(lambda _: self._tasks.pop(envelope.number, None))
+
+    def _answer_heartbeat(self) -> None:
+        clock = self._server.clock.tick()
+        envelope = Envelope(HEARTBEAT_NUMBER, clock, Heartbeat())
+        self._writer.write(contracts.pack(envelope))
+
+    async def _serve(self, envelope: Envelope) -> None:
+        exchange = Exchange(self, envelope)
+        try:
+            reply = await self._server.handler(exchange)
+            if reply is not None:
+                await exchange.send(reply)
+        except WasabipitchError as exc:
+            await exchange.send(describe_failure(exc))
+        except Exception as exc:
+            logger.exception("request %s failed", type(envelope.message).__name__)
+            is_statement = isinstance(envelope.message, Execute)
+            verdict = Verdict.MAY_HAVE_RUN if is_statement else Verdict.NOT_RUN
+            error = WasabipitchError(f"internal error: {exc!r}", verdict=verdict)
+            await exchange.send(describe_failure(error))
+
+    def _dropped(self) -> bool:
+        return self.peer is not None and self._server.cuts.drops(self.peer.name)
+
+    def _peer_name(self) -> str:
+        return self.peer.name if self.peer else "unknown peer"
+
+
+class LinkServer:
+    """Accepts links and hands each request to a handler.
+
+    Each request runs in a task of its own, which is cancelled when the peer
+    cancels the request or its connection closes.
+
+    Args:
+        handler: returns the reply, or sends it itself and returns None.
+        clock: carried on every message.
+        on_peer_lost: called when a peer's connection has closed.
+        cuts: the peers whose traffic is dropped, in fault injection.
+    """
+
+    def __init__(
+        self,
+        handler: Handler,
+        clock: Clock,
+        *,
+        on_peer_lost: PeerLost | None = None,
+        cuts: Cuts | None = None,
+    ) -> None:
+        self.handler = handler
+        self.clock = clock
+        self.cuts = cuts or Cuts()
+        self._on_peer_lost = on_peer_lost
+        self._server: asyncio.Server | None = None
+        self._connections: set[LinkConnection] = set()
+
+    async def start(self, address: Address) -> Address:
+        """Listen on the address and return it; port 0 takes a free one."""
+        self._server = await asyncio.start_server(
+            self._accept, address.ip, address.port
+        )
+        ip, port = self._server.sockets[0].getsockname()[:2]
+        return Address(ip, port)
+
+    async def close(self) -> None:
+        """Stop listening and close every connection."""
+        if self._server is None:
+            return
+        self._server.close()
+        self._server = None
+        for connection in self._connections:
+            connection.close()
+        while self._connections:
+            await asyncio.sleep(0)
+
+    async def _accept(self, reader: asyncio.StreamReader, writer) -> None:
+        connection = LinkConnection(self, reader, writer)
+        self._connections.add(connection)
+        try:
+            await connection.run()
+        finally:
+            self._connections.discard(connection)
+            if self._on_peer_lost is not None:
+                await self._on_peer_lost(connection)
--- a/src/wasabipitch/pool.py
+++ b/src/wasabipitch/pool.py
@@ -15,7 +15,8 @@
 from wasabipitch.exceptions import NotOwner, Stopping, WasabipitchError
 from wasabipitch.groups import GroupContext, GroupServer
 from wasabipitch.hosts import Membership
-from wasabipitch.links import Cuts, Exchange, LinkConnection, LinkServer
+from wasabipitch.links import Cuts
+from wasabipitch.linkserver import Exchange, LinkConnection, LinkServer
 from wasabipitch.messages import (
     AskOpinion,
     Done,
--- a/src/wasabipitch/reads.py
+++ b/src/wasabipitch/reads.py
@@ -10,7 +10,7 @@
 from wasabipitch.deployment import RequestClass
 from wasabipitch.exceptions import TargetDown, TargetLost, WasabipitchError
 from wasabipitch.limits import Lane, Ticket
-from wasabipitch.links import Exchange
+from wasabipitch.linkserver import Exchange
 from wasabipitch.messages import Execute, Result, Rows
 from wasabipitch.models import Position
 from wasabipitch.parts import GroupParts, Lease
--- a/tests/proofs/test_mechanisms.py
+++ b/tests/proofs/test_mechanisms.py
@@ -19,7 +19,8 @@
 from wasabipitch.events import Clock
 from wasabipitch.floors import FloorConfirmer
 from wasabipitch.groups import GroupServer
-from wasabipitch.links import Link, LinkServer, RemoteError
+from wasabipitch.links import Link, RemoteError
+from wasabipitch.linkserver import LinkServer
 from wasabipitch.messages import Done, EndSession, Hello, Kind, OfferConfiguration
 from wasabipitch.models import Address, Host
 from wasabipitch.promotion import Promoter
--- a/tests/wasabipitch/entry_harness.py
+++ b/tests/wasabipitch/entry_harness.py
@@ -15,7 +15,8 @@
 from wasabipitch.dispatch import Dispatcher
 from wasabipitch.events import Clock, Timeline
 from wasabipitch.frontend import Frontend
-from wasabipitch.links import Exchange, Link, LinkServer, describe_failure
+from wasabipitch.links import Link, describe_failure
+from wasabipitch.linkserver import Exchange, LinkServer
 from wasabipitch.messages import EndSession, Execute, Hello, Kind, Message, Result
 from wasabipitch.metrics import StatsdMetrics
 from wasabipitch.models import Address, Column, Host, Position
--- a/tests/wasabipitch/processes.py
+++ b/tests/wasabipitch/processes.py
@@ -8,7 +8,8 @@
 from wasabipitch.control import ControlServer
 from wasabipitch.events import Timeline
 from wasabipitch.hosts import Membership
-from wasabipitch.links import Cuts, LinkServer
+from wasabipitch.links import Cuts
+from wasabipitch.linkserver import LinkServer
 from wasabipitch.messages import ProcessState
 from wasabipitch.models import Address, Host
 
--- a/tests/wasabipitch/test_links.py
+++ b/tests/wasabipitch/test_links.py
@@ -5,14 +5,8 @@
 
 from wasabipitch.events import Clock
 from wasabipitch.exceptions import LinkDown, LinkLost, NoTarget
-from wasabipitch.links import (
-    HEARTBEAT_S,
-    Cuts,
-    Link,
-    LinkConnection,
-    LinkServer,
-    RemoteError,
-)
+from wasabipitch.links import HEARTBEAT_S, Cuts, Link, RemoteError
+from wasabipitch.linkserver import LinkConnection, LinkServer
 from wasabipitch.messages import AskStatus, Done, EndSession, Hello, Rows
 from wasabipitch.models import Address, Host
 from wasabipitch.verdict import Verdict
