--- a/src/wasabipitch/pool.py
+++ b/src/wasabipitch/pool.py
@@ -15,7 +15,8 @@
 from wasabipitch.exceptions import NotOwner, Stopping, WasabipitchError
 from wasabipitch.groups import GroupContext, GroupServer
 from wasabipitch.hosts import Membership
-from wasabipitch.links import Cuts, Exchange, LinkConnection, LinkServer
+from wasabipitch.links import Cuts
+from wasabipitch.linkserver import Exchange, LinkConnection, LinkServer
 from wasabipitch.messages import (
     AskOpinion,
     Done,
@@ -252,7 +253,7 @@
 
     def _share_connections(self, name: str, deployment: Deployment) -> float:
         if deployment.policy.pooling == "entry":
-            return 1 / max(1, len(self._membership.owners(name)))
+            return 1 / max(1, len(self._membership.live("pool")))
         rank = self._membership.rank(name)
         return FIRST_OWNER_SHARE if rank == 0 else 1 - FIRST_OWNER_SHARE
 
