--- a/src/proofs/faults.py
+++ b/src/proofs/faults.py
@@ -58,6 +58,14 @@
     await fleet.start_pool(pool.name, _data_centre(fleet, pool))
 
 
+async def stop_owner(fleet: Fleet) -> None:
+    """Stop the owner gracefully; it comes back after a while."""
+    pool = await find_owner(fleet)
+    await pool.stop()
+    await asyncio.sleep(SHORT_FAULT_S)
+    await fleet.start_pool(pool.name, _data_centre(fleet, pool))
+
+
 async def kill_entry(fleet: Fleet) -> None:
     """Kill the first entry; it comes back after a while."""
     entry = fleet.entries[0]
