Let the primary serve an aged read that waits in its lane

Cause: a read for which no replica suited waited in the primary's lane; once a replica came to suit, the primary left the read to it, but replicas don't look in that lane.

--- a/src/wasabipitch/reads.py
+++ b/src/wasabipitch/reads.py
@@ -102,13 +102,15 @@
     ) -> Ticket:
         router = self._parts.router
         age_s = cls.max_age_s
-        if age_s is None or not self._parts.policy.replica_reads:
+        aged = age_s is not None and self._parts.policy.replica_reads
+        if aged and router.has_replica(floor, age_s):
+            lane = Lane.REPLICA
+            may_run_on = partial(router.may_read_aged, floor=floor, max_age_s=age_s)
+        else:
+            # Replicas never look in this lane, even if one comes to suit later.
             lane = Lane.PRIMARY
             may_run_on = partial(router.may_read, floor=floor)
             await self._refresh_primary(floor)
-        else:
-            lane = Lane.REPLICA if router.has_replica(floor, age_s) else Lane.PRIMARY
-            may_run_on = partial(router.may_read_aged, floor=floor, max_age_s=age_s)
         return Ticket(
             session=req.session,
             request_class=cls,
