--- a/src/standins/server.py
+++ b/src/standins/server.py
@@ -19,6 +19,7 @@
 from mysql_mimic.stream import ConnectionClosed, MysqlStream
 from mysql_mimic.types import ColumnType
 
+from standins import prepared
 from standins.controls import Controls
 from standins.exceptions import (
     ACCESS_DENIED,
@@ -87,7 +88,7 @@
 
     async def write(self, data: bytes, drain: bool = True) -> None:
         """Write one packet."""
-        await self.wait_open()
+        await self._wait_writable()
         await self._inner.write(data, drain)
 
     def write_many(self, items: Sequence[bytes]) -> None:
@@ -100,7 +101,7 @@
 
     async def drain(self) -> None:
         """Send what is buffered."""
-        await self.wait_open()
+        await self._wait_writable()
         await self._inner.drain()
 
     def reset_seq(self) -> None:
@@ -112,6 +113,11 @@
         if self.is_cut:
             await self._instance.changed.wait_for(lambda: not self.is_cut)
 
+    async def _wait_writable(self) -> None:
+        await self.wait_open()
+        if self._inner.writer.is_closing():
+            raise ConnectionClosed
+
     async def _read_packet(self) -> bytes:
         # The library's own read mistakes a header that arrives in two parts.
         data = b""
@@ -174,6 +180,21 @@
         if self.session.username is None:
             raise SqlError(ACCESS_DENIED, f"Access denied for user '{username}'")
 
+    async def handle_stmt_execute(self, data: bytes) -> None:
+        """Execute a prepared statement with its parameters quoted."""
+        stmt = self.get_stmt(prepared.statement_id(data))
+        if not stmt.num_params:
+            await super().handle_stmt_execute(data)
+            return
+        bound = prepared.bind(stmt, data, self.capabilities, self.client_charset)
+        self.prepared_stmts[stmt.stmt_id] = bound.stmt
+        try:
+            await super().handle_stmt_execute(bound.data)
+        finally:
+            self.prepared_stmts[stmt.stmt_id] = stmt
+            stmt.cursor = bound.stmt.cursor
+            stmt.param_buffers = None
+
     def peer_left(self) -> None:
         """End the statement in progress; across a cut, nobody would notice."""
         if not self.stream.is_cut:
--- a/src/wasabipitch/catalogue.py
+++ b/src/wasabipitch/catalogue.py
@@ -97,7 +97,9 @@
         return cls(frozenset(g.name for g in deployment.groups), classes, shapes)
 
     def check_group(self, name: str) -> None:
-        """Raise ``UnknownGroup`` unless a group of that name is declared."""
+        """Raise ``Refused`` unless a group of that name is declared."""
+        if not self.groups:
+            raise Refused("no configuration is in force yet")
         if name not in self.groups:
             raise UnknownGroup(f"unknown database {name!r}: no such group is declared")
 
@@ -124,7 +126,8 @@
         """
         if not session.group:
             raise Refused("no database is selected", code=ER_NO_DB)
-        self.check_group(session.group)
+        if session.pin is None:
+            self.check_group(session.group)
         cls = self.find_class(statement)
         hints = statement.hints
         request_id = hints.request_id or session.transaction_id
--- a/src/wasabipitch/dispatch.py
+++ b/src/wasabipitch/dispatch.py
@@ -21,6 +21,7 @@
 )
 from wasabipitch.linkbook import LinkBook
 from wasabipitch.links import Link, RemoteError
+from wasabipitch.members import DEAD
 from wasabipitch.messages import EndSession, Message
 from wasabipitch.metrics import Metrics
 from wasabipitch.models import Host
@@ -29,6 +30,8 @@
 from wasabipitch.verdict import SQLSTATE_NOT_RUN, Verdict
 
 MAX_ATTEMPTS = 10
+# Attempts after one without an answer, each of which may run the statement.
+MAX_REPEATS = 2
 MAX_OWNERS = 3
 END_SESSION_TIMEOUT_S = 1.0
 # The pool's own verdict at the deadline is better than none.
@@ -58,6 +61,9 @@
     def doubt(self, name: str) -> None:
         """Probe a host soon, because work sent to it failed."""
 
+    def state(self, name: str) -> str:
+        """Return a host's state, such as ``live`` or ``dead``."""
+
 
 class OwnerRouter:
     """Routes to the owners of a group.
@@ -70,17 +76,30 @@
     def __init__(self, membership: Owners, read_policy: Callable[[], Policy]) -> None:
         self._membership = membership
         self._read_policy = read_policy
+        self._used: set[str] = set()
 
     async def route(self, group: str) -> list[Link]:
         """Return links to the pools of a group, the preferred one first."""
         local = self._read_policy().pooling == "entry"
         owners = self._membership.owners(group, local=local)[:MAX_OWNERS]
+        self._used.update(host.name for host in owners)
         return [self._membership.links.find(host) for host in owners]
 
     def doubt(self, link: Link) -> None:
         """Note that work sent over a link failed."""
         self._membership.doubt(link.peer)
 
+    def drop_dead(self) -> None:
+        """Close the links to dead pools.
+
+        Requests that wait for a frozen pool then fail, or go to another one,
+        before their deadline.
+        """
+        dead = {n for n in self._used if self._membership.state(n) in ("", DEAD)}
+        for name in dead:
+            self._membership.links.drop(name)
+        self._used -= dead
+
 
 class Dispatcher:
     """Sends requests to pools until one answers or the deadline passes.
@@ -109,6 +128,7 @@
             WasabipitchError: with the verdict over all attempts.
         """
         latest: WasabipitchError | None = None
+        repeats = 0
         attempts = _Attempts(self._router, req, self._rng)
         while (link := await attempts.next_link()) is not None:
             started = False
@@ -127,6 +147,9 @@
                     raise
                 latest = exc
                 req.in_doubt = True
+                if repeats == MAX_REPEATS:
+                    break
+                repeats += 1
             except RemoteError as exc:
                 if started or not _should_move_on(exc):
                     raise
--- a/src/wasabipitch/entry.py
+++ b/src/wasabipitch/entry.py
@@ -13,7 +13,8 @@
 from wasabipitch.events import Timeline
 from wasabipitch.frontend import Frontend
 from wasabipitch.hosts import Membership
-from wasabipitch.links import Cuts, Exchange, LinkServer
+from wasabipitch.links import Cuts
+from wasabipitch.linkserver import Exchange, LinkServer
 from wasabipitch.messages import Message, ProcessState
 from wasabipitch.metrics import StatsdMetrics
 from wasabipitch.models import Address, Host
@@ -108,6 +109,7 @@
 
     async def _listen(self) -> None:
         router = OwnerRouter(self._membership, self._read_policy)
+        self._membership.subscribe(router.drop_dead)
         dispatcher = Dispatcher(router, self.metrics, random.Random())
         self._stack.push_async_callback(dispatcher.close)
         self._runner = SessionRunner(
--- a/src/wasabipitch/messages.py
+++ b/src/wasabipitch/messages.py
@@ -95,6 +95,11 @@
     incarnation: str
 
 
+@dataclass(frozen=True, slots=True)
+class Heartbeat:
+    """Asks whether the peer still reads its link; answered by another one."""
+
+
 @dataclass(frozen=True, slots=True)
 class EndSession:
     """The caller is gone: roll back and forget what its session holds."""
@@ -152,7 +157,7 @@
 
     Args:
         heartbeat: counts up at the host itself; a greater one is newer.
-        state: ``live``, ``leaving`` or ``dead``.
+        state: ``live``, ``suspect``, ``leaving`` or ``dead``.
     """
 
     host: Host
@@ -297,6 +302,7 @@
 
 ControlMessage = (
     Hello
+    | Heartbeat
     | EndSession
     | Done
     | AskOpinion
--- a/tests/wasabipitch/processes.py
+++ b/tests/wasabipitch/processes.py
@@ -8,7 +8,8 @@
 from wasabipitch.control import ControlServer
 from wasabipitch.events import Timeline
 from wasabipitch.hosts import Membership
-from wasabipitch.links import Cuts, LinkServer
+from wasabipitch.links import Cuts
+from wasabipitch.linkserver import LinkServer
 from wasabipitch.messages import ProcessState
 from wasabipitch.models import Address, Host
 
@@ -25,6 +26,8 @@
         self.store = store
         self.seed = seed
         self.describe = lambda: ProcessState(self.host, self.keeper.revision, 1.0)
+        self.awake = asyncio.Event()
+        self.awake.set()
         self._stack = contextlib.AsyncExitStack()
 
     async def start(self, port=0):
@@ -64,6 +67,7 @@
         self._stack = contextlib.AsyncExitStack()
 
     async def _handle(self, exchange):
+        await self.awake.wait()
         return await self.control.handle(exchange)
 
 
--- a/tests/wasabipitch/test_groups.py
+++ b/tests/wasabipitch/test_groups.py
@@ -3,6 +3,7 @@
 
 from tests.wasabipitch.group_fixture import ServedGroup
 from wasabipitch.contracts import unpack_rows
+from wasabipitch.deployment import RequestClass
 from wasabipitch.links import RemoteError
 from wasabipitch.messages import Kind
 from wasabipitch.models import Position
@@ -61,6 +62,16 @@
         await group.send(insert("red"))
         self.assertEqual(await self.read(group), ["red", "red"])
 
+    async def test_old_ids_are_purged_and_young_ones_kept(self):
+        group = await self.start()
+        await group.send(insert("red"), request_id="old")
+        await group.send("UPDATE wasabipitch_requests SET created_s = 1000")
+        await group.send(insert("blue"), request_id="young")
+        await group.server._writes.purge(RequestClass(name="purge"), 3600)
+        repeat = await group.send(insert("blue"), request_id="young")
+        self.assertTrue(repeat.repeated)
+        self.assertFalse((await group.send(insert("red"), request_id="old")).repeated)
+
     async def test_a_failed_request_leaves_its_id_free(self):
         group = await self.start()
         with self.assertRaises(RemoteError) as caught:
@@ -150,3 +161,19 @@
         with self.assertRaises(RemoteError) as read:
             await group.send(SELECT, Kind.READ, deadline_ms=600)
         self.assertEqual(read.exception.verdict, Verdict.NOT_RUN)
+
+    async def test_a_replica_that_restarted_empty_serves_no_read_below_a_floor(self):
+        group = await self.start()
+        floor = (await group.send(insert("red"))).position
+        await asyncio.sleep(0.3)
+        views = group.server.view.instances
+        before = {n: (v.status, v.heard_at_s) for n, v in views.items()}
+        await group.restart_empty("w2")
+        await group.restart_empty("w3")
+        # As if the restarts fell between two probes.
+        for name, (status, heard_at_s) in before.items():
+            view = group.server.view.instances[name]
+            view.status, view.heard_at_s = status, heard_at_s
+        for _ in range(6):
+            read = await self.read(group, cls="lookup", floor=floor)
+            self.assertEqual(read, ["red"])
