Wait until a restarted instance counts before the next is killed

Two of three instances that lose their memory at once hold no majority of any acknowledged write; the group then stays without a primary, as it must.

--- a/src/proofs/faults.py
+++ b/src/proofs/faults.py
@@ -16,8 +16,10 @@
 SHORT_FAULT_S = 1.5
 LEASE_S = 3.5  # longer than any lease, and than the suspicion of a primary
 TAKEOVER_S = 6.0  # by when the second owner has taken over from a silent one
-OWNER_POLL_S = 0.05
+POLL_S = 0.05
 OWNER_TIMEOUT_S = 15.0
+MEMBER_TIMEOUT_S = 15.0
+STATUS = "CALL wasabipitch_status()"
 
 Fault = Callable[[Fleet], Awaitable[None]]
 
@@ -26,7 +28,7 @@
     """Return the primary that the first owner holds, once there is one."""
     async with asyncio.timeout(OWNER_TIMEOUT_S):
         while not (name := await fleet.primary_of(GROUP)):
-            await asyncio.sleep(OWNER_POLL_S)
+            await asyncio.sleep(POLL_S)
     return name
 
 
@@ -39,15 +41,21 @@
                     state = await fleet.ask(pool.name, AskStatus())
                     if any(g.name == GROUP and g.rank == 0 for g in state.groups):
                         return pool
-            await asyncio.sleep(OWNER_POLL_S)
+            await asyncio.sleep(POLL_S)
 
 
 async def kill_primary(fleet: Fleet) -> None:
-    """Kill the primary; it comes back empty after a while."""
+    """Kill the primary; it comes back empty after a while.
+
+    It counts again before this ends: of three instances, one may be empty.
+    """
     name = await find_primary(fleet)
     await fleet.processes[name].kill()
     await asyncio.sleep(SHORT_FAULT_S)
     await fleet.start_target(_group(fleet), name, initial=False)
+    async with asyncio.timeout(MEMBER_TIMEOUT_S):
+        while not (await fleet.call_target(name, STATUS))["member"]:
+            await asyncio.sleep(POLL_S)
 
 
 async def kill_owner(fleet: Fleet) -> None:
--- a/src/proofs/scenarios.py
+++ b/src/proofs/scenarios.py
@@ -7,7 +7,7 @@
 import asyncmy
 
 from proofs.checker import Violation, check
-from proofs.faults import GROUP, Fault, find_primary
+from proofs.faults import GROUP, STATUS, Fault, find_primary
 from proofs.history import FinalState, History
 from proofs.recorder import SCHEMA, Recorder
 from standins.fleet import HARNESS_USER, Fleet, FleetConfig
@@ -117,10 +117,7 @@
     async with asyncio.timeout(SETTLE_S):
         while True:
             try:
-                rows = [
-                    await fleet.call_target(n, "CALL wasabipitch_status()")
-                    for n in names
-                ]
+                rows = [await fleet.call_target(n, STATUS) for n in names]
             except (OSError, asyncmy.errors.Error):
                 rows = []
             positions = {(r["last_term"], r["last_index"]) for r in rows}
