--- a/src/bench/callers.py
+++ b/src/bench/callers.py
@@ -88,6 +88,9 @@
             self._recorder.started(arrival)
             try:
                 await self._serve(arrival)
+            except asyncio.CancelledError:
+                self._recorder.record(arrival, Outcome.UNANSWERED)
+                raise
             finally:
                 self._queue.task_done()
 
--- a/src/bench/summaries.py
+++ b/src/bench/summaries.py
@@ -59,6 +59,7 @@
 ) -> PhaseResult:
     refusals = [s.exchange_s for s in samples if s.outcome in REFUSALS]
     refused = _collect(refusals)
+    early = [s.exchange_s for s in samples if s.outcome is Outcome.REFUSED]
     short = [
         s for s in samples if s.outcome in ANSWERED and not s.arrival.work.straggler
     ]
@@ -72,8 +73,9 @@
         offered_load=_compute_load(samples, seconds, slots),
         good_load=_compute_load(good, seconds, slots),
         refusals=len(refusals),
-        refusal_p50_ms=percentile_ms(refused, MEDIAN),
+        expired=len(refusals) - len(early),
         refusal_p99_ms=percentile_ms(refused, TAIL),
+        early_refusal_p99_ms=percentile_ms(_collect(early), TAIL),
         short_p50_ms=percentile_ms(response, MEDIAN),
         short_p99_ms=percentile_ms(response, TAIL),
         short_wait_p50_ms=percentile_ms(wait, MEDIAN),
@@ -169,6 +171,7 @@
     ratio = None
     if calm is not None and mixed is not None and calm.short_wait_p99_ms:
         ratio = round(mixed.short_wait_p99_ms / calm.short_wait_p99_ms, 2)
+    refused = crest is not None and crest.refusals > 0
     stale = sum(c.outcomes.get("stale", 0) for p in phases for c in p.classes)
     return Measures(
         replica_share=round(replica / aged, 4) if aged else None,
@@ -176,7 +179,9 @@
         important_good=important,
         crest_offered_load=crest.offered_load if crest else None,
         crest_good_load=crest.good_load if crest else None,
-        refusal_p99_ms=crest.refusal_p99_ms if crest and crest.refusals else None,
+        refusal_p99_ms=crest.refusal_p99_ms if refused else None,
+        early_refusal_p99_ms=crest.early_refusal_p99_ms if refused else None,
+        expired_share=round(crest.expired / crest.refusals, 4) if refused else None,
         wait_p99_calm_ms=calm.short_wait_p99_ms if calm else None,
         wait_p99_stragglers_ms=mixed.short_wait_p99_ms if mixed else None,
         wait_ratio=ratio,
--- a/src/bench/tables.py
+++ b/src/bench/tables.py
@@ -39,6 +39,7 @@
         _format_classes(run.phases),
         _format_measures(run),
         _format_usage(run),
+        f"slots held after the run: {run.held_after}",
     ]
     if run.errors:
         parts.append("\n".join(f"{n} x {text}" for text, n in run.errors.items()))
@@ -73,8 +74,8 @@
 
 
 def _format_phases(phases: Sequence[PhaseResult]) -> str:
-    head = ["phase", "s", "offered/s", "load", "good load", "refused"]
-    head += ["refusal p99 ms", "short p50 ms", "short p99 ms", "wait p99 ms"]
+    head = ["phase", "s", "offered/s", "load", "good load", "refused", "expired"]
+    head += ["early p99 ms", "short p50 ms", "short p99 ms", "wait p99 ms"]
     rows = [
         [
             p.name,
@@ -83,7 +84,8 @@
             format_value(p.offered_load),
             format_value(p.good_load),
             format_value(p.refusals),
-            format_value(p.refusal_p99_ms),
+            format_value(p.expired),
+            format_value(p.early_refusal_p99_ms),
             format_value(p.short_p50_ms),
             format_value(p.short_p99_ms),
             format_value(p.short_wait_p99_ms),
@@ -153,7 +155,8 @@
     """Return the gaps of repeated failovers as text."""
     gaps = " ".join(format_value(g) for g in sorted(result.gaps_s))
     return (
-        f"variant {result.variant}, {result.kills} kills of the primary:"
+        f"variant {result.variant}, {result.kills} losses of the primary by"
+        f" {result.loss}:"
         f" longest time without an acknowledged write\n"
         f"median {result.median_s:.3f} s, worst {result.worst_s:.3f} s,"
         f" connections broken or writes failed {result.failed_writes}\n"
