--- a/src/bench/tables.py
+++ b/src/bench/tables.py
@@ -1,5 +1,7 @@
 """Text tables of results."""
 
+import statistics
+from collections import defaultdict
 from collections.abc import Sequence
 
 from bench.loops import FailoverResult, PathResult
@@ -39,7 +41,8 @@
         _format_classes(run.phases),
         _format_measures(run),
         _format_usage(run),
-        f"slots held after the run: {run.held_after}",
+        f"slots held after the run: {run.held_after};"
+        f" p99 from arrival to sending: {run.start_delay_p99_ms:.0f} ms",
     ]
     if run.errors:
         parts.append("\n".join(f"{n} x {text}" for text, n in run.errors.items()))
@@ -144,11 +147,29 @@
             format_value(r.requests_per_s),
             format_value(r.p50_ms),
             format_value(r.p99_ms),
+            format_value(r.entry_cores),
+            format_value(r.pool_cores),
         ]
         for r in results
     ]
     head = ["way", "connections", "requests/s", "p50 ms", "p99 ms"]
-    return format_table(head, rows)
+    table = format_table([*head, "entry cores", "pool cores"], rows)
+    return f"{table}\n\n{_format_path_cost(results)}"
+
+
+def _format_path_cost(results: Sequence[PathResult]) -> str:
+    by_way: dict[str, list[PathResult]] = defaultdict(list)
+    for result in results:
+        by_way[result.way].append(result)
+    lines = []
+    for name in ("requests_per_s", "p50_ms", "p99_ms"):
+        direct, proxy = (
+            statistics.median(getattr(r, name) for r in by_way[way])
+            for way in ("direct", "proxy")
+        )
+        lines.append(f"median {name}: {proxy:.3f} against {direct:.3f} direct")
+        lines[-1] += f", ratio {proxy / direct:.2f}"
+    return "\n".join(lines)
 
 
 def describe_failovers(result: FailoverResult) -> str:
