--- a/src/wasabipitch/pool.py
+++ b/src/wasabipitch/pool.py
@@ -137,6 +137,7 @@
             self.cfg.configuration_key,
             timeline=self.timeline,
             membership=self._membership,
+            metrics=self.metrics,
         )
         self._control = ControlServer(
             self.timeline,
