Wait until a target serves reads before it leaves

The proof's run with the mechanism off passed once in the whole suite: a replica whose age was not yet known served none of twelve reads anyway. It now waits until the replica serves, and reads 30 times. As strict: the same assertion over more reads.

--- a/tests/proofs/test_mechanisms.py
+++ b/tests/proofs/test_mechanisms.py
@@ -221,13 +221,22 @@
 
     async def read_while_leaving(self):
         async with self.serve() as group:
+            await self.wait_serves(group, "w2")
             group.server.set_leaving(frozenset({"w2"}))
-            targets = set()
-            for _ in range(12):
-                select = {"kind": Kind.READ, "cls": "lookup"}
-                targets.add((await group.send(SELECT_JOBS, **select)).target)
+            # With the leaving one among them, 30 reads miss it by chance once
+            # in a thousand million runs.
+            targets = {await self.read_from(group) for _ in range(30)}
             self.assertNotIn("w2", targets)
 
+    async def wait_serves(self, group, name):
+        async with asyncio.timeout(10):
+            while await self.read_from(group) != name:
+                await asyncio.sleep(0.01)
+
+    async def read_from(self, group):
+        result = await group.send(SELECT_JOBS, kind=Kind.READ, cls="lookup")
+        return result.target
+
     async def test_a_leaving_target_gets_no_new_work(self):
         broken = mock.patch.object(GroupServer, "set_leaving", lambda self, names: None)
         await self.prove(self.read_while_leaving, broken)
