Settle a commit in doubt through another pool, by its request id

A commit whose pool gave no answer was MAY_HAVE_RUN even under an id. The entry now asks the next owner, which finds the record or puts a tombstone. One fingerprint serves the entry and the pool; a refusal for too many connections is no longer taken for a missed probe.

--- a/src/wasabipitch/catalogue.py
+++ b/src/wasabipitch/catalogue.py
@@ -51,8 +51,11 @@
         """Whether it may be sent again after an attempt without an answer."""
         if self.statement.kind is Kind.READ:
             return True
-        has_id = bool(self.statement.hints.request_id)
-        return has_id and self.statement.kind is Kind.WRITE
+        if not self.statement.hints.request_id:
+            return False
+        kind = self.statement.kind
+        # A commit in doubt asks for its outcome, which changes nothing twice.
+        return kind is Kind.WRITE or (kind is Kind.COMMIT and self.in_doubt)
 
     def to_message(self) -> Execute:
         """Return the message to a pool, with the time that is left now."""
--- a/src/wasabipitch/mysql_targets.py
+++ b/src/wasabipitch/mysql_targets.py
@@ -80,7 +80,10 @@
                 f"within {CONNECT_TIMEOUT_S} s"
             ) from exc
         except Exception as exc:  # the library raises many kinds on malformed bytes
-            raise TargetDown(f"target {address} can't be connected to: {exc}") from exc
+            raise TargetDown(
+                f"target {address} can't be connected to: {exc}",
+                code=_read_code(exc),
+            ) from exc
         return MysqlConn(conn, address)
 
     def open_control(self, name: str, address: Address) -> "MysqlControl":
@@ -88,6 +91,12 @@
         return MysqlControl(self, name, address)
 
 
+def _read_code(exc: Exception) -> int | None:
+    """Return the target's error number, or None if it gave none."""
+    code = exc.args[0] if isinstance(exc, errors.MySQLError) and exc.args else None
+    return code if isinstance(code, int) and code not in CLIENT_ERRORS else None
+
+
 class MysqlConn:
     """One connection to a MySQL instance.
 
--- a/src/wasabipitch/reads.py
+++ b/src/wasabipitch/reads.py
@@ -16,8 +16,8 @@
 from wasabipitch.parts import GroupParts, Lease
 from wasabipitch.retries import backoff_s
 from wasabipitch.sampling import SAMPLE_ERRORS
+from wasabipitch.statements import fingerprint
 from wasabipitch.targets import Answer
-from wasabipitch.workload import fingerprint
 
 MAX_ATTEMPTS = 4
 
--- a/src/wasabipitch/session_runner.py
+++ b/src/wasabipitch/session_runner.py
@@ -201,10 +201,32 @@
             if pin is None:
                 self._fail_to_begin(session, req, exc)
                 raise
+            request_id = session.transaction_id
             error = self._fail_in_transaction(session, req, pin, exc)
-            if error is not None:
+            if isinstance(error, InDoubt) and request_id:
+                yield await self._settle_commit(session, req, request_id)
+            elif error is not None:
                 raise error from exc
-            yield Result()
+            else:
+                yield Result()
+
+    async def _settle_commit(
+        self, session: Session, req: Request, request_id: str
+    ) -> Result:
+        """Have another pool find out whether a commit under an id took effect.
+
+        Raises:
+            WasabipitchError: with the verdict on the transaction.
+        """
+        hints = replace(req.statement.hints, request_id=request_id)
+        question = replace(req, statement=replace(COMMIT, hints=hints), in_doubt=True)
+        question.in_transaction = False
+        replies = self._dispatcher.stream(question)
+        async with contextlib.aclosing(replies):
+            async for message in replies:
+                self._note_result(session, question, message)
+                return message
+        raise InDoubt(f"no answer to the commit of request {request_id!r}")
 
     def _note_result(self, session: Session, req: Request, result: Result) -> None:
         if result.position != ORIGIN:
--- a/src/wasabipitch/transaction_runner.py
+++ b/src/wasabipitch/transaction_runner.py
@@ -6,6 +6,7 @@
 from wasabipitch.deployment import RequestClass
 from wasabipitch.exceptions import (
     ER_OPTION_PREVENTS_STATEMENT,
+    InDoubt,
     RequestError,
     TargetError,
     TargetLost,
@@ -48,7 +49,10 @@
         if req.kind is Kind.BEGIN:
             return await self._begin_anew(peer, req, cls, deadline_s, transaction)
         if transaction is None:
-            return self._answer_without(req)
+            return await self._answer_without(req, cls)
+        if transaction.busy:
+            # Its connection carries one statement at a time.
+            raise InDoubt(f"a statement of session {req.session} still runs")
         transaction.busy = True
         try:
             return await self._run_in(transaction, req, cls, deadline_s)
@@ -56,7 +60,12 @@
             transaction.busy = False
             transaction.used_at_s = time.monotonic()
 
-    def _answer_without(self, req: Execute) -> Result:
+    async def _answer_without(self, req: Execute, cls: RequestClass) -> Result:
+        if req.kind is Kind.COMMIT and req.in_doubt and req.request_id:
+            # Another pool carried the transaction, and gave no answer.
+            requests.check_id(req.request_id)
+            doubt = TargetLost(f"no answer to the commit of {req.request_id!r}")
+            return await self._writes.resolve(req, cls, doubt)
         if req.kind is Kind.ROLLBACK or not req.in_transaction:
             return Result(position=req.floor or Result().position)
         raise TransactionLost(f"the transaction of session {req.session} is gone")
--- a/src/wasabipitch/workload.py
+++ b/src/wasabipitch/workload.py
@@ -1,6 +1,5 @@
 """Learns which statements run long, by their fingerprint."""
 
-import re
 from collections import OrderedDict
 
 MAX_FINGERPRINTS = 2048
@@ -10,17 +9,6 @@
 LONG_FACTOR = 20.0
 MAX_TYPICAL_STEP = 2.0
 
-_LITERAL = re.compile(r"'(?:[^'\\]|\\.|'')*'|\"(?:[^\"\\]|\\.)*\"|\b\d+(?:\.\d+)?\b")
-_COMMENT = re.compile(r"/\*.*?\*/", re.DOTALL)
-_SPACE = re.compile(r"\s+")
-
-
-def fingerprint(statement: str) -> str:
-    """Return a statement with its literals, comments and spacing taken out."""
-    bare = _COMMENT.sub(" ", statement)
-    bare = _LITERAL.sub("?", bare)
-    return _SPACE.sub(" ", bare).strip().lower()
-
 
 class _Timing:
     __slots__ = ("count", "mean_s")
--- a/src/wasabipitch/writes.py
+++ b/src/wasabipitch/writes.py
@@ -16,9 +16,9 @@
 from wasabipitch.parts import GroupParts, Lease, run_until
 from wasabipitch.reads import make_result
 from wasabipitch.retries import backoff_s
+from wasabipitch.statements import fingerprint
 from wasabipitch.targets import Answer, TargetConn
 from wasabipitch.verdict import Verdict
-from wasabipitch.workload import fingerprint
 
 # Time past the deadline to settle an outcome in doubt.
 RESOLVE_GRACE_S = 3.0
--- a/tests/wasabipitch/test_groups.py
+++ b/tests/wasabipitch/test_groups.py
@@ -117,6 +117,22 @@
         await group.send(insert("blue"), session="b")
         self.assertEqual(await self.read(group), ["blue"])
 
+    async def test_a_commit_in_doubt_is_settled_by_its_id(self):
+        group = await self.start()
+        asked = {"in_doubt": True, "session": "other", "request_id": "t-1"}
+        await group.send("BEGIN", Kind.BEGIN, request_id="t-1")
+        await group.send(insert("red"), in_transaction=True)
+        await group.send("COMMIT", Kind.COMMIT, in_transaction=True)
+        result = await group.send("COMMIT", Kind.COMMIT, **asked)
+        self.assertTrue(result.repeated)
+        asked["request_id"] = "t-2"
+        with self.assertRaises(RemoteError) as caught:
+            await group.send("COMMIT", Kind.COMMIT, **asked)
+        self.assertEqual(caught.exception.verdict, Verdict.NOT_RUN)
+        # The tombstone keeps the transaction from running later.
+        with self.assertRaises(RemoteError):
+            await group.send("BEGIN", Kind.BEGIN, session="late", request_id="t-2")
+
     async def test_no_majority_no_acknowledgement(self):
         group = await self.start()
         for name in ("w2", "w3"):
--- a/tests/wasabipitch/test_mysql_targets.py
+++ b/tests/wasabipitch/test_mysql_targets.py
@@ -6,7 +6,12 @@
 
 from standins.instance import TargetConfig
 from standins.target import Target
-from wasabipitch.exceptions import TargetDown, TargetError, TargetLost
+from wasabipitch.exceptions import (
+    ER_CON_COUNT_ERROR,
+    TargetDown,
+    TargetError,
+    TargetLost,
+)
 from wasabipitch.models import Address, Position
 from wasabipitch.mysql_targets import MysqlConn, MysqlConnector
 from wasabipitch.verdict import Verdict
@@ -212,8 +217,10 @@
     async def test_connection_limit_is_down(self) -> None:
         for _ in range(5):
             await self.connect()
-        with self.assertRaisesRegex(TargetDown, "Too many connections"):
+        with self.assertRaisesRegex(TargetDown, "Too many connections") as caught:
             await self.connect()
+        # Such a refusal is no sign that the instance is lost.
+        self.assertEqual(caught.exception.code, ER_CON_COUNT_ERROR)
 
     async def test_silence_is_down(self) -> None:
         self.cut("pool1")
--- a/tests/wasabipitch/test_session_runner.py
+++ b/tests/wasabipitch/test_session_runner.py
@@ -118,6 +118,21 @@
         await self.assert_fails(conn, "COMMIT", "verdict: MAY_HAVE_RUN")
         await fetch(conn, "INSERT INTO t VALUES (1)")
 
+    async def test_no_answer_to_a_commit_under_an_id_is_settled_elsewhere(self):
+        async def settle(exchange):
+            return Result(repeated=True, position=Position(2, 7))
+
+        self.pool.answer("COMMIT", break_link)
+        self.spare.answer("COMMIT", settle)
+        conn = await self.connect()
+        await conn.begin()
+        await fetch(conn, "/* wasabipitch: id=t-1 */ INSERT INTO t VALUES (1)")
+        self.links.reverse()
+        await conn.commit()
+        question = self.spare.asked[-1]
+        self.assertEqual((question.request_id, question.in_doubt), ("t-1", True))
+        self.assertFalse(question.in_transaction)
+
     async def test_no_answer_within_it_rolls_it_back(self):
         self.pool.answer("UPDATE", never)
         self.pool.answer("ALTER", never)
--- a/tests/wasabipitch/test_workload.py
+++ b/tests/wasabipitch/test_workload.py
@@ -1,6 +1,7 @@
 import unittest
 
-from wasabipitch.workload import Workload, fingerprint
+from wasabipitch.statements import fingerprint
+from wasabipitch.workload import Workload
 
 
 class WorkloadTest(unittest.TestCase):
