Don't grant a slot to a wait that has just been cancelled

Cause: a timeout cancels the ticket's future at once, but its task takes the ticket out of the queue only in its next step. A slot that freed in between was granted to it, which raised and lost the slot; at the crest all 18 slots of the three groups were lost. The new test fails without the change.

--- a/src/wasabipitch/limits.py
+++ b/src/wasabipitch/limits.py
@@ -265,13 +265,11 @@
             async with asyncio.timeout(ticket.deadline_s - time.monotonic()):
                 return await ticket.granted
         except TimeoutError:
-            self._abandon(ticket)
+            self._abandon(ticket, queue)
             raise Overloaded("the deadline passed while waiting for a slot") from None
         except asyncio.CancelledError:
-            self._abandon(ticket)
+            self._abandon(ticket, queue)
             raise
-        finally:
-            queue.remove(ticket)
 
     def dispatch(self) -> None:
         """Grant free slots; called whenever something has changed.
@@ -280,8 +278,9 @@
         hold the slots may wait for a lock that its transaction holds.
         """
         for name, pinned in self._pinned.items():
-            while pinned:
-                self._grant(name, pinned[0])
+            for ticket in list(pinned):
+                if not ticket.granted.done():
+                    self._grant(name, ticket)
         for name in self._prefer(self._slots):
             while self._slots[name].running < self._slots[name].total:
                 ticket = self._choose(name)
@@ -340,6 +339,9 @@
         for scanned, ticket in enumerate(self._lanes[lane].heads()):
             if scanned >= MAX_SCANNED:
                 return None
+            if ticket.granted.done():
+                # Its wait was cancelled in this turn of the event loop.
+                continue
             if slots.admits(ticket, reserve) and ticket.may_run_on(name):
                 return ticket
         return None
@@ -350,7 +352,7 @@
         if ticket.long:
             slots.long_running += 1
         if ticket.pinned:
-            self._pinned[name].popleft()
+            self._pinned[name].remove(ticket)
         else:
             queue = self._lanes[ticket.lane]
             factor = LONG_SERVICE_FACTOR if ticket.long else 1.0
@@ -358,9 +360,13 @@
             queue.served(ticket, self._service_s[ticket.lane] * factor)
         ticket.granted.set_result(Grant(self, name, ticket))
 
-    def _abandon(self, ticket: Ticket) -> None:
+    def _abandon(self, ticket: Ticket, queue) -> None:
         if ticket.granted.done() and not ticket.granted.cancelled():
             ticket.granted.result().release()
+            return
+        queue.remove(ticket)
+        # It may have hidden a later ticket of its session.
+        self.dispatch()
 
 
 class _PinnedQueue:
--- a/tests/wasabipitch/test_limits.py
+++ b/tests/wasabipitch/test_limits.py
@@ -138,6 +138,21 @@
         await asyncio.gather(*tasks, return_exceptions=True)
         self.assertEqual(scheduler.queued, 0)
 
+    async def test_a_slot_that_frees_as_a_wait_ends_is_not_lost(self):
+        scheduler = self.make(refuse_early=False)
+        grants = [await scheduler.acquire(make_ticket()) for _ in range(2)]
+        tickets = [make_ticket(), make_ticket()]
+        waiters = [asyncio.create_task(scheduler.acquire(t)) for t in tickets]
+        await asyncio.sleep(0)
+        # As at a timeout: the wait is cancelled, and its task has yet to run.
+        waiters[0].cancel()
+        grants[0].release()
+        granted = await waiters[1]
+        for grant in (*grants, granted):
+            grant.release()
+        await asyncio.gather(*waiters, return_exceptions=True)
+        self.assertEqual((scheduler.running, scheduler.queued), (0, 0))
+
     async def test_a_cancelled_waiter_leaves_no_slot_held(self):
         scheduler = self.make(refuse_early=False)
         grants = [await scheduler.acquire(make_ticket()) for _ in range(2)]
