Keep queues short, sample the primary whenever it reports, tolerate one missed probe

Cause: the expected wait was allowed 0.7 of the time left, so at a crest the queues stood at seconds and late work used up the slots; callers' connections waited behind them. While there is no primary the next one's slots are counted on.

--- a/src/wasabipitch/health.py
+++ b/src/wasabipitch/health.py
@@ -11,7 +11,7 @@
 from wasabipitch.exceptions import RequestError
 from wasabipitch.metrics import Metrics
 from wasabipitch.targets import InstanceStatus
-from wasabipitch.view import GroupView, InstanceView, PrimarySample
+from wasabipitch.view import GroupView, InstanceView
 
 PROBE_INTERVAL_S = 0.2
 PROBE_TIMEOUT_S = 0.25
@@ -24,7 +24,6 @@
 MAX_EXCUSED = 2
 
 SUSPECT_MISSES = 2  # one slow probe never deposes a primary
-MAX_SAMPLES = 512  # 102 s of positions at one sample a probe
 
 
 @dataclass(frozen=True, slots=True)
@@ -91,8 +90,6 @@
         if view.misses >= SUSPECT_MISSES:
             self._record("health.back", view, "")
         self._view.update(view.name, status, asked_at_s)
-        if self._view.primary == view.name and status.term == self._view.term:
-            add_sample(self._view, PrimarySample(asked_at_s, status.position))
 
     def _note_miss(self, view: InstanceView, reason: str) -> None:
         self._metrics.count("health.misses")
@@ -109,21 +106,6 @@
         )
 
 
-def add_sample(view: GroupView, sample: PrimarySample) -> None:
-    """Keep where the primary's log ended when it was asked at a moment.
-
-    Samples stay sorted by time and by position; one that is out of order is
-    dropped.
-    """
-    samples = view.samples
-    if samples and _is_out_of_order(samples[-1], sample):
-        return
-    samples.append(sample)
-    if len(samples) > MAX_SAMPLES:
-        del samples[: len(samples) - MAX_SAMPLES]
-    view.version += 1
-
-
 def age_s(view: GroupView, name: str, now_s: float) -> float | None:
     """Return how old the data of an instance may be at most, in seconds.
 
@@ -160,10 +142,6 @@
     return samples[latest].at_s
 
 
-def _is_out_of_order(last: PrimarySample, sample: PrimarySample) -> bool:
-    return sample.at_s <= last.at_s or sample.position < last.position
-
-
 def _confirmed_at_s(view: GroupView) -> float | None:
     """Return since when a majority has shown no term above the primary's."""
     if view.primary_view is None:
--- a/src/wasabipitch/limits.py
+++ b/src/wasabipitch/limits.py
@@ -21,7 +21,7 @@
 FIRST_SERVICE_S = 0.002
 LONG_SERVICE_FACTOR = 100.0
 # Of the time left, what the expected wait may use up before a refusal.
-WAIT_SHARE = 0.7
+WAIT_SHARE = 0.2
 
 
 class Lane(enum.Enum):
@@ -241,15 +241,14 @@
     def expected_wait_s(self, ticket: Ticket) -> float:
         """Return how long a ticket that arrives now is expected to wait."""
         usable = [n for n in self._slots if self._serves(n, ticket.lane)]
-        slots = [self._slots[n] for n in usable]
+        # While there is no primary, the next one's slots are counted on.
+        slots = [self._slots[n] for n in usable] or list(self._slots.values())[:1]
         total = sum(s.total - s.long_running for s in slots)
-        if not total:
-            return 0.0
-        free = sum(s.total - s.running for s in slots)
+        free = sum(s.total - s.running for s in slots) if usable else 0
         ahead = self._lanes[ticket.lane].count_ahead(ticket)
         if ahead < free:
             return 0.0
-        return (ahead + 1) * self._service_s[ticket.lane] / total
+        return (ahead + 1) * self._service_s[ticket.lane] / max(1, total)
 
     async def acquire(self, ticket: Ticket) -> Grant:
         """Wait for a slot.
--- a/src/wasabipitch/reads.py
+++ b/src/wasabipitch/reads.py
@@ -20,6 +20,8 @@
 from wasabipitch.targets import Answer
 
 MAX_ATTEMPTS = 4
+# A report younger than this is not asked for again.
+RECENT_S = 0.01
 
 
 class ReadRunner:
@@ -120,6 +122,17 @@
             long=self._parts.is_long(mark, cls),
         )
 
+    async def _choose_lane(self, floor: Position, age_s: float) -> Lane:
+        router = self._parts.router
+        if router.has_replica(floor, age_s):
+            return Lane.REPLICA
+        # A replica may have reached the floor since it was last heard of.
+        await self._parts.sampler.sample_older(RECENT_S)
+        if router.has_replica(floor, age_s):
+            return Lane.REPLICA
+        self._parts.metrics.count("pool.reads.unsuited")
+        return Lane.PRIMARY
+
     async def _refresh_primary(self, floor: Position) -> None:
         primary = self._parts.view.primary_view
         if primary is None or primary.position >= floor:
--- a/src/wasabipitch/routing.py
+++ b/src/wasabipitch/routing.py
@@ -5,7 +5,7 @@
 from collections.abc import Callable, Iterable
 
 from wasabipitch.deployment import Policy
-from wasabipitch.health import find_current_at_s
+from wasabipitch.health import SUSPECT_MISSES, find_current_at_s
 from wasabipitch.models import Position
 from wasabipitch.view import GroupView
 
@@ -78,7 +78,7 @@
         view = self._view.instances[name]
         if not self._policy.replica_reads or self.is_primary(name):
             return False
-        if view.leaving or not view.reachable or view.position < floor:
+        if view.leaving or view.misses >= SUSPECT_MISSES or view.position < floor:
             return False
         current_at_s = self._read_current_at_s(name)
         if current_at_s is None:
--- a/src/wasabipitch/sampling.py
+++ b/src/wasabipitch/sampling.py
@@ -51,6 +51,16 @@
         reports = zip(names, answers, strict=True)
         return {n: a for n, a in reports if isinstance(a, InstanceStatus)}
 
+    async def sample_older(self, age_s: float) -> None:
+        """Ask those instances anew whose latest report is older than an age.
+
+        Unreachable ones are left out, so that nobody waits for them.
+        """
+        oldest_s = time.monotonic() - age_s
+        views = self._view.instances.values()
+        names = [v.name for v in views if v.reachable and v.heard_at_s < oldest_s]
+        await asyncio.gather(*map(self.sample, names), return_exceptions=True)
+
     async def close(self) -> None:
         """Cancel the questions that are on their way."""
         tasks = [*self._running.values(), *self._next.values()]
--- a/src/wasabipitch/view.py
+++ b/src/wasabipitch/view.py
@@ -9,6 +9,9 @@
 from wasabipitch.models import ORIGIN, Position, majority
 from wasabipitch.targets import ControlChannel, InstanceStatus
 
+SAMPLE_INTERVAL_S = 0.05
+MAX_SAMPLES = 2048  # 102 s of positions at that interval
+
 
 @dataclass
 class InstanceView:
@@ -47,7 +50,7 @@
         return self.status is not None and self.misses == 0
 
 
-@dataclass
+@dataclass(frozen=True, slots=True)
 class PrimarySample:
     """Where the primary's log ended at a moment, to judge replicas' age by."""
 
@@ -101,6 +104,7 @@
         if asked_at_s >= view.heard_at_s:
             view.status = status
             view.heard_at_s = asked_at_s
+        self._sample_primary(name, SAMPLE_INTERVAL_S)
         self.notify()
 
     def miss(self, name: str) -> None:
@@ -114,8 +118,22 @@
             return
         self.primary = name
         self.term = term
+        self._sample_primary(name, 0.0)
         self.notify()
 
+    def add_sample(self, sample: PrimarySample) -> None:
+        """Keep where the primary's log ended when it was asked at a moment.
+
+        Samples stay sorted by time and by position; one that is out of order
+        is dropped.
+        """
+        if self.samples and _is_out_of_order(self.samples[-1], sample):
+            return
+        self.samples.append(sample)
+        if len(self.samples) > MAX_SAMPLES:
+            del self.samples[: len(self.samples) - MAX_SAMPLES]
+        self.version += 1
+
     def depose(self) -> None:
         """Have no primary until one is established again."""
         self.primary = ""
@@ -149,5 +167,19 @@
                 return self.primary_view
         return self.primary_view
 
+    def _sample_primary(self, name: str, interval_s: float) -> None:
+        view = self.instances[name]
+        if name != self.primary or view.status is None:
+            return
+        if view.status.term != self.term or view.position.term != self.term:
+            return
+        if self.samples and view.heard_at_s - self.samples[-1].at_s < interval_s:
+            return
+        self.add_sample(PrimarySample(view.heard_at_s, view.position))
+
     def _statuses(self) -> Iterable[InstanceStatus]:
         return [v.status for v in self.instances.values() if v.status is not None]
+
+
+def _is_out_of_order(last: PrimarySample, sample: PrimarySample) -> bool:
+    return sample.at_s <= last.at_s or sample.position < last.position
--- a/tests/wasabipitch/test_health.py
+++ b/tests/wasabipitch/test_health.py
@@ -10,7 +10,7 @@
 from wasabipitch.metrics import StatsdMetrics
 from wasabipitch.models import Position
 from wasabipitch.targets import InstanceStatus
-from wasabipitch.view import GroupView, InstanceView, PrimarySample
+from wasabipitch.view import MAX_SAMPLES, GroupView, InstanceView, PrimarySample
 
 NAMES = ("a", "b", "c")
 
@@ -134,8 +134,9 @@
 class AgeTest(unittest.TestCase):
     def setUp(self) -> None:
         self.view = make_healthy_view()
+        self.view.samples.clear()
         for at_s, index in ((98.0, 7), (99.0, 8), (100.0, 9)):
-            health.add_sample(self.view, PrimarySample(at_s, Position(2, index)))
+            self.view.add_sample(PrimarySample(at_s, Position(2, index)))
 
     def age_of(self, index: int) -> float | None:
         status = make_status("b", position=Position(2, index))
@@ -147,7 +148,7 @@
         self.assertIsNone(self.age_of(6))
 
     def test_age_of_an_idle_group_runs_from_the_latest_sample(self) -> None:
-        health.add_sample(self.view, PrimarySample(100.5, Position(2, 9)))
+        self.view.add_sample(PrimarySample(100.5, Position(2, 9)))
         for name in ("a", "c"):
             status = make_status(name, role="primary" if name == "a" else "replica")
             self.view.update(name, status, 100.5)
@@ -156,11 +157,11 @@
     def test_samples_out_of_order_are_dropped(self) -> None:
         before = list(self.view.samples)
         for at_s, index in ((99.5, 9), (101.0, 8)):
-            health.add_sample(self.view, PrimarySample(at_s, Position(2, index)))
+            self.view.add_sample(PrimarySample(at_s, Position(2, index)))
         self.assertEqual(self.view.samples, before)
 
     def test_sample_counts_only_once_a_majority_confirms_it(self) -> None:
-        health.add_sample(self.view, PrimarySample(100.8, Position(2, 9)))
+        self.view.add_sample(PrimarySample(100.8, Position(2, 9)))
         self.view.update("a", make_status("a", role="primary"), 100.8)
         self.assertEqual(self.age_of(9), 1.0)
         self.view.update("c", make_status("c"), 100.9)
@@ -176,6 +177,6 @@
         self.assertIsNone(health.age_s(self.view, "b", 101.0))
 
     def test_samples_are_bounded(self) -> None:
-        for i in range(2 * health.MAX_SAMPLES):
-            health.add_sample(self.view, PrimarySample(101.0 + i, Position(2, 10 + i)))
-        self.assertEqual(len(self.view.samples), health.MAX_SAMPLES)
+        for i in range(2 * MAX_SAMPLES):
+            self.view.add_sample(PrimarySample(101.0 + i, Position(2, 10 + i)))
+        self.assertEqual(len(self.view.samples), MAX_SAMPLES)
