Ask replicas anew before an aged read goes to the primary

The pool's knowledge of a replica is up to 0.2 s old; a read above it went to the primary although a replica may have reached its floor.

--- a/src/wasabipitch/reads.py
+++ b/src/wasabipitch/reads.py
@@ -104,13 +104,13 @@
     ) -> Ticket:
         router = self._parts.router
         age_s = cls.max_age_s
-        aged = age_s is not None and self._parts.policy.replica_reads
-        if aged and router.has_replica(floor, age_s):
-            lane = Lane.REPLICA
+        lane = Lane.PRIMARY
+        if age_s is not None and self._parts.policy.replica_reads:
+            lane = await self._choose_lane(floor, age_s)
+        if lane is Lane.REPLICA:
             may_run_on = partial(router.may_read_aged, floor=floor, max_age_s=age_s)
         else:
             # Replicas never look in this lane, even if one comes to suit later.
-            lane = Lane.PRIMARY
             may_run_on = partial(router.may_read, floor=floor)
             await self._refresh_primary(floor)
         return Ticket(
@@ -128,10 +128,7 @@
             return Lane.REPLICA
         # A replica may have reached the floor since it was last heard of.
         await self._parts.sampler.sample_older(RECENT_S)
-        if router.has_replica(floor, age_s):
-            return Lane.REPLICA
-        self._parts.metrics.count("pool.reads.unsuited")
-        return Lane.PRIMARY
+        return Lane.REPLICA if router.has_replica(floor, age_s) else Lane.PRIMARY
 
     async def _refresh_primary(self, floor: Position) -> None:
         primary = self._parts.view.primary_view
@@ -148,6 +145,9 @@
         metrics.count("pool.reads.primary" if is_primary else "pool.reads.replica")
         if cls.max_age_s is not None:
             metrics.count("pool.reads.aged")
+            if is_primary:
+                # No replica was at the read's floor and within its age.
+                metrics.count("pool.reads.unsuited")
 
 
 class _Reply:
