--- a/src/standins/server.py
+++ b/src/standins/server.py
@@ -19,12 +19,14 @@
 from mysql_mimic.stream import ConnectionClosed, MysqlStream
 from mysql_mimic.types import ColumnType
 
+from standins import prepared
 from standins.controls import Controls
 from standins.exceptions import (
     ACCESS_DENIED,
     DEFAULT_SQLSTATE,
     SQLSTATES,
     TOO_MANY_CONNECTIONS,
+    UNKNOWN_ERROR,
     SqlError,
 )
 from standins.instance import Instance
@@ -36,13 +38,13 @@
 SEND_ROWS = 1_000  # rows sent before other tasks get a turn
 STOP_TIMEOUT_S = 5.0
 STOP_POLL_S = 0.02
-KILL_ROUNDS = 3  # a killed connection may wait for a cut before it says goodbye
+KILL_ROUNDS = 3  # the last packet of a killed connection may wait for a cut
 
 logger = logging.getLogger(__name__)
 
 
 class WatchedReader(asyncio.StreamReader):
-    """A stream reader that ends the work of a connection when the peer leaves."""
+    """A stream reader that ends the work of a connection that its peer closes."""
 
     def __init__(self) -> None:
         super().__init__()
@@ -52,13 +54,13 @@
         """Note the end of the stream; the event loop calls this."""
         super().feed_eof()
         if self.connection is not None:
-            self.connection.peer_left()
+            self.connection.peer_closed()
 
     def set_exception(self, exc: Exception) -> None:
         """Note a broken stream; the event loop calls this."""
         super().set_exception(exc)
         if self.connection is not None:
-            self.connection.peer_left()
+            self.connection.peer_closed()
 
 
 class GatedStream:
@@ -87,7 +89,7 @@
 
     async def write(self, data: bytes, drain: bool = True) -> None:
         """Write one packet."""
-        await self.wait_open()
+        await self._wait_writable()
         await self._inner.write(data, drain)
 
     def write_many(self, items: Sequence[bytes]) -> None:
@@ -100,7 +102,7 @@
 
     async def drain(self) -> None:
         """Send what is buffered."""
-        await self.wait_open()
+        await self._wait_writable()
         await self._inner.drain()
 
     def reset_seq(self) -> None:
@@ -112,6 +114,11 @@
         if self.is_cut:
             await self._instance.changed.wait_for(lambda: not self.is_cut)
 
+    async def _wait_writable(self) -> None:
+        await self.wait_open()
+        if self._inner.writer.is_closing():
+            raise ConnectionClosed
+
     async def _read_packet(self) -> bytes:
         # The library's own read mistakes a header that arrives in two parts.
         data = b""
@@ -149,7 +156,7 @@
 
     def error(self, **kwargs: Any) -> bytes:
         """Build an error packet with the SQLSTATE of its code."""
-        msg, code = kwargs.get("msg", ""), int(kwargs.get("code", 1105))
+        msg, code = kwargs.get("msg", ""), int(kwargs.get("code", UNKNOWN_ERROR))
         if isinstance(msg, MysqlError):
             msg, code = msg.msg, int(msg.code)
         sqlstate = SQLSTATES.get(code, DEFAULT_SQLSTATE)
@@ -174,13 +181,28 @@
         if self.session.username is None:
             raise SqlError(ACCESS_DENIED, f"Access denied for user '{username}'")
 
-    def peer_left(self) -> None:
+    async def handle_stmt_execute(self, data: bytes) -> None:
+        """Execute a prepared statement with its parameters quoted."""
+        stmt = self.get_stmt(prepared.statement_id(data))
+        if not stmt.num_params:
+            await super().handle_stmt_execute(data)
+            return
+        bound = prepared.bind(stmt, data, self.capabilities, self.client_charset)
+        self.prepared_stmts[stmt.stmt_id] = bound.stmt
+        try:
+            await super().handle_stmt_execute(bound.data)
+        finally:
+            self.prepared_stmts[stmt.stmt_id] = stmt
+            stmt.cursor = bound.stmt.cursor
+            stmt.param_buffers = None
+
+    def peer_closed(self) -> None:
         """End the statement in progress; across a cut, nobody would notice."""
         if not self.stream.is_cut:
             self.kill(KillKind.CONNECTION)
 
     def release(self) -> None:
-        """Give the connection's place back."""
+        """Stop counting the connection."""
         if self.counted:
             self.counted = False
             self.instance.connection_count -= 1
--- a/src/wasabipitch/catalogue.py
+++ b/src/wasabipitch/catalogue.py
@@ -51,8 +51,11 @@
         """Whether it may be sent again after an attempt without an answer."""
         if self.statement.kind is Kind.READ:
             return True
-        has_id = bool(self.statement.hints.request_id)
-        return has_id and self.statement.kind is Kind.WRITE
+        if not self.statement.hints.request_id:
+            return False
+        kind = self.statement.kind
+        # A commit in doubt asks for its outcome, which changes nothing twice.
+        return kind is Kind.WRITE or (kind is Kind.COMMIT and self.in_doubt)
 
     def to_message(self) -> Execute:
         """Return the message to a pool, with the time that is left now."""
@@ -97,7 +100,9 @@
         return cls(frozenset(g.name for g in deployment.groups), classes, shapes)
 
     def check_group(self, name: str) -> None:
-        """Raise ``UnknownGroup`` unless a group of that name is declared."""
+        """Raise ``Refused`` unless a group of that name is declared."""
+        if not self.groups:
+            raise Refused("no configuration is in force yet")
         if name not in self.groups:
             raise UnknownGroup(f"unknown database {name!r}: no such group is declared")
 
@@ -124,7 +129,8 @@
         """
         if not session.group:
             raise Refused("no database is selected", code=ER_NO_DB)
-        self.check_group(session.group)
+        if session.pin is None:
+            self.check_group(session.group)
         cls = self.find_class(statement)
         hints = statement.hints
         request_id = hints.request_id or session.transaction_id
--- a/src/wasabipitch/limits.py
+++ b/src/wasabipitch/limits.py
@@ -21,7 +21,7 @@
 FIRST_SERVICE_S = 0.002
 LONG_SERVICE_FACTOR = 100.0
 # Of the time left, what the expected wait may use up before a refusal.
-WAIT_SHARE = 0.7
+WAIT_SHARE = 0.2
 
 
 class Lane(enum.Enum):
@@ -241,15 +241,14 @@
     def expected_wait_s(self, ticket: Ticket) -> float:
         """Return how long a ticket that arrives now is expected to wait."""
         usable = [n for n in self._slots if self._serves(n, ticket.lane)]
-        slots = [self._slots[n] for n in usable]
+        # While there is no primary, the next one's slots are counted on.
+        slots = [self._slots[n] for n in usable] or list(self._slots.values())[:1]
         total = sum(s.total - s.long_running for s in slots)
-        if not total:
-            return 0.0
-        free = sum(s.total - s.running for s in slots)
+        free = sum(s.total - s.running for s in slots) if usable else 0
         ahead = self._lanes[ticket.lane].count_ahead(ticket)
         if ahead < free:
             return 0.0
-        return (ahead + 1) * self._service_s[ticket.lane] / total
+        return (ahead + 1) * self._service_s[ticket.lane] / max(1, total)
 
     async def acquire(self, ticket: Ticket) -> Grant:
         """Wait for a slot.
@@ -265,16 +264,22 @@
             async with asyncio.timeout(ticket.deadline_s - time.monotonic()):
                 return await ticket.granted
         except TimeoutError:
-            self._abandon(ticket)
+            self._abandon(ticket, queue)
             raise Overloaded("the deadline passed while waiting for a slot") from None
         except asyncio.CancelledError:
-            self._abandon(ticket)
+            self._abandon(ticket, queue)
             raise
-        finally:
-            queue.remove(ticket)
 
     def dispatch(self) -> None:
-        """Grant free slots; called whenever something has changed."""
+        """Grant free slots; called whenever something has changed.
+
+        The statement of an open transaction does not wait for a slot: those that
+        hold the slots may wait for a lock that its transaction holds.
+        """
+        for name, pinned in self._pinned.items():
+            for ticket in list(pinned):
+                if not ticket.granted.done():
+                    self._grant(name, ticket)
         for name in self._prefer(self._slots):
             while self._slots[name].running < self._slots[name].total:
                 ticket = self._choose(name)
@@ -318,9 +323,6 @@
         return queue
 
     def _choose(self, name: str) -> Ticket | None:
-        pinned = self._pinned[name]
-        if pinned:
-            return pinned[0]
         lanes = [Lane.REPLICA]
         if self._is_primary(name):
             lanes = [Lane.PRIMARY, Lane.REPLICA]
@@ -336,6 +338,9 @@
         for scanned, ticket in enumerate(self._lanes[lane].heads()):
             if scanned >= MAX_SCANNED:
                 return None
+            if ticket.granted.done():
+                # Its wait was cancelled in this turn of the event loop.
+                continue
             if slots.admits(ticket, reserve) and ticket.may_run_on(name):
                 return ticket
         return None
@@ -346,7 +351,7 @@
         if ticket.long:
             slots.long_running += 1
         if ticket.pinned:
-            self._pinned[name].popleft()
+            self._pinned[name].remove(ticket)
         else:
             queue = self._lanes[ticket.lane]
             factor = LONG_SERVICE_FACTOR if ticket.long else 1.0
@@ -354,9 +359,13 @@
             queue.served(ticket, self._service_s[ticket.lane] * factor)
         ticket.granted.set_result(Grant(self, name, ticket))
 
-    def _abandon(self, ticket: Ticket) -> None:
+    def _abandon(self, ticket: Ticket, queue) -> None:
         if ticket.granted.done() and not ticket.granted.cancelled():
             ticket.granted.result().release()
+            return
+        queue.remove(ticket)
+        # It may have hidden a later ticket of its session.
+        self.dispatch()
 
 
 class _PinnedQueue:
--- a/src/wasabipitch/mysql_targets.py
+++ b/src/wasabipitch/mysql_targets.py
@@ -68,6 +68,9 @@
         # A second statement hidden behind a semicolon could end a transaction
         # unseen, so the target is told to take one statement at a time.
         conn._client_flag &= ~CLIENT.MULTI_STATEMENTS
+        # The library's own timeout uses asyncio.wait_for, which in Python 3.11
+        # loses a cancellation that comes just as the connection opens.
+        conn._connect_timeout = None
         try:
             async with asyncio.timeout(CONNECT_TIMEOUT_S):
                 await conn.connect()
@@ -77,7 +80,10 @@
                 f"within {CONNECT_TIMEOUT_S} s"
             ) from exc
         except Exception as exc:  # the library raises many kinds on malformed bytes
-            raise TargetDown(f"target {address} can't be connected to: {exc}") from exc
+            raise TargetDown(
+                f"target {address} can't be connected to: {exc}",
+                code=_read_code(exc),
+            ) from exc
         return MysqlConn(conn, address)
 
     def open_control(self, name: str, address: Address) -> "MysqlControl":
@@ -85,6 +91,12 @@
         return MysqlControl(self, name, address)
 
 
+def _read_code(exc: Exception) -> int | None:
+    """Return the target's error number, or None if it gave none."""
+    code = exc.args[0] if isinstance(exc, errors.MySQLError) and exc.args else None
+    return code if isinstance(code, int) and code not in CLIENT_ERRORS else None
+
+
 class MysqlConn:
     """One connection to a MySQL instance.
 
--- a/src/wasabipitch/reads.py
+++ b/src/wasabipitch/reads.py
@@ -10,16 +10,18 @@
 from wasabipitch.deployment import RequestClass
 from wasabipitch.exceptions import TargetDown, TargetLost, WasabipitchError
 from wasabipitch.limits import Lane, Ticket
-from wasabipitch.links import Exchange
+from wasabipitch.linkserver import Exchange
 from wasabipitch.messages import Execute, Result, Rows
 from wasabipitch.models import Position
 from wasabipitch.parts import GroupParts, Lease
 from wasabipitch.retries import backoff_s
 from wasabipitch.sampling import SAMPLE_ERRORS
+from wasabipitch.statements import fingerprint
 from wasabipitch.targets import Answer
-from wasabipitch.workload import fingerprint
 
 MAX_ATTEMPTS = 4
+# A report younger than this is not asked for again.
+RECENT_S = 0.01
 
 
 class ReadRunner:
@@ -102,13 +104,15 @@
     ) -> Ticket:
         router = self._parts.router
         age_s = cls.max_age_s
-        if age_s is None or not self._parts.policy.replica_reads:
+        aged = age_s is not None and self._parts.policy.replica_reads
+        if aged and router.has_replica(floor, age_s):
+            lane = Lane.REPLICA
+            may_run_on = partial(router.may_read_aged, floor=floor, max_age_s=age_s)
+        else:
+            # Replicas never look in this lane, even if one comes to suit later.
             lane = Lane.PRIMARY
             may_run_on = partial(router.may_read, floor=floor)
             await self._refresh_primary(floor)
-        else:
-            lane = Lane.REPLICA if router.has_replica(floor, age_s) else Lane.PRIMARY
-            may_run_on = partial(router.may_read_aged, floor=floor, max_age_s=age_s)
         return Ticket(
             session=req.session,
             request_class=cls,
@@ -118,6 +122,17 @@
             long=self._parts.is_long(mark, cls),
         )
 
+    async def _choose_lane(self, floor: Position, age_s: float) -> Lane:
+        router = self._parts.router
+        if router.has_replica(floor, age_s):
+            return Lane.REPLICA
+        # A replica may have reached the floor since it was last heard of.
+        await self._parts.sampler.sample_older(RECENT_S)
+        if router.has_replica(floor, age_s):
+            return Lane.REPLICA
+        self._parts.metrics.count("pool.reads.unsuited")
+        return Lane.PRIMARY
+
     async def _refresh_primary(self, floor: Position) -> None:
         primary = self._parts.view.primary_view
         if primary is None or primary.position >= floor:
--- a/tests/standins/test_target.py
+++ b/tests/standins/test_target.py
@@ -104,6 +104,7 @@
             "promote(1)",
             "promote(2)",
             f"follow('{leader}', 1)",
+            "follow('nowhere', 2)",
         ):
             status = await self.group.call("a", call)
             self.assertEqual(status.accepted, 0, call)
@@ -184,6 +185,20 @@
         await self.group.catch_up("a", "b")
         self.assertEqual(await self.group.notes("b"), ["mine"])
 
+    async def test_a_locking_read_keeps_other_writers_out(self) -> None:
+        await query(self.app, ADD.format("1"))
+        other = await self.group.connect("a")
+        await query(self.app, "BEGIN")
+        await query(self.app, "SELECT note FROM jobs FOR UPDATE")
+        change = "UPDATE jobs SET note = note + 1"
+        late = asyncio.create_task(query(other, change))
+        await asyncio.sleep(0.05)
+        self.assertEqual((await self.group.call("a", "status()")).queued, 1)
+        await query(self.app, change)
+        await query(self.app, "COMMIT")
+        await late
+        self.assertEqual(await self.group.notes("a"), ["3"])
+
     async def test_autocommit_off_opens_a_transaction(self) -> None:
         app = await self.group.connect("a", autocommit=False)
         await query(app, ADD.format("x"))
@@ -201,7 +216,7 @@
             "PRAGMA user_version": (1064, "42000"),
             "SELECT 1; SELECT 2": (1064, "42000"),
             JOBS: (1050, "42S01"),
-            "CALL wasabipitch_fence()": (1318, "HY000"),
+            "CALL wasabipitch_fence()": (1318, "42000"),
         }.items():
             self.assertEqual(await error_of(self.app, sql), expected, sql)
         replica = await self.group.connect("b")
@@ -232,10 +247,16 @@
                 cur = conn.cursor()
                 cur.execute("INSERT INTO jobs (note) VALUES (%s)", ("it's",))
                 conn.commit()
-                cur.execute("SELECT id, note FROM jobs")
+                cur = conn.cursor(prepared=True)
+                add = "INSERT INTO jobs (note) VALUES (?)"
+                for value in ("it's ? \\ \0", None, 7):
+                    cur.execute(add, (value,))
+                conn.commit()
+                cur.execute("SELECT id, note FROM jobs WHERE id < ?", (9,))
                 return cur.fetchall()
 
-        self.assertEqual(await asyncio.to_thread(use_connector), [(1, "it's")])
+        notes = [row[1] for row in await asyncio.to_thread(use_connector)]
+        self.assertEqual(notes, ["it's", "it's ? \\ \0", None, "7"])
 
 
 class LimitsTest(GroupTest):
--- a/tests/wasabipitch/test_limits.py
+++ b/tests/wasabipitch/test_limits.py
@@ -77,6 +77,17 @@
         self.assertEqual((await third).instance, "w1")
         self.assertEqual(scheduler.running_on("w1"), 2)
 
+    async def test_an_open_transaction_never_waits_for_a_slot(self):
+        # Those that hold the slots may wait for a lock that it holds.
+        scheduler = self.make(refuse_early=False)
+        only_w1 = {"may_run_on": lambda name: name == "w1"}
+        grants = [await scheduler.acquire(make_ticket(**only_w1)) for _ in range(2)]
+        pinned = make_ticket(pinned="w1", wait_s=0.05, **only_w1)
+        grants.append(await scheduler.acquire(pinned))
+        for grant in grants:
+            grant.release()
+        self.assertEqual((scheduler.running, scheduler.queued), (0, 0))
+
     async def test_long_work_never_holds_the_last_slot(self):
         for reserve, admitted in ((True, 1), (False, 2)):
             scheduler = self.make(reserve_slot=reserve, refuse_early=False)
@@ -127,6 +138,21 @@
         await asyncio.gather(*tasks, return_exceptions=True)
         self.assertEqual(scheduler.queued, 0)
 
+    async def test_a_slot_that_frees_as_a_wait_ends_is_not_lost(self):
+        scheduler = self.make(refuse_early=False)
+        grants = [await scheduler.acquire(make_ticket()) for _ in range(2)]
+        tickets = [make_ticket(), make_ticket()]
+        waiters = [asyncio.create_task(scheduler.acquire(t)) for t in tickets]
+        await asyncio.sleep(0)
+        # As at a timeout: the wait is cancelled, and its task has yet to run.
+        waiters[0].cancel()
+        grants[0].release()
+        granted = await waiters[1]
+        for grant in (*grants, granted):
+            grant.release()
+        await asyncio.gather(*waiters, return_exceptions=True)
+        self.assertEqual((scheduler.running, scheduler.queued), (0, 0))
+
     async def test_a_cancelled_waiter_leaves_no_slot_held(self):
         scheduler = self.make(refuse_early=False)
         grants = [await scheduler.acquire(make_ticket()) for _ in range(2)]
--- a/tests/wasabipitch/test_mysql_targets.py
+++ b/tests/wasabipitch/test_mysql_targets.py
@@ -6,7 +6,12 @@
 
 from standins.instance import TargetConfig
 from standins.target import Target
-from wasabipitch.exceptions import TargetDown, TargetError, TargetLost
+from wasabipitch.exceptions import (
+    ER_CON_COUNT_ERROR,
+    TargetDown,
+    TargetError,
+    TargetLost,
+)
 from wasabipitch.models import Address, Position
 from wasabipitch.mysql_targets import MysqlConn, MysqlConnector
 from wasabipitch.verdict import Verdict
@@ -212,14 +217,25 @@
     async def test_connection_limit_is_down(self) -> None:
         for _ in range(5):
             await self.connect()
-        with self.assertRaisesRegex(TargetDown, "Too many connections"):
+        with self.assertRaisesRegex(TargetDown, "Too many connections") as caught:
             await self.connect()
+        # Such a refusal is no sign that the instance is lost.
+        self.assertEqual(caught.exception.code, ER_CON_COUNT_ERROR)
 
     async def test_silence_is_down(self) -> None:
         self.cut("pool1")
         with self.assertRaisesRegex(TargetDown, "within"):
             await self.connect()
 
+    async def test_cancellation_is_never_lost(self) -> None:
+        for turns in range(60):
+            task = asyncio.ensure_future(self.connector.connect(self.address, ""))
+            for _ in range(turns % 12):
+                await asyncio.sleep(0)
+            self.assertTrue(task.cancel())
+            await asyncio.wait([task])
+            self.assertTrue(task.cancelled(), f"after {turns % 12} turns of the loop")
+
     async def test_garbage_is_down(self) -> None:
         async def serve(reader, writer) -> None:
             writer.write(struct.pack("<I", 5) + b"\x0ahttp")
