Replace a primary that is cut off from its replicas only

What: if a majority of others answers, follows, and gets no further than behind the primary for 4 s, they are fenced without it and one of them is promoted; at most once in 30 s, as replicas may only be slow. The broken promoter of the failover's tests takes the new argument; its assertions are unchanged.

--- a/src/wasabipitch/failover.py
+++ b/src/wasabipitch/failover.py
@@ -14,6 +14,7 @@
 from wasabipitch.messages import Opinion
 from wasabipitch.metrics import Metrics
 from wasabipitch.promotion import Change, Promoter
+from wasabipitch.stalls import StallWatch
 from wasabipitch.terms import TermAllocator
 from wasabipitch.view import GroupView, InstanceView
 
@@ -98,6 +99,7 @@
         self._quiesce = quiesce
         self._rng = rng or random.Random()
         self._mender = Mender(view, self._promoter, rank)
+        self._stalls = StallWatch(view)
         self._turn = asyncio.Lock()  # one change of term at a time
         self._suspicion: Suspicion | None = None
         self._last_primary = ""
@@ -128,6 +130,10 @@
         if self._view.primary_view is None:
             if self._may_act():
                 await self._replace_primary()
+        elif reason := self._stalls.find_stall(self.rank() * RANK_DELAY_S):
+            old = self._view.primary
+            with suppress(NoTarget):
+                await self._change(Change(reason, old=old, avoid=old))
         else:
             await self._mend()
 
@@ -175,7 +181,7 @@
 
     async def _change(self, change: Change) -> Leadership:
         async with AsyncExitStack() as stack:
-            stack.callback(self._clear_activity)
+            stack.callback(setattr, self._view, "activity", "")
             if change.planned:
                 await self._enter_quiesce(stack)
             self._depose()
@@ -288,9 +294,6 @@
         delay_s = self.rank() * RANK_DELAY_S
         return now_s >= max(self._not_before_s, self._absent_since_s + delay_s)
 
-    def _clear_activity(self) -> None:
-        self._view.activity = ""
-
     async def _wait_first_reports(self) -> None:
         deadline_s = time.monotonic() + START_WAIT_S
         while time.monotonic() < deadline_s:
--- a/src/wasabipitch/promotion.py
+++ b/src/wasabipitch/promotion.py
@@ -44,6 +44,7 @@
     old: str = ""
     prefer: str = ""
     planned: bool = False
+    avoid: str = ""
 
 
 class Promoter:
@@ -73,14 +74,14 @@
         if change.planned:
             await self._stop_old(change, term)
             stopped.add(change.old)
-        fenced = await self.fence_majority(term, stopped)
+        fenced = await self.fence_majority(term, stopped, change.avoid)
         successor = self.choose_successor(fenced, change)
         await self.promote(successor, term)
         await self.follow(successor, term)
         return Leadership(successor, term)
 
     async def fence_majority(
-        self, term: int, already: Collection[str] = ()
+        self, term: int, already: Collection[str] = (), avoid: str = ""
     ) -> Mapping[str, InstanceStatus]:
         """Fence all instances that answer, and return what a majority then holds.
 
@@ -91,12 +92,13 @@
         Args:
             term: greater than any that was seen.
             already: instances that have taken the fence before.
+            avoid: an instance that is not fenced, or empty.
 
         Raises:
             NoTarget: no majority of members holds the fence.
         """
         self._say(f"fencing a majority at term {term}")
-        others = [n for n in self._view.instances if n not in already]
+        others = [n for n in self._view.instances if n not in (*already, avoid)]
         missing = self._view.majority - len(already)
         answers = await self._order_all(
             others, lambda ch: ch.fence(term, FENCE_TIMEOUT_S), _took_fence, missing
--- /dev/null
+++ b/src/wasabipitch/stalls.py
@@ -0,0 +1,64 @@
+"""Notices a primary whose log no longer reaches the other instances."""
+
+import time
+
+from wasabipitch.models import Position
+from wasabipitch.view import GroupView, InstanceView
+
+STALL_S = 4.0  # beyond what a replica that keeps up lags behind
+MIN_INTERVAL_S = 30.0  # replicas that are only slow change no primary twice
+
+
+class StallWatch:
+    """Judges whether the others follow the primary, or could do without it.
+
+    A primary that is cut off from its replicas alone still answers every probe,
+    but nothing that it commits is ever held by a majority.
+
+    Args:
+        view: of the group.
+    """
+
+    def __init__(self, view: GroupView) -> None:
+        self._view = view
+        self._reached: Position | None = None
+        self._since_s = 0.0
+        self._found_at_s = float("-inf")
+
+    def find_stall(self, delay_s: float = 0.0) -> str:
+        """Return why the primary no longer leads a majority, or ''.
+
+        Args:
+            delay_s: how much longer than usual to wait before saying so.
+        """
+        now_s = time.monotonic()
+        primary = self._view.primary_view
+        others = self._list_others()
+        if primary is None or len(others) < self._view.majority:
+            self._reached = None
+            return ""
+        reached = max(view.position for view in others)
+        if reached >= primary.position:
+            self._reached = None
+            return ""
+        if reached != self._reached:
+            self._reached = reached
+            self._since_s = now_s
+        stalled_s = now_s - self._since_s
+        if stalled_s < STALL_S + delay_s or now_s - self._found_at_s < MIN_INTERVAL_S:
+            return ""
+        self._found_at_s = now_s
+        return (
+            f"{primary.name} is at {primary.position}, but no other instance has "
+            f"got past {reached} for {stalled_s:.1f} s"
+        )
+
+    def _list_others(self) -> list[InstanceView]:
+        return [
+            view
+            for view in self._view.instances.values()
+            if view.name != self._view.primary
+            and view.reachable
+            and view.status.member
+            and view.status.fence <= self._view.term
+        ]
--- a/tests/wasabipitch/test_failover.py
+++ b/tests/wasabipitch/test_failover.py
@@ -408,7 +408,7 @@
 class UnfencedPromoter(Promoter):
     """Promotes without a fenced majority, to show what that costs."""
 
-    async def fence_majority(self, term: int, already=()) -> Mapping:
+    async def fence_majority(self, term: int, already=(), avoid="") -> Mapping:
         status = await self.order("c", lambda ch: ch.fence(term))
         return {"c": status}
 
