--- a/src/bench/tables.py
+++ b/src/bench/tables.py
@@ -1,5 +1,7 @@
 """Text tables of results."""
 
+import statistics
+from collections import defaultdict
 from collections.abc import Sequence
 
 from bench.loops import FailoverResult, PathResult
@@ -39,6 +41,8 @@
         _format_classes(run.phases),
         _format_measures(run),
         _format_usage(run),
+        f"slots held after the run: {run.held_after};"
+        f" p99 from arrival to sending: {run.start_delay_p99_ms:.0f} ms",
     ]
     if run.errors:
         parts.append("\n".join(f"{n} x {text}" for text, n in run.errors.items()))
@@ -73,8 +77,8 @@
 
 
 def _format_phases(phases: Sequence[PhaseResult]) -> str:
-    head = ["phase", "s", "offered/s", "load", "good load", "refused"]
-    head += ["refusal p99 ms", "short p50 ms", "short p99 ms", "wait p99 ms"]
+    head = ["phase", "s", "offered/s", "load", "good load", "refused", "expired"]
+    head += ["early p99 ms", "short p50 ms", "short p99 ms", "wait p99 ms"]
     rows = [
         [
             p.name,
@@ -83,7 +87,8 @@
             format_value(p.offered_load),
             format_value(p.good_load),
             format_value(p.refusals),
-            format_value(p.refusal_p99_ms),
+            format_value(p.expired),
+            format_value(p.early_refusal_p99_ms),
             format_value(p.short_p50_ms),
             format_value(p.short_p99_ms),
             format_value(p.short_wait_p99_ms),
@@ -142,18 +147,37 @@
             format_value(r.requests_per_s),
             format_value(r.p50_ms),
             format_value(r.p99_ms),
+            format_value(r.entry_cores),
+            format_value(r.pool_cores),
         ]
         for r in results
     ]
     head = ["way", "connections", "requests/s", "p50 ms", "p99 ms"]
-    return format_table(head, rows)
+    table = format_table([*head, "entry cores", "pool cores"], rows)
+    return f"{table}\n\n{_format_path_cost(results)}"
+
+
+def _format_path_cost(results: Sequence[PathResult]) -> str:
+    by_way: dict[str, list[PathResult]] = defaultdict(list)
+    for result in results:
+        by_way[result.way].append(result)
+    lines = []
+    for name in ("requests_per_s", "p50_ms", "p99_ms"):
+        direct, proxy = (
+            statistics.median(getattr(r, name) for r in by_way[way])
+            for way in ("direct", "proxy")
+        )
+        lines.append(f"median {name}: {proxy:.3f} against {direct:.3f} direct")
+        lines[-1] += f", ratio {proxy / direct:.2f}"
+    return "\n".join(lines)
 
 
 def describe_failovers(result: FailoverResult) -> str:
     """Return the gaps of repeated failovers as text."""
     gaps = " ".join(format_value(g) for g in sorted(result.gaps_s))
     return (
-        f"variant {result.variant}, {result.kills} kills of the primary:"
+        f"variant {result.variant}, {result.kills} losses of the primary by"
+        f" {result.loss}:"
         f" longest time without an acknowledged write\n"
         f"median {result.median_s:.3f} s, worst {result.worst_s:.3f} s,"
         f" connections broken or writes failed {result.failed_writes}\n"
