--- a/src/wasabipitch/session_runner.py
+++ b/src/wasabipitch/session_runner.py
@@ -4,6 +4,7 @@
 import itertools
 import logging
 from collections.abc import AsyncIterator, Callable
+from dataclasses import replace
 from typing import Protocol
 
 from wasabipitch.catalogue import Catalogue, Request
@@ -132,7 +133,8 @@
         req = self.catalogue.admit(session, statement)
         if not session.in_transaction and not session.autocommit:
             if kind is not Kind.BEGIN:
-                await self._run_silently(session, BEGIN)
+                hints = replace(statement.hints, request_id="")
+                await self._run_silently(session, replace(BEGIN, hints=hints))
             req.floor = session.floors.get(session.group)
         async with contextlib.aclosing(self._observe(session, req)) as replies:
             async for message in replies:
@@ -199,10 +201,32 @@
             if pin is None:
                 self._fail_to_begin(session, req, exc)
                 raise
+            request_id = session.transaction_id
             error = self._fail_in_transaction(session, req, pin, exc)
-            if error is not None:
+            if isinstance(error, InDoubt) and request_id:
+                yield await self._settle_commit(session, req, request_id)
+            elif error is not None:
                 raise error from exc
-            yield Result()
+            else:
+                yield Result()
+
+    async def _settle_commit(
+        self, session: Session, req: Request, request_id: str
+    ) -> Result:
+        """Have another pool find out whether a commit under an id took effect.
+
+        Raises:
+            WasabipitchError: with the verdict on the transaction.
+        """
+        hints = replace(req.statement.hints, request_id=request_id)
+        question = replace(req, statement=replace(COMMIT, hints=hints), in_doubt=True)
+        question.in_transaction = False
+        replies = self._dispatcher.stream(question)
+        async with contextlib.aclosing(replies):
+            async for message in replies:
+                self._note_result(session, question, message)
+                return message
+        raise InDoubt(f"no answer to the commit of request {request_id!r}")
 
     def _note_result(self, session: Session, req: Request, result: Result) -> None:
         if result.position != ORIGIN:
--- a/tests/wasabipitch/test_groups.py
+++ b/tests/wasabipitch/test_groups.py
@@ -3,6 +3,7 @@
 
 from tests.wasabipitch.group_fixture import ServedGroup
 from wasabipitch.contracts import unpack_rows
+from wasabipitch.deployment import RequestClass
 from wasabipitch.links import RemoteError
 from wasabipitch.messages import Kind
 from wasabipitch.models import Position
@@ -61,6 +62,16 @@
         await group.send(insert("red"))
         self.assertEqual(await self.read(group), ["red", "red"])
 
+    async def test_old_ids_are_purged_and_young_ones_kept(self):
+        group = await self.start()
+        await group.send(insert("red"), request_id="old")
+        await group.send("UPDATE wasabipitch_requests SET created_s = 1000")
+        await group.send(insert("blue"), request_id="young")
+        await group.server._writes.purge(RequestClass(name="purge"), 3600)
+        repeat = await group.send(insert("blue"), request_id="young")
+        self.assertTrue(repeat.repeated)
+        self.assertFalse((await group.send(insert("red"), request_id="old")).repeated)
+
     async def test_a_failed_request_leaves_its_id_free(self):
         group = await self.start()
         with self.assertRaises(RemoteError) as caught:
@@ -106,6 +117,22 @@
         await group.send(insert("blue"), session="b")
         self.assertEqual(await self.read(group), ["blue"])
 
+    async def test_a_commit_in_doubt_is_settled_by_its_id(self):
+        group = await self.start()
+        asked = {"in_doubt": True, "session": "other", "request_id": "t-1"}
+        await group.send("BEGIN", Kind.BEGIN, request_id="t-1")
+        await group.send(insert("red"), in_transaction=True)
+        await group.send("COMMIT", Kind.COMMIT, in_transaction=True)
+        result = await group.send("COMMIT", Kind.COMMIT, **asked)
+        self.assertTrue(result.repeated)
+        asked["request_id"] = "t-2"
+        with self.assertRaises(RemoteError) as caught:
+            await group.send("COMMIT", Kind.COMMIT, **asked)
+        self.assertEqual(caught.exception.verdict, Verdict.NOT_RUN)
+        # The tombstone keeps the transaction from running later.
+        with self.assertRaises(RemoteError):
+            await group.send("BEGIN", Kind.BEGIN, session="late", request_id="t-2")
+
     async def test_no_majority_no_acknowledgement(self):
         group = await self.start()
         for name in ("w2", "w3"):
--- a/tests/wasabipitch/test_session_runner.py
+++ b/tests/wasabipitch/test_session_runner.py
@@ -42,6 +42,14 @@
         )
         self.assertNotEqual(self.spare.asked[0].session, self.pool.asked[0].session)
 
+    async def test_an_implicit_begin_has_its_statements_deadline(self):
+        conn = await self.connect(autocommit=False)
+        hint = "/* wasabipitch: id=a, class=lookup, deadline_ms=700 */"
+        await fetch(conn, f"{hint} INSERT INTO t VALUES (1)")
+        begin = self.pool.asked[0]
+        self.assertEqual((begin.request_id, begin.request_class), ("", "lookup"))
+        self.assertLessEqual(begin.deadline_ms, 700)
+
     async def test_autocommit_off_begins_and_on_commits(self):
         conn = await self.connect(autocommit=False)
         await fetch(conn, "SELECT DATABASE()")
@@ -110,6 +118,21 @@
         await self.assert_fails(conn, "COMMIT", "verdict: MAY_HAVE_RUN")
         await fetch(conn, "INSERT INTO t VALUES (1)")
 
+    async def test_no_answer_to_a_commit_under_an_id_is_settled_elsewhere(self):
+        async def settle(exchange):
+            return Result(repeated=True, position=Position(2, 7))
+
+        self.pool.answer("COMMIT", break_link)
+        self.spare.answer("COMMIT", settle)
+        conn = await self.connect()
+        await conn.begin()
+        await fetch(conn, "/* wasabipitch: id=t-1 */ INSERT INTO t VALUES (1)")
+        self.links.reverse()
+        await conn.commit()
+        question = self.spare.asked[-1]
+        self.assertEqual((question.request_id, question.in_doubt), ("t-1", True))
+        self.assertFalse(question.in_transaction)
+
     async def test_no_answer_within_it_rolls_it_back(self):
         self.pool.answer("UPDATE", never)
         self.pool.answer("ALTER", never)
@@ -233,8 +256,12 @@
 
     async def test_a_group_that_is_no_longer_declared(self):
         conn = await self.connect()
+        other = await self.connect()
+        await other.begin()
         rest = Deployment("test", DEPLOYMENT.groups[1:], DEPLOYMENT.classes)
         self.configuration.callback(rest, 2)
+        await fetch(other, "INSERT INTO t VALUES (1)")
+        await other.commit()
         await self.assert_fails(conn, "SELECT 1 FROM t", "1049.*NOT_RUN")
 
     async def test_query_attributes_are_hints(self):
