--- a/src/wasabipitch/declare.py
+++ b/src/wasabipitch/declare.py
@@ -29,6 +29,7 @@
 from pydantic import ValidationError
 
 from wasabipitch.deployment import (
+    DEFAULT_RETENTION_S,
     Deployment,
     Group,
     Instance,
@@ -63,7 +64,12 @@
 
 
 def group(
-    name: str, instances: Iterable[Instance], *, slots: int = 2, connections: int = 16
+    name: str,
+    instances: Iterable[Instance],
+    *,
+    slots: int = 2,
+    connections: int = 16,
+    request_retention_s: float = DEFAULT_RETENTION_S,
 ) -> Group:
     """Declare a database group.
 
@@ -72,6 +78,8 @@
         instances: three, or a greater odd number.
         slots: how many statements run at once on an instance.
         connections: how many connections an instance takes.
+        request_retention_s: how long request ids are kept; a repeat that comes
+            later runs again.
     """
     return _make(
         Group,
@@ -79,6 +87,7 @@
         instances=tuple(instances),
         slots=slots,
         connections=connections,
+        request_retention_s=request_retention_s,
     )
 
 
