--- a/src/wasabipitch/pool.py
+++ b/src/wasabipitch/pool.py
@@ -6,7 +6,7 @@
 import random
 import time
 import uuid
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 from wasabipitch.configuration import ConfigurationKeeper
 from wasabipitch.control import ControlServer
@@ -332,9 +332,9 @@
     return _without_leaving(server.group) != _without_leaving(group)
 
 
-def _without_leaving(group: Group) -> tuple:
-    instances = tuple((i.name, i.address, i.data_centre) for i in group.instances)
-    return group.name, group.slots, group.connections, instances
+def _without_leaving(group: Group) -> Group:
+    instances = tuple(replace(i, leaving=False) for i in group.instances)
+    return replace(group, instances=instances)
 
 
 async def _cancel(task: asyncio.Task) -> None:
