Bound what a reply sends ahead of a slow caller; tell a settled refusal apart

A result for a slow caller piled up in the entry, whatever its size. The server now sends eight messages ahead and waits for the requester. A refusal that a tombstone backs has a code of its own, so an entry that had no answer before passes it on as NOT_RUN; and it waits for a pool that settles a request under an id.

--- a/src/wasabipitch/dispatch.py
+++ b/src/wasabipitch/dispatch.py
@@ -11,6 +11,7 @@
 from wasabipitch.exceptions import (
     ER_BAD_DB_ERROR,
     ER_QUERY_TIMEOUT,
+    ER_SERVER_SHUTDOWN,
     ER_UNKNOWN_ERROR,
     InDoubt,
     LinkDown,
@@ -34,10 +35,12 @@
 MAX_REPEATS = 2
 MAX_OWNERS = 3
 END_SESSION_TIMEOUT_S = 1.0
-# The pool's own verdict at the deadline is better than none.
+# The pool's own verdict at the deadline is better than none. Under an id it may
+# take the pool a few seconds more to settle what is in doubt.
 REPLY_GRACE_S = 0.25
+SETTLE_GRACE_S = 3.5
 
-_MOVE_ON_CODES = frozenset({ER_UNKNOWN_ERROR, ER_BAD_DB_ERROR})
+_MOVE_ON_CODES = frozenset({ER_UNKNOWN_ERROR, ER_BAD_DB_ERROR, ER_SERVER_SHUTDOWN})
 
 
 class Router(Protocol):
@@ -215,7 +218,8 @@
     req.link = link
     # A connection that has to be opened first gets the next generation.
     req.generation = link.generation + (0 if link.connected else 1)
-    return link.stream(req.to_message(), max(req.left_s, 0) + REPLY_GRACE_S)
+    grace_s = SETTLE_GRACE_S if req.statement.hints.request_id else REPLY_GRACE_S
+    return link.stream(req.to_message(), max(req.left_s, 0) + grace_s)
 
 
 def _should_move_on(exc: RemoteError) -> bool:
--- a/src/wasabipitch/exceptions.py
+++ b/src/wasabipitch/exceptions.py
@@ -6,8 +6,10 @@
 ER_CON_COUNT_ERROR = 1040
 ER_BAD_DB_ERROR = 1049
 ER_UNKNOWN_ERROR = 1105
+ER_SERVER_SHUTDOWN = 1053
 ER_LOCK_WAIT_TIMEOUT = 1205
 ER_OPTION_PREVENTS_STATEMENT = 1290
+ER_QUERY_INTERRUPTED = 1317
 ER_QUERY_TIMEOUT = 3024
 
 
@@ -94,13 +96,23 @@
     code = ER_QUERY_TIMEOUT
 
 
+class GivenUp(Refused):
+    """A majority holds a tombstone under the request's id: it never runs."""
+
+    code = ER_QUERY_INTERRUPTED
+
+
 class Stopping(Refused):
     """The process is stopping and takes no new work."""
 
+    code = ER_SERVER_SHUTDOWN
+
 
 class NotOwner(Refused):
     """This pool does not serve the group."""
 
+    code = ER_SERVER_SHUTDOWN
+
 
 class NoTarget(Refused):
     """No instance of the group may serve the request now."""
--- a/src/wasabipitch/links.py
+++ b/src/wasabipitch/links.py
@@ -16,6 +16,7 @@
 from wasabipitch.exceptions import LinkDown, LinkError, LinkLost, WasabipitchError
 from wasabipitch.messages import (
     Cancel,
+    Continue,
     Failure,
     Heartbeat,
     Hello,
@@ -32,6 +33,10 @@
 HEARTBEAT_S = 0.5
 SILENCE_LIMIT_S = 1.5
 HEARTBEAT_NUMBER = 0
+# Messages of one reply that are sent ahead of the requester, and after how many
+# of them it says so.
+WINDOW = 8
+CONTINUE_EVERY = 4
 WRITE_HIGH_WATER_BYTES = 1024 * 1024
 
 logger = logging.getLogger(__name__)
@@ -155,6 +160,7 @@
         inbox: asyncio.Queue[Envelope | None] = asyncio.Queue()
         self._waiting[number] = inbox
         finished = False
+        taken = 0
         try:
             self._send(Envelope(number, self._clock.tick(), message))
             while not finished:
@@ -163,6 +169,9 @@
                 if isinstance(envelope.message, Failure):
                     raise_failure(envelope.message)
                 yield envelope.message
+                taken += 1
+                if not finished and taken % CONTINUE_EVERY == 0:
+                    self._continue(number)
         finally:
             self._waiting.pop(number, None)
             if not finished and self._writer is not None:
@@ -177,6 +186,11 @@
             with contextlib.suppress(asyncio.CancelledError):
                 await task
 
+    def _continue(self, number: int) -> None:
+        if self._writer is not None:
+            message = Continue(CONTINUE_EVERY)
+            self._send(Envelope(number, self._clock.tick(), message))
+
     async def _receive(self, inbox: asyncio.Queue, timeout_s: float) -> Envelope:
         try:
             async with asyncio.timeout(timeout_s):
--- a/src/wasabipitch/linkserver.py
+++ b/src/wasabipitch/linkserver.py
@@ -11,12 +11,13 @@
 from wasabipitch.exceptions import LinkError, WasabipitchError
 from wasabipitch.links import (
     HEARTBEAT_NUMBER,
+    WINDOW,
     WRITE_HIGH_WATER_BYTES,
     Cuts,
     describe_failure,
     read_envelope,
 )
-from wasabipitch.messages import Cancel, Execute, Heartbeat, Hello, Message
+from wasabipitch.messages import Cancel, Continue, Execute, Heartbeat, Hello, Message
 from wasabipitch.models import Address, Host
 from wasabipitch.verdict import Verdict
 
@@ -35,6 +36,7 @@
         self.message = envelope.message
         self.connection = connection
         self._number = envelope.number
+        self._window = asyncio.Semaphore(WINDOW)
 
     @property
     def peer(self) -> Host | None:
@@ -42,9 +44,19 @@
         return self.connection.peer
 
     async def send(self, message: Message, *, more: bool = False) -> None:
-        """Send a message of the reply; ``more`` if others follow it."""
+        """Send a message of the reply; ``more`` if others follow it.
+
+        Waits while too many are on their way to a slow requester.
+        """
+        if more:
+            await self._window.acquire()
         await self.connection.send(self._number, message, more)
 
+    def widen(self, taken: int) -> None:
+        """Note that the requester has taken messages of the reply."""
+        for _ in range(taken):
+            self._window.release()
+
 
 Handler = Callable[[Exchange], Awaitable[Message | None]]
 PeerLost = Callable[["LinkConnection"], Awaitable[None]]
@@ -62,6 +74,7 @@
         self._reader = reader
         self._writer = writer
         self._tasks: dict[int, asyncio.Task] = {}
+        self._exchanges: dict[int, Exchange] = {}
 
     async def send(self, number: int, message: Message, more: bool = False) -> None:
         """Send a message under a request's number."""
@@ -101,22 +114,31 @@
             self.incarnation = message.incarnation
         elif isinstance(message, Heartbeat):
             self._answer_heartbeat()
+        elif isinstance(message, Continue):
+            exchange = self._exchanges.get(envelope.number)
+            if exchange is not None:
+                exchange.widen(message.taken)
         elif isinstance(message, Cancel):
             task = self._tasks.get(envelope.number)
             if task is not None:
                 task.cancel()
         else:
-            task = asyncio.create_task(self._serve(envelope))
+            exchange = Exchange(self, envelope)
+            task = asyncio.create_task(self._serve(exchange))
+            self._exchanges[envelope.number] = exchange
             self._tasks[envelope.number] = task
-            task.add_done_callback(lambda _: self._tasks.pop(envelope.number, None))
+            task.add_done_callback(lambda _: self._forget(envelope.number))
 
     def _answer_heartbeat(self) -> None:
         clock = self._server.clock.tick()
         envelope = Envelope(HEARTBEAT_NUMBER, clock, Heartbeat())
         self._writer.write(contracts.pack(envelope))
 
-    async def _serve(self, envelope: Envelope) -> None:
-        exchange = Exchange(self, envelope)
+    def _forget(self, number: int) -> None:
+        self._tasks.pop(number, None)
+        self._exchanges.pop(number, None)
+
+    async def _serve(self, exchange: Exchange) -> None:
         try:
             reply = await self._server.handler(exchange)
             if reply is not None:
@@ -124,8 +146,8 @@
         except WasabipitchError as exc:
             await exchange.send(describe_failure(exc))
         except Exception as exc:
-            logger.exception("request %s failed", type(envelope.message).__name__)
-            is_statement = isinstance(envelope.message, Execute)
+            logger.exception("request %s failed", type(exchange.message).__name__)
+            is_statement = isinstance(exchange.message, Execute)
             verdict = Verdict.MAY_HAVE_RUN if is_statement else Verdict.NOT_RUN
             error = WasabipitchError(f"internal error: {exc!r}", verdict=verdict)
             await exchange.send(describe_failure(error))
--- a/src/wasabipitch/messages.py
+++ b/src/wasabipitch/messages.py
@@ -100,6 +100,17 @@
     """Asks whether the peer still reads its link; answered by another one."""
 
 
+@dataclass(frozen=True, slots=True)
+class Continue:
+    """Tells the server that so many messages of a reply were taken.
+
+    The server sends only a few messages ahead of these, so that a reply to a
+    slow caller takes little memory at either end.
+    """
+
+    taken: int
+
+
 @dataclass(frozen=True, slots=True)
 class EndSession:
     """The caller is gone: roll back and forget what its session holds."""
@@ -303,6 +314,7 @@
 ControlMessage = (
     Hello
     | Heartbeat
+    | Continue
     | EndSession
     | Done
     | AskOpinion
--- a/src/wasabipitch/requests.py
+++ b/src/wasabipitch/requests.py
@@ -8,7 +8,7 @@
 import time
 from dataclasses import dataclass
 
-from wasabipitch.exceptions import Refused, TargetError, TargetLost
+from wasabipitch.exceptions import GivenUp, Refused, TargetError, TargetLost
 from wasabipitch.targets import Answer, TargetConn
 from wasabipitch.verdict import Verdict
 
@@ -180,9 +180,9 @@
 
 
 def check_ran(request_id: str, record: Record) -> None:
-    """Raise ``Refused`` if the record is a tombstone."""
+    """Raise ``GivenUp`` if the record is a tombstone."""
     if record.state is RecordState.VOID:
-        raise Refused(f"request {request_id!r} was given up: it did not run")
+        raise GivenUp(f"request {request_id!r} was given up: it did not run")
 
 
 async def purge(conn: TargetConn, retention_s: float) -> int:
--- a/src/wasabipitch/writes.py
+++ b/src/wasabipitch/writes.py
@@ -4,12 +4,12 @@
 import contextlib
 import time
 from collections.abc import Awaitable, Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from typing import Generic, TypeVar
 
 from wasabipitch import requests
 from wasabipitch.deployment import RequestClass
-from wasabipitch.exceptions import InDoubt, Refused, WasabipitchError
+from wasabipitch.exceptions import GivenUp, InDoubt, WasabipitchError
 from wasabipitch.limits import Ticket
 from wasabipitch.messages import Execute, Result
 from wasabipitch.models import Position
@@ -67,7 +67,7 @@
             The recorded outcome, if the request ran.
 
         Raises:
-            Refused: a majority holds a tombstone, so it never runs.
+            GivenUp: a majority holds a tombstone, so it never runs.
             InDoubt: neither could be established in time.
         """
         deadline_s = time.monotonic() + RESOLVE_GRACE_S
@@ -76,7 +76,7 @@
             try:
                 return await self._bury(req, cls, deadline_s)
             except WasabipitchError as exc:
-                if isinstance(exc, _Settled):
+                if isinstance(exc, GivenUp):
                     raise
                 doubt = exc
             await asyncio.sleep(backoff_s(attempt, self._parts.rng))
@@ -156,7 +156,7 @@
         while True:
             try:
                 return await self._attempt_once(req, cls, deadline_s)
-            except _Settled:
+            except GivenUp:
                 raise
             except WasabipitchError as exc:
                 in_doubt = in_doubt or exc.verdict is Verdict.MAY_HAVE_RUN
@@ -188,11 +188,11 @@
         outcome = done.value
         repeated = outcome.record is not None
         if repeated:
-            self._check_ran(req, outcome.record)
+            requests.check_ran(req.request_id, outcome.record)
             self._record("request.repeated", req, done.term)
-        return make_result(
-            outcome.answer, done.position, done.instance, repeated=repeated
-        )
+        # The answer came before the commit, and told of the open transaction.
+        answer = replace(outcome.answer, in_transaction=False)
+        return make_result(answer, done.position, done.instance, repeated=repeated)
 
     async def _run_once(
         self, conn: TargetConn, req: Execute, deadline_s: float
@@ -212,15 +212,9 @@
         done = await self._carry_out(req, cls, deadline_s, put_tombstone)
         record = done.value
         self._record("request.resolved", req, done.term, record.state.value)
-        self._check_ran(req, record)
+        requests.check_ran(req.request_id, record)
         return make_result(record.answer, done.position, done.instance, repeated=True)
 
-    def _check_ran(self, req: Execute, record: requests.Record) -> None:
-        try:
-            requests.check_ran(req.request_id, record)
-        except Refused as exc:
-            raise _Settled(exc.message) from exc
-
     def _record(self, kind: str, req: Execute, term: int, detail: str = "") -> None:
         self._parts.timeline.record(
             kind,
@@ -230,7 +224,3 @@
             term=term,
             detail=detail,
         )
-
-
-class _Settled(Refused):
-    """A majority holds a tombstone under the id: it never runs."""
--- a/tests/wasabipitch/test_groups.py
+++ b/tests/wasabipitch/test_groups.py
@@ -4,6 +4,7 @@
 from tests.wasabipitch.group_fixture import ServedGroup
 from wasabipitch.contracts import unpack_rows
 from wasabipitch.deployment import RequestClass
+from wasabipitch.exceptions import ER_QUERY_INTERRUPTED
 from wasabipitch.links import RemoteError
 from wasabipitch.messages import Kind
 from wasabipitch.models import Position
@@ -56,6 +57,7 @@
         first = await group.send(insert("red"), request_id="p-1")
         again = await group.send(insert("red"), request_id="p-1")
         self.assertTrue(again.repeated and not first.repeated)
+        self.assertFalse(first.in_transaction or again.in_transaction)
         self.assertEqual(again.last_insert_id, first.last_insert_id)
         self.assertEqual(await self.read(group), ["red"])
         # Without its id the same statement runs again.
@@ -87,6 +89,7 @@
         with self.assertRaises(RemoteError) as caught:
             await group.send(late, request_id="p-1", in_doubt=True)
         self.assertEqual(caught.exception.verdict, Verdict.NOT_RUN)
+        self.assertEqual(caught.exception.code, ER_QUERY_INTERRUPTED)
         # The late original is refused, since its id is buried.
         with self.assertRaises(RemoteError) as caught:
             await group.send(insert("late"), request_id="p-1")
--- a/tests/wasabipitch/test_links.py
+++ b/tests/wasabipitch/test_links.py
@@ -5,12 +5,13 @@
 
 from wasabipitch.events import Clock
 from wasabipitch.exceptions import LinkDown, LinkLost, NoTarget
-from wasabipitch.links import HEARTBEAT_S, Cuts, Link, RemoteError
+from wasabipitch.links import HEARTBEAT_S, WINDOW, Cuts, Link, RemoteError
 from wasabipitch.linkserver import LinkConnection, LinkServer
 from wasabipitch.messages import AskStatus, Done, EndSession, Hello, Rows
 from wasabipitch.models import Address, Host
 from wasabipitch.verdict import Verdict
 
+MANY = 30
 HELLO = Hello(Host("entry-1", "entry", "127.0.0.1:1", "rome"), "i")
 
 
@@ -37,6 +38,11 @@
         match exchange.message:
             case EndSession(session="slow"):
                 await asyncio.sleep(0.05)
+            case EndSession(session="many"):
+                for n in range(MANY):
+                    await exchange.send(Rows(b"%d" % n), more=n < MANY - 1)
+                    self.sent = n + 1
+                return None
             case EndSession(session="never"):
                 await asyncio.Event().wait()
             case EndSession(session="refused"):
@@ -58,6 +64,14 @@
         replies = [m.rows async for m in self.link.stream(AskStatus())]
         self.assertEqual(replies, [b"1", b"2"])
 
+    async def test_a_reply_runs_only_a_window_ahead_of_a_slow_requester(self):
+        replies = self.link.stream(EndSession("many"))
+        first = await anext(replies)
+        await asyncio.sleep(0.05)
+        self.assertEqual(self.sent, WINDOW)
+        rest = [m.rows async for m in replies]
+        self.assertEqual([first.rows, *rest], [b"%d" % n for n in range(MANY)])
+
     async def test_failures_carry_their_verdict(self):
         with self.assertRaises(RemoteError) as refused:
             await self.link.call(EndSession("refused"))
