Keep configurations in the store as JSON, a line a group

Ruled out: the check of types, some 20 ms. Weighed: keeping the parsed groups of unchanged parts; PyYAML's loader in C, now used for operators' files.

--- a/src/wasabipitch/changes.py
+++ b/src/wasabipitch/changes.py
@@ -8,7 +8,7 @@
 from pathlib import Path
 
 from wasabipitch import configuration, plans, reports
-from wasabipitch.deployment import Deployment, Group, dump, parse
+from wasabipitch.deployment import Deployment, Group, dump, pack, parse
 from wasabipitch.envelopes import Stored
 from wasabipitch.exceptions import SettingsError, StoreConflict, StoreError
 from wasabipitch.fleet import FleetState, Silent
@@ -140,7 +140,7 @@
     return await configuration.apply(
         session.store,
         session.options.key,
-        dump(wanted),
+        pack(wanted),
         expect,
         uuid.uuid4().hex,
         author,
--- a/src/wasabipitch/deployment.py
+++ b/src/wasabipitch/deployment.py
@@ -4,8 +4,9 @@
 """
 
 from dataclasses import field
-from typing import Annotated, Literal
+from typing import Annotated, Any, Literal
 
+import msgspec
 import yaml
 from pydantic import ConfigDict, Field, TypeAdapter, ValidationError
 from pydantic.dataclasses import dataclass
@@ -17,6 +18,9 @@
 DEFAULT_RETENTION_S = 7 * 24 * 3600.0
 NAME_PATTERN = r"^[a-z][a-z0-9_-]{0,62}$"
 
+# The safe loader in C, where PyYAML was built with it.
+YamlLoader = getattr(yaml, "CSafeLoader", yaml.SafeLoader)
+
 _STRICT = ConfigDict(extra="forbid")
 Name = Annotated[str, Field(pattern=NAME_PATTERN)]
 
@@ -152,15 +156,15 @@
 
 
 def parse(text: str) -> Deployment:
-    """Return the deployment that a YAML text declares.
+    """Return the deployment that a text declares.
+
+    Args:
+        text: YAML, as operators keep it, or what ``pack`` returned.
 
     Raises:
         SettingsError: with every error and its path, one a line.
     """
-    try:
-        document = yaml.safe_load(text)
-    except yaml.YAMLError as exc:
-        raise SettingsError(f"not valid YAML: {exc}") from exc
+    document = _load(text)
     try:
         deployment = _ADAPTER.validate_python(document)
     except ValidationError as exc:
@@ -177,6 +181,32 @@
     return yaml.safe_dump(document, sort_keys=False, allow_unicode=True)
 
 
+def pack(deployment: Deployment) -> str:
+    """Return the deployment as ``parse`` reads it fastest, for the store.
+
+    It is JSON with one group a line, so that a change of one group changes one
+    line. YAML takes some thirty times as long to read.
+    """
+    document = _ADAPTER.dump_python(deployment, mode="json")
+    groups = document.pop("groups")
+    lines = ",\n".join(msgspec.json.encode(group).decode() for group in groups)
+    rest = msgspec.json.encode(document).decode()
+    return f'{{"groups": [\n{lines}\n],\n{rest[1:]}\n'
+
+
+def _load(text: str) -> Any:
+    if text.startswith("{"):
+        try:
+            return msgspec.json.decode(text)
+        except msgspec.DecodeError:
+            # A flow mapping of YAML may start in the same way.
+            pass
+    try:
+        return yaml.load(text, Loader=YamlLoader)
+    except yaml.YAMLError as exc:
+        raise SettingsError(f"not valid YAML: {exc}") from exc
+
+
 def describe_errors(exc: ValidationError) -> str:
     """Return every validation error with its path, one a line."""
     lines = []
@@ -211,5 +241,6 @@
     "Policy",
     "RequestClass",
     "dump",
+    "pack",
     "parse",
 ]
--- a/tests/wasabipitch/test_ctl.py
+++ b/tests/wasabipitch/test_ctl.py
@@ -12,7 +12,7 @@
 from tests.wasabipitch.processes import KEY, Process, wait_until
 from wasabipitch import changes, declare, envelopes, orders, plans
 from wasabipitch.cli import ctl
-from wasabipitch.deployment import dump
+from wasabipitch.deployment import dump, parse
 from wasabipitch.fleet import Fleet
 from wasabipitch.messages import (
     AskEvents,
@@ -168,7 +168,8 @@
         self.assertEqual([0, 3], sorted(o.exit_code for o in outcomes))
         stored = await envelopes.read_stored(self.store, KEY)
         lost = next(o for o in outcomes if o.exit_code == 3)
-        slots = 3 if "slots: 3" in stored.document else 4
+        slots = parse(stored.document).groups[0].slots
+        self.assertIn(slots, (3, 4))
         self.assertIn("-  slots: 2", lost.report.difference)
         self.assertIn(f"+  slots: {slots}", lost.report.difference)
 
--- a/tests/wasabipitch/test_deployment.py
+++ b/tests/wasabipitch/test_deployment.py
@@ -21,6 +21,15 @@
         parsed = deployment.parse(GOOD)
         self.assertEqual(deployment.parse(deployment.dump(parsed)), parsed)
 
+    def test_the_packed_form_is_the_same_deployment_a_line_a_group(self):
+        parsed = deployment.parse(GOOD)
+        packed = deployment.pack(parsed)
+        self.assertEqual(deployment.parse(packed), parsed)
+        lines = [ln for ln in packed.splitlines() if '"workshop"' in ln]
+        self.assertEqual(len(lines), 1)
+        flow = deployment.parse("{name: wheelcraft, groups: []}")
+        self.assertEqual(flow.groups, ())
+
     def test_all_errors_come_at_once_with_their_paths(self):
         bad = GOOD.replace("127.0.0.1:1", "nowhere").replace("weight: 50", "wieght: 1")
         with self.assertRaises(SettingsError) as caught:
