--- a/src/wasabipitch/messages.py
+++ b/src/wasabipitch/messages.py
@@ -293,14 +293,6 @@
     to: str = ""
 
 
-@dataclass(frozen=True, slots=True)
-class Drain:
-    """Orders that an instance gets no new work, or takes that back."""
-
-    target: str
-    undo: bool = False
-
-
 @dataclass(frozen=True, slots=True)
 class SetCut:
     """Fault injection: drop all traffic with these peers; empty heals.
@@ -327,7 +319,6 @@
     | AskEvents
     | Events
     | Switchover
-    | Drain
     | SetCut
 )
 Message = Execute | Result | Rows | Failure | Cancel | ControlMessage
--- a/src/wasabipitch/pool.py
+++ b/src/wasabipitch/pool.py
@@ -20,7 +20,6 @@
 from wasabipitch.messages import (
     AskOpinion,
     Done,
-    Drain,
     EndSession,
     Execute,
     Opinion,
@@ -150,7 +149,6 @@
         self._control.register(AskOpinion, self._give_opinion)
         self._control.register(EndSession, self._end_session)
         self._control.register(Switchover, self._switch_over)
-        self._control.register(Drain, self._drain_target)
         self._keeper.subscribe(lambda *_: self._changed.set())
         self._membership.subscribe(lambda *_: self._changed.set())
         self._start_task(self._membership.run())
@@ -312,19 +310,6 @@
             raise NotOwner(f"{self.host.name} does not serve group {order.group}")
         return Done(await served.server.switch_over(order.to))
 
-    async def _drain_target(self, exchange: Exchange) -> Done:
-        order = exchange.message
-        for served in self._served.values():
-            server = served.server
-            if order.target in server.view.instances:
-                leaving = {n for n, v in server.view.instances.items() if v.leaving}
-                leaving.discard(order.target)
-                server.set_leaving(
-                    frozenset(leaving | (set() if order.undo else {order.target}))
-                )
-                return Done(f"{order.target} gets no new work")
-        raise NotOwner(f"{self.host.name} serves no target {order.target}")
-
 
 def _differs(server: GroupServer, group: Group, deployment: Deployment) -> bool:
     if server.policy != deployment.policy:
--- a/tests/wasabipitch/test_control.py
+++ b/tests/wasabipitch/test_control.py
@@ -8,9 +8,9 @@
     AskEvents,
     AskOpinion,
     AskStatus,
-    Drain,
     Opinion,
     SetCut,
+    Switchover,
 )
 from wasabipitch.verdict import Verdict
 
@@ -34,8 +34,10 @@
         self.assertEqual("pool-2", found.host)
 
     async def test_message_without_a_handler(self):
-        with self.assertRaisesRegex(RemoteError, "pool-2 does not answer Drain") as ctx:
-            await self.link.call(Drain("wc-1"))
+        with self.assertRaisesRegex(
+            RemoteError, "pool-2 does not answer Switchover"
+        ) as ctx:
+            await self.link.call(Switchover("wc-1"))
         self.assertEqual(Verdict.NOT_RUN, ctx.exception.verdict)
 
     async def test_registered_handler(self):
