--- a/src/wasabipitch/groups.py
+++ b/src/wasabipitch/groups.py
@@ -149,6 +149,12 @@
                 self._record("target.leaving", "", f"{name}: {view.leaving}")
         self.view.notify()
 
+    def share_connections(self, share: float) -> None:
+        """Set this pool's part of each instance's connections."""
+        limit = connection_limit(self.group.connections, share)
+        for connections in self.parts.connections.values():
+            connections.limit = limit
+
     async def switch_over(self, to: str = "") -> str:
         """Change the primary as planned; return the new one's name."""
         return await switch_primary(self.view, self._failover, to)
@@ -219,6 +225,7 @@
             await asyncio.sleep(REAP_INTERVAL_S)
             for session in self.parts.transactions.abort_idle(time.monotonic()):
                 self._record("transaction.aborted", session, "idle too long")
+            self._report()
 
     @contextlib.asynccontextmanager
     async def _quiesce(self) -> AsyncIterator[None]:
@@ -232,10 +239,29 @@
             self.parts.router.holding_writes = False
             self.parts.scheduler.dispatch()
 
+    def _report(self) -> None:
+        if self._is_second():
+            return
+        name = self.group.name
+        metrics = self._ctx.metrics
+        metrics.gauge(f"group.{name}.primaries", int(bool(self.view.primary)))
+        metrics.gauge(f"group.{name}.queued", self.parts.scheduler.queued)
+        for view in self.view.instances.values():
+            metrics.gauge(f"group.{name}.behind.{view.name}", self._count_behind(view))
+
+    def _is_second(self) -> bool:
+        return self._ctx.read_rank(self.group.name) > 0
+
+    def _count_behind(self, view: InstanceView) -> int:
+        primary = self.view.primary_view
+        if primary is None:
+            return 0
+        return max(0, primary.position.index - view.position.index)
+
     async def _purge(self) -> None:
         while True:
             await asyncio.sleep(PURGE_INTERVAL_S)
-            if self._ctx.read_rank(self.group.name) > 0:
+            if self._is_second():
                 continue
             try:
                 await self._writes.purge(PURGE_CLASS, self.group.request_retention_s)
@@ -251,8 +277,6 @@
 
     def _describe_instance(self, view: InstanceView) -> InstanceState:
         status = view.status
-        primary = self.view.primary_view
-        behind = primary.position.index - view.position.index if primary else 0
         age = age_s(self.view, view.name, time.monotonic())
         return InstanceState(
             name=view.name,
@@ -265,7 +289,7 @@
             reachable=view.reachable,
             member=status.member if status else False,
             leaving=view.leaving,
-            lag_entries=max(0, behind),
+            lag_entries=self._count_behind(view),
             age_ms=-1 if age is None else round(age * 1000),
             running=self.parts.scheduler.running_on(view.name),
             connections=self.parts.connections[view.name].open,
--- a/src/wasabipitch/health.py
+++ b/src/wasabipitch/health.py
@@ -143,8 +143,11 @@
 
 
 def _confirmed_at_s(view: GroupView) -> float | None:
-    """Return since when a majority has shown no term above the primary's."""
-    if view.primary_view is None:
+    """Return since when a majority has shown no term above the latest primary's.
+
+    It stays true of the past when that primary is lost.
+    """
+    if not view.term:
         return None
     heard = sorted(
         (
--- a/src/wasabipitch/limits.py
+++ b/src/wasabipitch/limits.py
@@ -13,7 +13,7 @@
 from dataclasses import dataclass, field
 
 from wasabipitch.deployment import Policy, RequestClass
-from wasabipitch.exceptions import Overloaded
+from wasabipitch.exceptions import NoTarget, Overloaded, Refused
 
 MAX_QUEUED = 1024
 MAX_SCANNED = 64
@@ -256,6 +256,7 @@
         Raises:
             Overloaded: if the queue is full, the expected wait passes the
                 deadline, or the deadline passes while it waits.
+            NoTarget: the group had no primary until the deadline.
         """
         self._admit(ticket)
         queue = self._enqueue(ticket)
@@ -265,7 +266,7 @@
                 return await ticket.granted
         except TimeoutError:
             self._abandon(ticket, queue)
-            raise Overloaded("the deadline passed while waiting for a slot") from None
+            raise self._explain_expiry(ticket) from None
         except asyncio.CancelledError:
             self._abandon(ticket, queue)
             raise
@@ -299,6 +300,12 @@
             self._service_s[lane] = old_s + EWMA_WEIGHT * (service_s - old_s)
         self.dispatch()
 
+    def _explain_expiry(self, ticket: Ticket) -> Refused:
+        has_primary = any(map(self._is_primary, self._slots))
+        if ticket.lane is Lane.PRIMARY and not has_primary:
+            return NoTarget("the group had no primary until the deadline")
+        return Overloaded("the deadline passed while waiting for a slot")
+
     def _serves(self, instance: str, lane: Lane) -> bool:
         return self._is_primary(instance) == (lane is Lane.PRIMARY)
 
--- a/src/wasabipitch/pool.py
+++ b/src/wasabipitch/pool.py
@@ -223,7 +223,9 @@
         for name, group in wanted.items():
             if name not in self._served:
                 self._start_group(group, deployment)
-            self._served[name].server.set_leaving(self._find_leaving(group))
+            server = self._served[name].server
+            server.set_leaving(self._find_leaving(group))
+            server.share_connections(self._share_connections(name, deployment))
 
     def _find_leaving(self, group: Group) -> frozenset[str]:
         leaving = {h.name for h in self._membership.leaving("target")}
--- a/src/wasabipitch/requests.py
+++ b/src/wasabipitch/requests.py
@@ -9,18 +9,18 @@
 from dataclasses import dataclass
 
 from wasabipitch.exceptions import GivenUp, Refused, TargetError, TargetLost
+from wasabipitch.statements import MAX_REQUEST_ID_LENGTH
 from wasabipitch.targets import Answer, TargetConn
 from wasabipitch.verdict import Verdict
 
 TABLE = "wasabipitch_requests"
-MAX_ID_LENGTH = 200
 
 ER_DUP_ENTRY = 1062
 ER_NO_SUCH_TABLE = 1146
 
 CREATE_TABLE = (
     f"CREATE TABLE IF NOT EXISTS {TABLE} ("
-    "id VARCHAR(200) PRIMARY KEY, state VARCHAR(8) NOT NULL, "
+    f"id VARCHAR({MAX_REQUEST_ID_LENGTH}) PRIMARY KEY, state VARCHAR(8) NOT NULL, "
     "affected_rows BIGINT NOT NULL, last_insert_id BIGINT NOT NULL, "
     "created_s BIGINT NOT NULL)"
 )
@@ -67,8 +67,8 @@
 
 def check_id(request_id: str) -> None:
     """Raise ``Refused`` for an id that can't be recorded."""
-    if not request_id or len(request_id) > MAX_ID_LENGTH:
-        raise Refused(f"a request id has 1 to {MAX_ID_LENGTH} characters")
+    if not request_id or len(request_id) > MAX_REQUEST_ID_LENGTH:
+        raise Refused(f"a request id has 1 to {MAX_REQUEST_ID_LENGTH} characters")
     if not request_id.isprintable() or "\\" in request_id or "'" in request_id:
         raise Refused(f"request id {request_id!r} has characters that are not allowed")
 
@@ -197,7 +197,7 @@
 
 
 def _make_insert(request_id: str, state: RecordState) -> str:
-    # The wall clock only serves the retention; no promise rests on it.
+    # At most once rests on the wall clock only through the retention.
     return (
         f"INSERT INTO {TABLE} "
         "(id, state, affected_rows, last_insert_id, created_s) "
