Answer those who wait for a lost primary when it is replaced

A write without an id to a primary that was cut off waited for its whole deadline before it was told MAY_HAVE_RUN. The test waits 20 s at most of a 60 s deadline. Aged reads go on without a primary as long as their age allows, which a test shows.

--- a/src/wasabipitch/connections.py
+++ b/src/wasabipitch/connections.py
@@ -130,13 +130,17 @@
         while self._idle:
             self._discard(self._idle.pop())
 
-    def close(self) -> None:
-        """Close all, also those in use."""
-        self._closed = True
+    def reset(self) -> None:
+        """Close all that are open now; what runs on them may have run."""
         self.drop_idle()
         for conn in list(self._lent):
             conn.close()
 
+    def close(self) -> None:
+        """Close all for good, also those in use."""
+        self._closed = True
+        self.reset()
+
     async def _open(self) -> TargetConn:
         self._opening += 1
         try:
--- a/src/wasabipitch/groups.py
+++ b/src/wasabipitch/groups.py
@@ -19,7 +19,7 @@
 from wasabipitch.exceptions import WasabipitchError
 from wasabipitch.failover import Failover
 from wasabipitch.floors import FloorConfirmer
-from wasabipitch.health import Monitor, age_s
+from wasabipitch.health import SUSPECT_MISSES, Monitor, age_s
 from wasabipitch.limits import Scheduler
 from wasabipitch.links import describe_failure
 from wasabipitch.linkserver import Exchange
@@ -216,9 +216,19 @@
                 yield keep_open(self.parts.connections[name], wanted)
 
     async def _wake(self) -> None:
+        leader = self.view.primary
         while True:
             await self.view.wait_changed(WAKE_INTERVAL_S)
             self.parts.scheduler.dispatch()
+            if self.view.primary not in ("", leader):
+                self._drop_lost(leader)
+                leader = self.view.primary
+
+    def _drop_lost(self, former: str) -> None:
+        """Answer those who still wait for a primary that was replaced and is lost."""
+        view = self.view.instances.get(former)
+        if view is not None and view.misses >= SUSPECT_MISSES:
+            self.parts.connections[former].reset()
 
     async def _reap(self) -> None:
         while True:
--- a/tests/wasabipitch/test_groups.py
+++ b/tests/wasabipitch/test_groups.py
@@ -3,7 +3,7 @@
 
 from tests.wasabipitch.group_fixture import ServedGroup
 from wasabipitch.contracts import unpack_rows
-from wasabipitch.deployment import RequestClass
+from wasabipitch.deployment import Policy, RequestClass
 from wasabipitch.exceptions import ER_QUERY_INTERRUPTED
 from wasabipitch.links import RemoteError
 from wasabipitch.messages import Kind
@@ -155,6 +155,28 @@
         bikes = await self.read(group, floor=result.position)
         self.assertEqual(bikes, [*(f"bike {n}" for n in range(5)), "after"])
 
+    async def test_who_waits_for_a_lost_primary_is_answered_at_its_replacement(self):
+        group = await self.start()
+        await group.on_target("w1", "CALL standin_set('work_ms', 60000)")
+        write = asyncio.create_task(group.send(insert("red"), deadline_ms=60_000))
+        await asyncio.sleep(0.1)
+        await group.on_target("w1", "CALL standin_cut('pool-1')")
+        with self.assertRaises(RemoteError) as caught:
+            async with asyncio.timeout(20):
+                await write
+        self.assertEqual(caught.exception.verdict, Verdict.MAY_HAVE_RUN)
+
+    async def test_aged_reads_go_on_while_there_is_no_primary(self):
+        group = await self.start(policy=Policy(failover=False))
+        floor = (await group.send(insert("red"))).position
+        await asyncio.sleep(0.5)
+        await group.on_target("w1", "CALL standin_cut('pool-1')")
+        async with asyncio.timeout(10):
+            while group.server.view.primary:
+                await asyncio.sleep(0.01)
+        read = await self.read(group, cls="lookup", floor=floor, deadline_ms=500)
+        self.assertEqual(read, ["red"])
+
     async def test_an_id_in_doubt_is_settled_on_the_next_primary(self):
         group = await self.start()
         for name in ("w2", "w3"):
