--- a/src/bench/callers.py
+++ b/src/bench/callers.py
@@ -110,7 +110,7 @@
             outcome = Outcome.UNANSWERED
             self.close()
         except ANSWER_ERRORS as exc:
-            outcome = self._judge(exc)
+            outcome = self._judge(arrival, exc)
         exchange_s = time.monotonic() - self._sent_s
         self._recorder.record(arrival, outcome, exchange_s)
 
@@ -162,7 +162,7 @@
             rows = await cursor.fetchall()
         return rows[0] if rows else ()
 
-    def _judge(self, exc: Exception) -> Outcome:
+    def _judge(self, arrival: Arrival, exc: Exception) -> Outcome:
         code = exc.args[0] if exc.args else 0
         text = str(exc)
         if not isinstance(exc, MySQLError) or code in (2003, 2006, 2013):
@@ -171,6 +171,7 @@
         if UNSURE_TEXT in text:
             return Outcome.UNSURE
         if code == ER_QUERY_TIMEOUT:
+            self._recorder.note_refusal(arrival, str(exc.args[-1]))
             return Outcome.EXPIRED if EXPIRED_TEXT in text else Outcome.REFUSED
         self._recorder.note_error(text)
         return Outcome.FAILED
--- a/src/bench/recording.py
+++ b/src/bench/recording.py
@@ -1,6 +1,7 @@
 """What became of every request, and its response time."""
 
 import enum
+import re
 import time
 from collections import Counter
 from dataclasses import dataclass
@@ -9,6 +10,8 @@
 
 from bench.schedule import Arrival
 
+_NUMBER = re.compile(r"\d+(?:\.\d+)?")
+
 LOWEST_US = 1
 HIGHEST_US = 600_000_000
 SIGNIFICANT_DIGITS = 3
@@ -68,6 +71,7 @@
         self.start_s = start_s
         self.samples: list[Sample] = []
         self.errors: Counter[str] = Counter()
+        self.refusals: Counter[str] = Counter()
         self.start_delays = new_histogram()
 
     def age_s(self, arrival: Arrival) -> float:
@@ -87,6 +91,12 @@
         sample = Sample(arrival, outcome, done_s, response_s, exchange_s)
         self.samples.append(sample)
 
+    def note_refusal(self, arrival: Arrival, text: str) -> None:
+        """Count a refusal by phase, class and reason, without its numbers."""
+        reason = _NUMBER.sub("N", text.partition(" (verdict")[0])
+        key = f"phase {arrival.phase}, {arrival.work.name}: {reason}"
+        self.refusals[key] += 1
+
     def note_error(self, text: str) -> None:
         """Count an error that no measure names."""
         self.errors[text[:160]] += 1
--- a/src/bench/results.py
+++ b/src/bench/results.py
@@ -141,6 +141,8 @@
         held_after: slots that the pools hold after the run; more than 0 while no
             request is under way means that slots were lost.
         counters: of all entries and pools together, over the run.
+        refusals: by phase, class and reason.
+        busiest: cores of the busiest process of each role in each phase.
         errors: those that no measure names, by their text.
     """
 
@@ -156,6 +158,8 @@
     usage: tuple[Usage, ...]
     held_after: int
     counters: dict[str, float]
+    refusals: dict[str, int]
+    busiest: dict[str, dict[str, float]]
     errors: dict[str, int]
 
 
--- a/src/bench/runs.py
+++ b/src/bench/runs.py
@@ -58,6 +58,7 @@
         self._seed = seed
         self._lost_s: float | None = None
         self._lost_group = ""
+        self._busiest: dict[str, dict[str, float]] = {}
 
     async def execute(self) -> RunResult:
         """Start a fleet, offer the load and return the result."""
@@ -96,9 +97,10 @@
             meter = UsageMeter(fleet)
             recorder.start_s = time.monotonic() + START_DELAY_S
             loss = asyncio.create_task(self._lose_primary(fleet, recorder.start_s))
+            watch = asyncio.create_task(self._watch_usage(fleet, recorder.start_s))
             await _release(arrivals, queues, recorder.start_s)
             usage = meter.summarize()
-            await loss
+            await asyncio.gather(loss, watch)
             await _drain(queues)
             counters = await read_counters(fleet)
             held = await _count_held(fleet)
@@ -136,6 +138,15 @@
         self._lost_s = time.monotonic() - start_s
         await fleet.processes[primary].kill()
 
+    async def _watch_usage(self, fleet: Fleet, start_s: float) -> None:
+        end_s = start_s
+        await asyncio.sleep(start_s - time.monotonic())
+        for phase in self._experiment.phases:
+            end_s += phase.seconds
+            meter = UsageMeter(fleet)
+            await asyncio.sleep(end_s - time.monotonic())
+            self._busiest[phase.name] = {u.role: u.busiest for u in meter.summarize()}
+
     def _find_loss_s(self) -> float | None:
         start_s = 0.0
         for phase in self._experiment.phases:
@@ -166,6 +177,8 @@
             usage=usage,
             held_after=held,
             counters=dict(sorted(counters.items())),
+            refusals=dict(sorted(recorder.refusals.items())),
+            busiest=self._busiest,
             errors=dict(recorder.errors.most_common(10)),
         )
 
--- a/src/bench/tables.py
+++ b/src/bench/tables.py
@@ -41,9 +41,13 @@
         _format_classes(run.phases),
         _format_measures(run),
         _format_usage(run),
+        _format_busiest(run),
         f"slots held after the run: {run.held_after};"
         f" p99 from arrival to sending: {run.start_delay_p99_ms:.0f} ms",
     ]
+    if run.refusals:
+        reasons = [f"{n} x {text}" for text, n in run.refusals.items()]
+        parts.append("refusals\n" + "\n".join(reasons))
     if run.errors:
         parts.append("\n".join(f"{n} x {text}" for text, n in run.errors.items()))
     return "\n\n".join(parts)
@@ -123,6 +127,16 @@
     return format_table(["measure", "value"], rows)
 
 
+def _format_busiest(run: RunResult) -> str:
+    roles = sorted({role for phase in run.busiest.values() for role in phase})
+    rows = [
+        [phase, *(format_value(cores.get(role)) for role in roles)]
+        for phase, cores in run.busiest.items()
+    ]
+    head = ["busiest process, cores", *roles]
+    return format_table(head, rows)
+
+
 def _format_usage(run: RunResult) -> str:
     head = ["role", "processes", "cores", "busiest", "largest MB"]
     rows = [
--- a/tests/bench/test_runs.py
+++ b/tests/bench/test_runs.py
@@ -43,5 +43,7 @@
         self.assertIsNotNone(run.lost_primary_at_s)
         self.assertGreater(run.measures.failover_gap_s, 0)
         self.assertGreater(run.counters["pool.reads.aged"], 0)
+        self.assertEqual({"calm", "crest"}, set(run.busiest))
+        self.assertGreater(run.busiest["crest"]["pool"], 0)
         roles = {u.role for u in run.usage}
         self.assertEqual({"bench", "entry", "platform", "pool", "target"}, roles)
--- a/tests/bench/test_summaries.py
+++ b/tests/bench/test_summaries.py
@@ -27,6 +27,8 @@
         usage=(),
         held_after=0,
         counters=COUNTERS,
+        refusals={},
+        busiest={},
         errors={},
     )
 
