--- a/src/proofs/faults.py
+++ b/src/proofs/faults.py
@@ -125,16 +125,6 @@
         await asyncio.sleep(TAKEOVER_S)
 
 
-async def isolate_primary(fleet: Fleet) -> None:
-    """Cut the primary off from its replicas and from all pools but the owner."""
-    primary = await find_primary(fleet)
-    owner = await find_owner(fleet)
-    others = [i.name for i in _group(fleet).instances if i.name != primary]
-    pools = [p.name for p in fleet.pools if p is not owner]
-    async with _cut_targets(fleet, primary, [*others, *pools]):
-        await asyncio.sleep(LEASE_S)
-
-
 async def cut_entry_from_owner(fleet: Fleet) -> None:
     """Drop all traffic between the first entry and the owner."""
     owner, entry = await find_owner(fleet), fleet.entries[0]
@@ -173,17 +163,6 @@
     return inject
 
 
-def in_turn(*faults: Fault, pause_s: float = 0.0) -> Fault:
-    """Return a fault that injects several one after another."""
-
-    async def inject(fleet: Fleet) -> None:
-        for fault in faults:
-            await fault(fleet)
-            await asyncio.sleep(pause_s)
-
-    return inject
-
-
 def _group(fleet: Fleet) -> Group:
     return fleet.deployment.group(GROUP)
 
--- a/src/proofs/scenarios.py
+++ b/src/proofs/scenarios.py
@@ -1,6 +1,7 @@
 """Runs callers against a fleet while faults come, and reads the final state."""
 
 import asyncio
+import dataclasses
 from collections.abc import Sequence
 from dataclasses import dataclass
 
@@ -12,6 +13,7 @@
 from proofs.recorder import SCHEMA, Recorder
 from standins.fleet import HARNESS_USER, Fleet, FleetConfig
 from wasabipitch.deployment import Deployment, Group, Instance, RequestClass
+from wasabipitch.messages import AskStatus
 from wasabipitch.models import Address
 
 DATA_CENTRES = ("thonburi", "bangna", "chatuchak")
@@ -19,6 +21,7 @@
 QUIET_S = 0.4  # of undisturbed work before and after each fault
 SETTLE_S = 20.0
 SETTLE_POLL_S = 0.1
+FEW_SECONDS_S = 4.0  # by when a change of configuration is in force everywhere
 # The platform's list lags by a second, and is fetched every half second; a
 # process watches the store again up to a second after a change.
 MEETING_S = 2.5
@@ -104,6 +107,29 @@
     await asyncio.sleep(MEETING_S)
 
 
+def with_slots(deployment: Deployment, slots: int) -> Deployment:
+    """Return the deployment with another number of slots: a change to apply."""
+    groups = tuple(dataclasses.replace(g, slots=slots) for g in deployment.groups)
+    return dataclasses.replace(deployment, groups=groups)
+
+
+async def read_revisions(fleet: Fleet) -> list[int]:
+    """Return the revision in force at each entry and pool."""
+    processes = (*fleet.entries, *fleet.pools)
+    return [(await fleet.ask(p.name, AskStatus())).revision for p in processes]
+
+
+async def wait_revision(fleet: Fleet, revision: int) -> None:
+    """Wait until a revision is in force everywhere.
+
+    Raises:
+        TimeoutError: it is not within a few seconds.
+    """
+    async with asyncio.timeout(FEW_SECONDS_S):
+        while min(await read_revisions(fleet)) < revision:
+            await asyncio.sleep(SETTLE_POLL_S)
+
+
 async def read_final_state(fleet: Fleet) -> FinalState:
     """Return all rows on the primary, once a group is whole again."""
     await wait_same_logs(fleet)
--- a/src/proofs/sessions.py
+++ b/src/proofs/sessions.py
@@ -1,12 +1,11 @@
 """The sessions that golden files hold, each run against a fresh fleet."""
 
 import asyncio
-import dataclasses
 import difflib
 import signal
 from collections.abc import Awaitable, Callable
 
-from proofs.faults import GROUP, find_owner, find_primary
+from proofs.faults import find_owner, find_primary
 from proofs.golden import (
     REQUEST_KINDS,
     Client,
@@ -14,12 +13,10 @@
     collect_events,
     normalise,
 )
-from proofs.scenarios import make_fleet, wait_met
+from proofs.scenarios import make_fleet, wait_met, wait_revision, with_slots
 from standins.fleet import Fleet
 from wasabipitch import deployment as deployments
-from wasabipitch.deployment import Deployment
 from wasabipitch.exceptions import StoreConflict
-from wasabipitch.messages import AskStatus
 
 MID_WRITE_MS = 600
 MID_WRITE_S = 0.2
@@ -138,7 +135,7 @@
     asleep = (fleet.entries[1], other)
     for process in asleep:
         process.send(signal.SIGSTOP)
-    revision = await fleet.apply(_with_slots(fleet.deployment, 3))
+    revision = await fleet.apply(with_slots(fleet.deployment, 3))
     await transcript.note(
         f"revision {revision} accepted while two processes were paused"
     )
@@ -146,7 +143,7 @@
     await transcript.note("the platform went down, then the two processes woke")
     for process in asleep:
         process.send(signal.SIGCONT)
-    await _wait_revision(fleet, revision)
+    await wait_revision(fleet, revision)
     await transcript.note(f"revision {revision} is in force at every process")
     await counter.send("INSERT INTO jobs (bike) VALUES ('red')")
     await counter.send(SELECT_JOBS)
@@ -160,7 +157,7 @@
     await counter.send(CREATE_JOBS)
     revision = 0
     for operator, slots in (("malee", 3), ("somchai", 4)):
-        change = _with_slots(fleet.deployment, slots)
+        change = with_slots(fleet.deployment, slots)
         step = {"operator": operator, "applies": f"slots: {slots}", "expects": 1}
         await transcript.begin(step)
         try:
@@ -169,7 +166,7 @@
         except StoreConflict as exc:
             step["conflict"] = exc.message
             step["difference"] = _compare(exc.value, deployments.dump(change))
-    await _wait_revision(fleet, revision)
+    await wait_revision(fleet, revision)
     await transcript.note(f"revision {revision} is in force at every process")
     await counter.send("INSERT INTO jobs (bike) VALUES ('red')")
     counter.close()
@@ -219,21 +216,6 @@
             await asyncio.sleep(POLL_S)
 
 
-async def _wait_revision(fleet: Fleet, revision: int) -> None:
-    async with asyncio.timeout(WAIT_S):
-        for process in (*fleet.entries, *fleet.pools):
-            while (await fleet.ask(process.name, AskStatus())).revision < revision:
-                await asyncio.sleep(POLL_S)
-
-
-def _with_slots(deployment: Deployment, slots: int) -> Deployment:
-    groups = tuple(
-        dataclasses.replace(g, slots=slots) if g.name == GROUP else g
-        for g in deployment.groups
-    )
-    return dataclasses.replace(deployment, groups=groups)
-
-
 def _compare(theirs: str, own: str) -> list[str]:
     lines = difflib.unified_diff(theirs.splitlines(), own.splitlines(), n=0)
     return [ln for ln in lines if not ln.startswith(("---", "+++", "@@"))]
--- a/tests/proofs/test_operations.py
+++ b/tests/proofs/test_operations.py
@@ -11,30 +11,11 @@
 from wasabipitch.exceptions import StoreConflict
 from wasabipitch.messages import AskStatus
 
-FEW_SECONDS_S = 4.0
 SLOW_MS = 200
 STUCK_MS = 8000
 WRITERS = 6
 
 
-async def read_revisions(fleet):
-    states = [
-        await fleet.ask(p.name, AskStatus()) for p in (*fleet.entries, *fleet.pools)
-    ]
-    return [state.revision for state in states]
-
-
-async def wait_revision(fleet, revision):
-    async with asyncio.timeout(FEW_SECONDS_S):
-        while min(await read_revisions(fleet)) < revision:
-            await asyncio.sleep(0.05)
-
-
-def with_slots(deployment, slots):
-    groups = tuple(dataclasses.replace(g, slots=slots) for g in deployment.groups)
-    return dataclasses.replace(deployment, groups=groups)
-
-
 def with_leaving(deployment, name):
     (group,) = deployment.groups
     instances = tuple(
@@ -100,7 +81,7 @@
 
         async with Recorder(list_entries, scenarios.CALLERS, SEED):
             await fleet.apply(with_leaving(fleet.deployment, "w2"))
-            await asyncio.sleep(FEW_SECONDS_S)
+            await asyncio.sleep(scenarios.FEW_SECONDS_S)
             # Whatever reaches them from now on is still there at the end.
             for name in ("w2", "w3"):
                 stick = f"CALL standin_set('work_ms', {STUCK_MS})"
@@ -121,7 +102,7 @@
             address = str(fleet.processes["w1"].address)
             listed = {"name": "w1", "role": "target", "address": address}
             await fleet.admin("PUT", "hosts", {**listed, "state": "leaving"})
-            async with asyncio.timeout(FEW_SECONDS_S):
+            async with asyncio.timeout(scenarios.FEW_SECONDS_S):
                 while await faults.find_primary(fleet) == "w1":
                     await asyncio.sleep(0.05)
 
@@ -133,8 +114,8 @@
 class Configuration(FleetCase):
     async def test_of_two_operators_one_wins_everywhere(self):
         fleet = await self.start()
-        (before,) = set(await read_revisions(fleet))
-        changes = [with_slots(fleet.deployment, slots) for slots in (3, 4)]
+        (before,) = set(await scenarios.read_revisions(fleet))
+        changes = [scenarios.with_slots(fleet.deployment, slots) for slots in (3, 4)]
         outcomes = await asyncio.gather(
             *(fleet.apply(change, expect=before) for change in changes),
             return_exceptions=True,
@@ -143,7 +124,7 @@
         (conflict,) = (o for o in outcomes if isinstance(o, StoreConflict))
         winner = 3 if isinstance(outcomes[0], int) else 4
         self.assertIn(f"slots: {winner}", conflict.value)
-        await wait_revision(fleet, revision)
+        await scenarios.wait_revision(fleet, revision)
         for pool in fleet.pools:
             state = await fleet.ask(pool.name, AskStatus())
             self.assertEqual(state.groups[0].slots, 3 * winner)
@@ -154,19 +135,19 @@
         asleep = (fleet.entries[1], fleet.pools[1])
         for process in asleep:
             process.send(signal.SIGSTOP)
-        revision = await fleet.apply(with_slots(fleet.deployment, 3))
+        revision = await fleet.apply(scenarios.with_slots(fleet.deployment, 3))
         await fleet.set_faults(down=True)
         for process in asleep:
             process.send(signal.SIGCONT)
-        await wait_revision(fleet, revision)
+        await scenarios.wait_revision(fleet, revision)
 
     async def test_a_lost_answer_is_told_and_nothing_reverts(self):
         fleet = await self.start()
         await fleet.set_faults(lose_answers=1)
-        revision = await fleet.apply(with_slots(fleet.deployment, 3))
-        await wait_revision(fleet, revision)
+        revision = await fleet.apply(scenarios.with_slots(fleet.deployment, 3))
+        await scenarios.wait_revision(fleet, revision)
         first = fleet.pools[0]
         await first.kill()
         await fleet.start_pool(first.name, scenarios.DATA_CENTRES[0])
-        await wait_revision(fleet, revision)
-        self.assertEqual(set(await read_revisions(fleet)), {revision})
+        await scenarios.wait_revision(fleet, revision)
+        self.assertEqual(set(await scenarios.read_revisions(fleet)), {revision})
