--- a/src/wasabipitch/pool.py
+++ b/src/wasabipitch/pool.py
@@ -6,7 +6,7 @@
 import random
 import time
 import uuid
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 from wasabipitch.configuration import ConfigurationKeeper
 from wasabipitch.control import ControlServer
@@ -20,7 +20,6 @@
 from wasabipitch.messages import (
     AskOpinion,
     Done,
-    Drain,
     EndSession,
     Execute,
     Opinion,
@@ -150,7 +149,6 @@
         self._control.register(AskOpinion, self._give_opinion)
         self._control.register(EndSession, self._end_session)
         self._control.register(Switchover, self._switch_over)
-        self._control.register(Drain, self._drain_target)
         self._keeper.subscribe(lambda *_: self._changed.set())
         self._membership.subscribe(lambda *_: self._changed.set())
         self._start_task(self._membership.run())
@@ -225,7 +223,9 @@
         for name, group in wanted.items():
             if name not in self._served:
                 self._start_group(group, deployment)
-            self._served[name].server.set_leaving(self._find_leaving(group))
+            server = self._served[name].server
+            server.set_leaving(self._find_leaving(group))
+            server.share_connections(self._share_connections(name, deployment))
 
     def _find_leaving(self, group: Group) -> frozenset[str]:
         leaving = {h.name for h in self._membership.leaving("target")}
@@ -312,19 +312,6 @@
             raise NotOwner(f"{self.host.name} does not serve group {order.group}")
         return Done(await served.server.switch_over(order.to))
 
-    async def _drain_target(self, exchange: Exchange) -> Done:
-        order = exchange.message
-        for served in self._served.values():
-            server = served.server
-            if order.target in server.view.instances:
-                leaving = {n for n, v in server.view.instances.items() if v.leaving}
-                leaving.discard(order.target)
-                server.set_leaving(
-                    frozenset(leaving | (set() if order.undo else {order.target}))
-                )
-                return Done(f"{order.target} gets no new work")
-        raise NotOwner(f"{self.host.name} serves no target {order.target}")
-
 
 def _differs(server: GroupServer, group: Group, deployment: Deployment) -> bool:
     if server.policy != deployment.policy:
@@ -332,9 +319,9 @@
     return _without_leaving(server.group) != _without_leaving(group)
 
 
-def _without_leaving(group: Group) -> tuple:
-    instances = tuple((i.name, i.address, i.data_centre) for i in group.instances)
-    return group.name, group.slots, group.connections, instances
+def _without_leaving(group: Group) -> Group:
+    instances = tuple(replace(i, leaving=False) for i in group.instances)
+    return replace(group, instances=instances)
 
 
 async def _cancel(task: asyncio.Task) -> None:
