Show on the primary only what a majority holds

A read now waits, without its slot, until a majority holds the primary's position after it; without a majority it is NOT_RUN. It is a switch, confirm_reads.

--- a/src/wasabipitch/deployment.py
+++ b/src/wasabipitch/deployment.py
@@ -106,6 +106,8 @@
     Args:
         pooling: ``owner``: one pool owns a group; ``entry``: the baseline, in
             which each entry's own pool serves all groups by itself.
+        confirm_reads: reads on the primary wait until a majority holds what they
+            show, so that nothing that was read vanishes with its primary.
         replica_reads: reads that declare an age go to replicas.
         reserve_slot: long work never holds the last slot of an instance.
         fair_queue: queues are weighted by class and fair between sessions,
@@ -117,6 +119,7 @@
     """
 
     pooling: Literal["owner", "entry"] = "owner"
+    confirm_reads: bool = True
     replica_reads: bool = True
     reserve_slot: bool = True
     fair_queue: bool = True
--- a/src/wasabipitch/reads.py
+++ b/src/wasabipitch/reads.py
@@ -8,7 +8,12 @@
 
 from wasabipitch.contracts import pack_rows
 from wasabipitch.deployment import RequestClass
-from wasabipitch.exceptions import TargetDown, TargetLost, WasabipitchError
+from wasabipitch.exceptions import (
+    InDoubt,
+    TargetDown,
+    TargetLost,
+    WasabipitchError,
+)
 from wasabipitch.limits import Lane, Ticket
 from wasabipitch.linkserver import Exchange
 from wasabipitch.messages import Execute, Result, Rows
@@ -18,6 +23,7 @@
 from wasabipitch.sampling import SAMPLE_ERRORS
 from wasabipitch.statements import fingerprint
 from wasabipitch.targets import Answer
+from wasabipitch.verdict import Verdict
 
 MAX_ATTEMPTS = 4
 # A report younger than this is not asked for again.
@@ -93,6 +99,21 @@
                 raise TargetLost("the deadline passed while the read ran") from None
             parts.workload.observe(mark, time.monotonic() - started_s)
         self._count(cls, lease)
+        if parts.policy.confirm_reads and parts.router.is_primary(lease.instance):
+            reply.raise_floor(await self._confirm_shown(lease, deadline_s))
+        await reply.finish()
+
+    async def _confirm_shown(self, lease: Lease, deadline_s: float) -> Position:
+        """Wait until a majority holds all that a read of the primary can show.
+
+        Else the read might show a write that vanishes with its primary.
+        """
+        try:
+            return await self._parts.acks.wait_for_majority(
+                lease.instance, lease.term, deadline_s
+            )
+        except InDoubt as exc:
+            raise TargetLost(exc.message, verdict=Verdict.NOT_RUN) from exc
 
     async def _make_ticket(
         self,
@@ -151,25 +172,32 @@
 
 
 class _Reply:
-    """Sends an answer on, one block behind, so that the last one is known."""
+    """Sends an answer on, one block behind; the last one ends it."""
 
     def __init__(self, exchange: Exchange, floor: Position) -> None:
         self.floor = floor
         self.started = False
         self._exchange = exchange
         self._target = ""
+        self._last = Answer()
 
     def served_by(self, lease: Lease, position: Position) -> None:
-        self.floor = max(self.floor, position)
+        self.raise_floor(position)
         self._target = lease.instance
 
+    def raise_floor(self, position: Position) -> None:
+        self.floor = max(self.floor, position)
+
     async def forward(self, blocks: AsyncIterator[Answer]) -> None:
         pending: Answer | None = None
         async for block in blocks:
             if pending is not None:
                 await self._send(pending, more=True)
             pending = block
-        await self._send(pending or Answer(), more=False)
+        self._last = pending or Answer()
+
+    async def finish(self) -> None:
+        await self._send(self._last, more=False)
 
     async def _send(self, block: Answer, *, more: bool) -> None:
         message = self._make_message(block)
