--- a/src/wasabipitch/limits.py
+++ b/src/wasabipitch/limits.py
@@ -250,6 +250,23 @@
             return 0.0
         return (ahead + 1) * self._service_s[ticket.lane] / max(1, total)
 
+    def check(self, ticket: Ticket) -> None:
+        """Refuse a ticket that could not be served in time if it came now.
+
+        Raises:
+            Overloaded: the queue is full, or the expected wait is too long.
+        """
+        if self.queued >= MAX_QUEUED:
+            raise Overloaded(f"{MAX_QUEUED} requests wait already")
+        left_s = ticket.deadline_s - time.monotonic()
+        if left_s <= 0:
+            raise Overloaded("the deadline has passed")
+        if not self._policy.refuse_early or ticket.pinned:
+            return
+        wait_s = self.expected_wait_s(ticket)
+        if wait_s > left_s * WAIT_SHARE:
+            raise Overloaded(f"the expected wait of {wait_s:.3f} s passes the deadline")
+
     async def acquire(self, ticket: Ticket) -> Grant:
         """Wait for a slot.
 
@@ -258,7 +275,7 @@
                 deadline, or the deadline passes while it waits.
             NoTarget: the group had no primary until the deadline.
         """
-        self._admit(ticket)
+        self.check(ticket)
         queue = self._enqueue(ticket)
         self.dispatch()
         try:
@@ -309,18 +326,6 @@
     def _serves(self, instance: str, lane: Lane) -> bool:
         return self._is_primary(instance) == (lane is Lane.PRIMARY)
 
-    def _admit(self, ticket: Ticket) -> None:
-        if self.queued >= MAX_QUEUED:
-            raise Overloaded(f"{MAX_QUEUED} requests wait already")
-        left_s = ticket.deadline_s - time.monotonic()
-        if left_s <= 0:
-            raise Overloaded("the deadline has passed")
-        if not self._policy.refuse_early or ticket.pinned:
-            return
-        wait_s = self.expected_wait_s(ticket)
-        if wait_s > left_s * WAIT_SHARE:
-            raise Overloaded(f"the expected wait of {wait_s:.3f} s passes the deadline")
-
     def _enqueue(self, ticket: Ticket):
         if ticket.pinned:
             queue = _PinnedQueue(self._pinned[ticket.pinned])
--- a/src/wasabipitch/reads.py
+++ b/src/wasabipitch/reads.py
@@ -122,18 +122,37 @@
         deadline_s: float,
         mark: str,
         floor: Position,
+    ) -> Ticket:
+        parts = self._parts
+        draft = partial(self._draft_ticket, req, cls, deadline_s, mark, floor)
+        ticket = draft()
+        # A refusal must not wait for reports of instances that are busy.
+        parts.scheduler.check(ticket)
+        if ticket.lane is Lane.PRIMARY and self._is_aged(cls):
+            # A replica may have reached the floor since it was last heard of.
+            await parts.sampler.sample_older(RECENT_S)
+            ticket = draft()
+        if ticket.lane is Lane.PRIMARY:
+            await self._refresh_primary(floor)
+        return ticket
+
+    def _draft_ticket(
+        self,
+        req: Execute,
+        cls: RequestClass,
+        deadline_s: float,
+        mark: str,
+        floor: Position,
     ) -> Ticket:
         router = self._parts.router
         age_s = cls.max_age_s
-        lane = Lane.PRIMARY
-        if age_s is not None and self._parts.policy.replica_reads:
-            lane = await self._choose_lane(floor, age_s)
-        if lane is Lane.REPLICA:
+        if self._is_aged(cls) and router.has_replica(floor, age_s):
+            lane = Lane.REPLICA
             may_run_on = partial(router.may_read_aged, floor=floor, max_age_s=age_s)
         else:
             # Replicas never look in this lane, even if one comes to suit later.
+            lane = Lane.PRIMARY
             may_run_on = partial(router.may_read, floor=floor)
-            await self._refresh_primary(floor)
         return Ticket(
             session=req.session,
             request_class=cls,
@@ -143,13 +162,8 @@
             long=self._parts.is_long(mark, cls),
         )
 
-    async def _choose_lane(self, floor: Position, age_s: float) -> Lane:
-        router = self._parts.router
-        if router.has_replica(floor, age_s):
-            return Lane.REPLICA
-        # A replica may have reached the floor since it was last heard of.
-        await self._parts.sampler.sample_older(RECENT_S)
-        return Lane.REPLICA if router.has_replica(floor, age_s) else Lane.PRIMARY
+    def _is_aged(self, cls: RequestClass) -> bool:
+        return cls.max_age_s is not None and self._parts.policy.replica_reads
 
     async def _refresh_primary(self, floor: Position) -> None:
         primary = self._parts.view.primary_view
