--- a/tests/proofs/test_operations.py
+++ b/tests/proofs/test_operations.py
@@ -8,6 +8,7 @@
 from proofs.history import Outcome
 from proofs.recorder import SCHEMA, Recorder
 from tests.proofs.fleet_case import SEED, FleetCase
+from wasabipitch.deployment import parse
 from wasabipitch.exceptions import StoreConflict
 from wasabipitch.messages import AskStatus
 
@@ -123,7 +124,7 @@
         (revision,) = (o for o in outcomes if isinstance(o, int))
         (conflict,) = (o for o in outcomes if isinstance(o, StoreConflict))
         winner = 3 if isinstance(outcomes[0], int) else 4
-        self.assertIn(f"slots: {winner}", conflict.value)
+        self.assertEqual(parse(conflict.value).groups[0].slots, winner)
         await scenarios.wait_revision(fleet, revision)
         for pool in fleet.pools:
             state = await fleet.ask(pool.name, AskStatus())
