--- /dev/null
+++ b/src/wasabipitch/coordination/directory.py
@@ -0,0 +1,113 @@
+"""The configuration in force and the registered instances of each group."""
+
+from collections.abc import Callable
+
+from wasabipitch.clock import now_s
+from wasabipitch.coordination.documents import (
+    Configuration,
+    DocumentDecoder,
+    InstanceEntry,
+)
+from wasabipitch.coordination.mirror import StoreMirror
+from wasabipitch.coordination.store import Item
+from wasabipitch.exceptions import SettingsError
+from wasabipitch.operations.decisions import DecisionLog
+
+# A registration that lapsed with the store is back within two seconds of its
+# return; one still missing then is gone.
+MISSING_S = 2.4
+
+
+class Directory:
+    """What the operator and the instances wrote, decoded.
+
+    Args:
+        on_configuration: called with each newer configuration.
+        on_instances: called with the name of each group that changed.
+    """
+
+    def __init__(
+        self,
+        mirror: StoreMirror,
+        decoder: DocumentDecoder,
+        decisions: DecisionLog,
+        on_configuration: Callable[[Configuration], None],
+        on_instances: Callable[[str], None],
+    ) -> None:
+        self.configuration: Configuration | None = None
+        self._instances: dict[str, InstanceEntry] = {}
+        self._missing_since_s: dict[str, float] = {}
+        self._mirror = mirror
+        self._decoder = decoder
+        self._decisions = decisions
+        self._on_configuration = on_configuration
+        self._on_instances = on_instances
+        mirror.subscribe(self._note)
+
+    def instances_of(self, group: str) -> dict[str, InstanceEntry]:
+        """Return the instances of a group, by name."""
+        return {n: e for n, e in self._instances.items() if e.group == group}
+
+    def drop_missing(self) -> None:
+        """Forget instances whose registration has not come back."""
+        at_s = now_s()
+        for name, since_s in list(self._missing_since_s.items()):
+            since_s = max(since_s, self._mirror.returned_at_s)
+            if at_s - since_s > MISSING_S and self._mirror.is_reachable:
+                del self._missing_since_s[name]
+                self._forget(name)
+
+    def _forget(self, name: str) -> None:
+        entry = self._instances.pop(name)
+        self._decisions.belief("instance gone", instance=name, group=entry.group)
+        self._on_instances(entry.group)
+
+    def _note(self, key: str, item: Item | None) -> None:
+        if key == self._decoder.configuration_key and item is not None:
+            self._note_configuration(item)
+        elif key.startswith(self._decoder.instances_prefix):
+            name = key.removeprefix(self._decoder.instances_prefix)
+            self._note_instance(name, item)
+
+    def _note_configuration(self, item: Item) -> None:
+        try:
+            configuration = self._decoder.decode_configuration(item)
+        except SettingsError as exc:
+            self._decisions.belief(
+                "configuration kept", reason=str(exc), revision=item.revision
+            )
+            return
+        known = self.configuration
+        if known is not None and configuration.version <= known.version:
+            return
+        self.configuration = configuration
+        self._decisions.belief(
+            "configuration in force",
+            version=configuration.version,
+            revision=item.revision,
+            routes=len(configuration.routes),
+        )
+        self._on_configuration(configuration)
+
+    def _note_instance(self, name: str, item: Item | None) -> None:
+        known = self._instances.get(name)
+        entry = self._decoder.decode_instance(item) if item is not None else None
+        if entry is None:
+            if known is not None:
+                self._missing_since_s.setdefault(name, now_s())
+            return
+        self._missing_since_s.pop(name, None)
+        if entry == known:
+            return
+        self._instances[name] = entry
+        self._decisions.belief(
+            "instance registered",
+            instance=name,
+            group=entry.group,
+            primary=entry.is_primary,
+            leaving=entry.leaving,
+            born_ms=entry.born_ms,
+        )
+        if known is not None and known.group != entry.group:
+            self._on_instances(known.group)
+        self._on_instances(entry.group)
--- /dev/null
+++ b/src/wasabipitch/coordination/mirror.py
@@ -0,0 +1,184 @@
+"""Keeps a copy of the store's items and tells when it was last confirmed."""
+
+import asyncio
+import logging
+from collections.abc import Callable
+
+from wasabipitch.clock import now_s
+from wasabipitch.coordination.documents import HEAD_KEY
+from wasabipitch.coordination.store import CoordinationStore, Item, Removal
+from wasabipitch.exceptions import HistoryLost, StoreError, StoreUnavailable
+from wasabipitch.operations.decisions import DecisionLog
+
+ALL_KEYS = ""
+# Long, since each watch is a priced call; a silent one is noticed by the checks.
+WATCH_S = 20.0
+# How often the head is read. Each read renews the right to read at primaries.
+CHECK_INTERVAL_S = 0.7
+# A watch that lags behind the store's revision for this long is started anew.
+WATCH_LAG_S = 0.6
+RETRY_S = 0.15
+
+logger = logging.getLogger(__name__)
+
+
+class StoreMirror:
+    """A copy of all items, kept by one watch, and confirmed by reads.
+
+    Args:
+        store: that it mirrors.
+        decisions: where losing and regaining the store is logged.
+    """
+
+    def __init__(self, store: CoordinationStore, decisions: DecisionLog) -> None:
+        self.items: dict[str, Item] = {}
+        self.revision = 0
+        self.loaded = asyncio.Event()
+        # The time of the last read that found the head as known here, or 0.
+        self.confirmed_at_s = 0.0
+        # The time at which the store last gave any answer, and came back.
+        self.answered_at_s = 0.0
+        self.returned_at_s = 0.0
+        self._store = store
+        self._decisions = decisions
+        self._listeners: list[Callable[[str, Item | None], None]] = []
+        self._confirm_listeners: list[Callable[[], None]] = []
+        self._watch: asyncio.Task | None = None
+        self._behind_since_s: float | None = None
+        self._reachable = False
+
+    @property
+    def is_reachable(self) -> bool:
+        """Whether the store answered the last call."""
+        return self._reachable
+
+    def subscribe(self, listener: Callable[[str, Item | None], None]) -> None:
+        """Call a listener for each item that changes or goes (None)."""
+        self._listeners.append(listener)
+
+    def on_confirmed(self, listener: Callable[[], None]) -> None:
+        """Call a listener whenever the copy was confirmed."""
+        self._confirm_listeners.append(listener)
+
+    def select(self, prefix: str) -> dict[str, Item]:
+        """Return the items under a prefix."""
+        return {k: item for k, item in self.items.items() if k.startswith(prefix)}
+
+    async def run(self) -> None:
+        """Load all items, then follow their changes; runs until cancelled."""
+        while True:
+            try:
+                await self._load()
+                await self._follow()
+            except HistoryLost as exc:
+                self._decisions.belief("store history lost", reason=str(exc))
+            except StoreError as exc:
+                self._note_failure(exc)
+                await asyncio.sleep(RETRY_S)
+
+    async def run_checks(self) -> None:
+        """Confirm the copy again and again; runs until cancelled."""
+        await self.loaded.wait()
+        while True:
+            started_s = now_s()
+            await self.check()
+            await asyncio.sleep(max(RETRY_S, CHECK_INTERVAL_S - (now_s() - started_s)))
+
+    async def check(self) -> bool:
+        """Read the head once and return whether the copy is confirmed by it."""
+        sent_at_s = now_s()
+        try:
+            head, store_revision = await self._store.read_revision(HEAD_KEY)
+        except StoreError as exc:
+            self._note_failure(exc)
+            return False
+        self._note_answer()
+        self._check_watch(store_revision)
+        if head != self._head_revision():
+            return False
+        self.confirmed_at_s = sent_at_s
+        for listener in self._confirm_listeners:
+            listener()
+        return True
+
+    def _head_revision(self) -> int:
+        head = self.items.get(HEAD_KEY)
+        return head.revision if head else 0
+
+    def _check_watch(self, store_revision: int) -> None:
+        if store_revision <= self.revision:
+            self._behind_since_s = None
+            return
+        if self._behind_since_s is None:
+            self._behind_since_s = now_s()
+        elif now_s() - self._behind_since_s > WATCH_LAG_S:
+            self._behind_since_s = None
+            if self._watch is not None:
+                self._watch.cancel()
+
+    async def _load(self) -> None:
+        listing = await self._store.list(ALL_KEYS)
+        self._note_answer()
+        present = {item.key: item for item in listing.items}
+        for key in set(self.items) - set(present):
+            self._apply(Removal(key, listing.revision))
+        for item in listing.items:
+            known = self.items.get(item.key)
+            if known is None or known.revision < item.revision:
+                self._apply(item)
+        self.revision = max(self.revision, listing.revision)
+        self.loaded.set()
+
+    async def _follow(self) -> None:
+        while True:
+            call = self._store.watch(ALL_KEYS, self.revision, WATCH_S)
+            self._watch = asyncio.ensure_future(call)
+            try:
+                changes = await self._watch
+            except asyncio.CancelledError:
+                if not self._watch.cancelled():
+                    # This task itself is being cancelled.
+                    self._watch.cancel()
+                    raise
+                self._decisions.belief("watch restarted", revision=self.revision)
+                continue
+            except StoreUnavailable as exc:
+                self._note_failure(exc)
+                await asyncio.sleep(RETRY_S)
+                continue
+            finally:
+                self._watch = None
+            self._note_answer()
+            for event in changes.events:
+                self._apply(event)
+            self.revision = max(self.revision, changes.revision)
+
+    def _apply(self, event: Item | Removal) -> None:
+        if isinstance(event, Removal):
+            known = self.items.get(event.key)
+            if known is None or known.revision > event.revision:
+                return
+            del self.items[event.key]
+            self._publish(event.key, None)
+            return
+        known = self.items.get(event.key)
+        if known is not None and known.revision >= event.revision:
+            return
+        self.items[event.key] = event
+        self._publish(event.key, event)
+
+    def _publish(self, key: str, item: Item | None) -> None:
+        for listener in self._listeners:
+            listener(key, item)
+
+    def _note_answer(self) -> None:
+        self.answered_at_s = now_s()
+        if not self._reachable:
+            self._reachable = True
+            self.returned_at_s = self.answered_at_s
+            self._decisions.belief("store reachable", revision=self.revision)
+
+    def _note_failure(self, exc: StoreError) -> None:
+        if self._reachable:
+            self._reachable = False
+            self._decisions.belief("store unreachable", reason=str(exc))
--- /dev/null
+++ b/src/wasabipitch/coordination/roster.py
@@ -0,0 +1,98 @@
+"""Which hosts live, which have left lately, and what they say of groups."""
+
+import logging
+from collections.abc import Callable
+
+import msgspec
+
+from wasabipitch.clock import now_s
+from wasabipitch.coordination.documents import (
+    DOUBTS_PREFIX,
+    HOSTS_PREFIX,
+    SEEN_PREFIX,
+    DoubtRecord,
+    HostRecord,
+    SeenRecord,
+    decode,
+)
+from wasabipitch.coordination.mirror import StoreMirror
+from wasabipitch.coordination.store import Item
+from wasabipitch.models import ORIGIN, Position
+from wasabipitch.policy.rights import RIGHT_S
+
+logger = logging.getLogger(__name__)
+
+
+class Roster:
+    """The hosts that live, as the store's copy shows them.
+
+    Args:
+        mirror: the copy.
+        on_change: called when hosts came or went.
+    """
+
+    def __init__(self, mirror: StoreMirror, on_change: Callable[[], None]) -> None:
+        self.hosts: dict[str, HostRecord] = {}
+        self._mirror = mirror
+        self._on_change = on_change
+        self._left_at_s: dict[str, float] = {}
+        mirror.subscribe(self._note)
+
+    def hosts_answered(self, group: str, revision: int) -> bool:
+        """Return whether every host gave up the primary of a group record.
+
+        A host that went away lately counts until its right must have run out.
+        """
+        at_s = now_s()
+        recent = {
+            host for host, left in self._left_at_s.items() if at_s - left < RIGHT_S
+        }
+        awaited = set(self.hosts) | recent
+        seen = self._find_seen(group)
+        return all(host in seen and seen[host].revision >= revision for host in awaited)
+
+    def find_acknowledged(self, group: str, revision: int) -> Position:
+        """Return the greatest position that a host saw acknowledged."""
+        positions = [
+            Position(record.acknowledged_term, record.acknowledged_index)
+            for record in self._find_seen(group).values()
+            if record.revision >= revision
+        ]
+        return max(positions, default=ORIGIN)
+
+    def find_doubts(self, group: str, revision: int) -> list[DoubtRecord]:
+        """Return the doubts about the primary of a group record."""
+        prefix = f"{DOUBTS_PREFIX}{group}/"
+        doubts = [
+            self._decode(item, DoubtRecord)
+            for item in self._mirror.select(prefix).values()
+        ]
+        return [d for d in doubts if d is not None and d.revision == revision]
+
+    def _find_seen(self, group: str) -> dict[str, SeenRecord]:
+        prefix = f"{SEEN_PREFIX}{group}/"
+        records = {
+            key.removeprefix(prefix): self._decode(item, SeenRecord)
+            for key, item in self._mirror.select(prefix).items()
+        }
+        return {host: record for host, record in records.items() if record is not None}
+
+    def _note(self, key: str, item: Item | None) -> None:
+        if not key.startswith(HOSTS_PREFIX):
+            return
+        incarnation = key.removeprefix(HOSTS_PREFIX)
+        record = self._decode(item, HostRecord) if item is not None else None
+        if record is None:
+            if self.hosts.pop(incarnation, None) is not None:
+                self._left_at_s[incarnation] = now_s()
+        else:
+            self.hosts[incarnation] = record
+            self._left_at_s.pop(incarnation, None)
+        self._on_change()
+
+    def _decode(self, item: Item, kind: type):
+        try:
+            return decode(item.value, kind)
+        except msgspec.MsgspecError as exc:
+            logger.warning("record %s is of a foreign form: %s", item.key, exc)
+            return None
--- a/src/wasabipitch/exceptions.py
+++ b/src/wasabipitch/exceptions.py
@@ -168,3 +168,43 @@
 
 class TargetDown(RequestError):
     """A target could not be connected to."""
+
+
+class MalformedMessage(RequestError):
+    """A message that has no known form."""
+
+
+class InstanceLost(TargetLost):
+    """The connection to an instance broke before its whole answer came."""
+
+
+class InstanceSilent(InstanceLost):
+    """An instance gave no answer in the time allowed for it."""
+
+
+class ConnectionRefused(TargetDown):
+    """No process listens at an instance's address."""
+
+
+class NoConnectionLeft(TargetDown):
+    """The instance takes no further connection from anybody."""
+
+
+class WrongInstance(TargetDown):
+    """Another instance than the expected one answers at the address."""
+
+
+class RecordConflict(StoreError):
+    """A conditional write met records at other revisions than the expected."""
+
+
+class HistoryLost(StoreError):
+    """The store no longer knows what changed since the revision asked for."""
+
+
+class LeaseEnded(StoreError):
+    """The store knows no such lease any more."""
+
+
+class PromotionRefused(RequestError):
+    """The platform did not take an order to promote an instance."""
--- /dev/null
+++ b/src/wasabipitch/front/__init__.py
@@ -0,0 +1,1 @@
+"""Callers' connections: sessions, their statements and their end."""
--- /dev/null
+++ b/src/wasabipitch/front/server.py
@@ -0,0 +1,166 @@
+"""Accepts callers and runs one task for each of their connections."""
+
+import asyncio
+from collections.abc import Callable
+from typing import Protocol
+
+from wasabipitch import tasks
+from wasabipitch.clock import now_s
+from wasabipitch.coordination.documents import Configuration, Route
+from wasabipitch.exceptions import MalformedMessage
+from wasabipitch.front.sessions import CallerSession
+from wasabipitch.group.session import SessionContext
+from wasabipitch.models import Address
+from wasabipitch.operations.decisions import DecisionLog
+from wasabipitch.wire.codecs import CallerCodec
+from wasabipitch.wire.lines import LineStream
+from wasabipitch.wire.messages import (
+    Code,
+    Failure,
+    Reply,
+    Startup,
+    Statement,
+)
+
+# Callers give up on an unanswered startup after 2 s; a silent one is cut later.
+STARTUP_TIMEOUT_S = 10.0
+BACKLOG = 1024
+
+
+class Runner(Protocol):
+    """Runs the statements that need an instance."""
+
+    async def run(
+        self,
+        session: SessionContext,
+        statement: Statement,
+        route: Route,
+        arrived_s: float,
+    ) -> Reply:
+        """Run a statement and return the answer for its caller."""
+
+
+class CallerServer:
+    """Listens for callers.
+
+    Args:
+        read_configuration: returns the configuration in force, or None.
+        find_runner: returns the runner of a group, or None if it is unknown.
+    """
+
+    def __init__(
+        self,
+        codec: CallerCodec,
+        decisions: DecisionLog,
+        read_configuration: Callable[[], Configuration | None],
+        find_runner: Callable[[str], Runner | None],
+    ) -> None:
+        self.sessions: set[CallerSession] = set()
+        self._codec = codec
+        self._decisions = decisions
+        self._read_configuration = read_configuration
+        self._find_runner = find_runner
+        self._server: asyncio.Server | None = None
+        self._tasks: set[asyncio.Task] = set()
+
+    async def start(self, address: Address) -> None:
+        """Listen for callers."""
+        loop = asyncio.get_running_loop()
+        self._server = await loop.create_server(
+            self._make_stream, address.ip, address.port, backlog=BACKLOG
+        )
+
+    def stop_accepting(self) -> None:
+        """Take no further callers."""
+        if self._server is not None:
+            self._server.close()
+
+    def close_idle(self) -> None:
+        """End the sessions that are between operations."""
+        for session in list(self.sessions):
+            session.close_if_idle()
+
+    def abort_transactions(self) -> None:
+        """Roll back the transactions that are still open."""
+        for session in list(self.sessions):
+            session.abort_transaction()
+
+    @property
+    def busy(self) -> int:
+        """How many sessions have a statement or a transaction in progress."""
+        return sum(not session.is_idle for session in self.sessions)
+
+    async def close(self) -> None:
+        """End all sessions at once."""
+        self.stop_accepting()
+        for task in list(self._tasks):
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+
+    def _make_stream(self) -> LineStream:
+        stream = LineStream()
+        task = tasks.spawn(self._serve(stream), "session")
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+        return stream
+
+    async def _serve(self, stream: LineStream) -> None:
+        try:
+            startup = await self._read_startup(stream)
+            if startup is not None:
+                await self._run_session(stream, startup)
+        except MalformedMessage as exc:
+            stream.write(
+                self._codec.encode_failure(
+                    Failure(Code.MALFORMED, exc.message.encode("ascii", "replace"))
+                )
+            )
+        finally:
+            stream.close()
+
+    async def _read_startup(self, stream: LineStream) -> Startup | None:
+        try:
+            async with asyncio.timeout(STARTUP_TIMEOUT_S):
+                line = await stream.read_line()
+        except TimeoutError:
+            return None
+        if line is None:
+            return None
+        message = self._codec.decode(line)
+        if not isinstance(message, Startup):
+            raise MalformedMessage("a session begins with its startup")
+        return message
+
+    async def _run_session(self, stream: LineStream, startup: Startup) -> None:
+        configuration = self._read_configuration()
+        if configuration is None or startup.database not in configuration.routes:
+            self._refuse_database(stream, startup, configuration)
+            return
+        session = CallerSession(
+            stream,
+            self._codec,
+            startup,
+            self._read_configuration,
+            self._find_runner,
+        )
+        self.sessions.add(session)
+        try:
+            await session.run()
+        finally:
+            self.sessions.discard(session)
+
+    def _refuse_database(
+        self,
+        stream: LineStream,
+        startup: Startup,
+        configuration: Configuration | None,
+    ) -> None:
+        code = Code.BUSY if configuration is None else Code.NO_DATABASE
+        self._decisions.request(
+            "session refused",
+            database=startup.database,
+            code=code.value,
+            version=configuration.version if configuration else None,
+            at=round(now_s(), 3),
+        )
+        stream.write(self._codec.encode_failure(Failure(code, b"no such database")))
--- /dev/null
+++ b/src/wasabipitch/front/sessions.py
@@ -0,0 +1,205 @@
+"""One caller's session: reads its statements and answers them in order."""
+
+import asyncio
+from collections.abc import Callable
+from itertools import count
+from typing import Any
+
+from wasabipitch.clock import now_s
+from wasabipitch.coordination.documents import Configuration, Route
+from wasabipitch.exceptions import MalformedMessage
+from wasabipitch.group.session import SessionContext, Transaction
+from wasabipitch.wire.codecs import CallerCodec
+from wasabipitch.wire.lines import LineStream
+from wasabipitch.wire.messages import (
+    Code,
+    Failure,
+    Quit,
+    Ready,
+    Reply,
+    SessionState,
+    Startup,
+    Statement,
+    Verb,
+)
+
+DEFAULT_IDLE_TRANSACTION_S = 3.0
+_numbers = count(1)
+_TRANSACTION_ENDS = (Verb.COMMIT, Verb.ROLLBACK)
+
+
+class CallerSession:
+    """A caller's connection from its startup to its end.
+
+    Args:
+        read_configuration: returns the configuration in force.
+        find_runner: returns what runs statements on a group.
+    """
+
+    def __init__(
+        self,
+        stream: LineStream,
+        codec: CallerCodec,
+        startup: Startup,
+        read_configuration: Callable[[], Configuration | None],
+        find_runner: Callable[[str], Any],
+    ) -> None:
+        self._stream = stream
+        self._codec = codec
+        self._read_configuration = read_configuration
+        self._find_runner = find_runner
+        self._context = SessionContext(
+            f"{startup.user}-{next(_numbers)}", startup.database
+        )
+        self._route: Route | None = None
+        self._answering = False
+        # The transaction was rolled back here, which its caller doesn't know yet.
+        self._aborted = False
+
+    @property
+    def is_idle(self) -> bool:
+        """Whether it has no statement and no transaction in progress."""
+        busy = self._answering or self._stream.has_line
+        return not busy and self._context.state is SessionState.IDLE
+
+    def close_if_idle(self) -> None:
+        """Close the connection, unless something is in progress on it."""
+        if self.is_idle:
+            self._stream.close()
+
+    def abort_transaction(self) -> None:
+        """Roll an open transaction back, unless a statement of it runs."""
+        if self._context.transaction is not None and not self._answering:
+            self._context.drop_transaction()
+            self._context.failed = True
+            self._aborted = True
+
+    async def run(self) -> None:
+        """Serve the session until either side ends it."""
+        self._stream.write(self._codec.encode_ready(Ready(SessionState.IDLE)))
+        try:
+            while True:
+                line = await self._read_line()
+                if line is None:
+                    return
+                self._answering = True
+                if not await self._answer_line(line):
+                    return
+                self._answering = False
+                await self._stream.drain()
+        finally:
+            self._context.drop_transaction()
+
+    async def _read_line(self) -> bytes | None:
+        while True:
+            if self._context.transaction is None:
+                return await self._stream.read_line()
+            try:
+                async with asyncio.timeout(self._idle_transaction_s()):
+                    return await self._stream.read_line()
+            except TimeoutError:
+                self.abort_transaction()
+
+    def _idle_transaction_s(self) -> float:
+        configuration = self._read_configuration()
+        if configuration is None:
+            return DEFAULT_IDLE_TRANSACTION_S
+        return configuration.idle_transaction_s
+
+    async def _answer_line(self, line: bytes) -> bool:
+        """Answer a message; return False if the session ends with it."""
+        arrived_s = now_s()
+        try:
+            message = self._codec.decode(line)
+        except MalformedMessage as exc:
+            self._write_failure(Code.MALFORMED, exc.message)
+            return False
+        if isinstance(message, Quit):
+            return False
+        if isinstance(message, Startup):
+            self._write_failure(Code.MALFORMED, "the session has begun")
+            return False
+        reply = await self._run(message, arrived_s)
+        if reply is None:
+            return False
+        self._stream.write(self._codec.encode_reply(reply))
+        return True
+
+    async def _run(self, statement: Statement, arrived_s: float) -> Reply | None:
+        """Return the answer, or None if the caller left before it came."""
+        context = self._context
+        if context.failed and statement.verb not in _TRANSACTION_ENDS:
+            aborted, self._aborted = self._aborted, False
+            code = Code.ABORTED if aborted else Code.MALFORMED
+            return self._fail(code, "the transaction has failed")
+        match statement.verb:
+            case Verb.SET:
+                context.values[statement.name] = statement.value
+            case Verb.PREPARE:
+                context.prepared[statement.name] = statement.shape
+            case Verb.DEALLOCATE:
+                context.prepared.pop(statement.name, None)
+            case Verb.BEGIN | Verb.BEGIN_READ:
+                return self._begin(statement, arrived_s)
+            case Verb.ROLLBACK:
+                context.drop_transaction()
+                context.failed = False
+            case Verb.COMMIT if context.failed:
+                context.failed = False
+                return self._fail(Code.ABORTED, "the transaction had failed")
+            case _:
+                return await self._run_on_group(statement, arrived_s)
+        return Reply(state=context.state)
+
+    def _begin(self, statement: Statement, arrived_s: float) -> Reply:
+        # It begins on an instance with its first statement, so that a caller who
+        # pauses after it holds no connection.
+        if self._context.transaction is not None:
+            return self._fail(Code.MALFORMED, "a transaction is open already")
+        route = self._find_route()
+        if route is None:
+            return self._fail(Code.NO_DATABASE, "the database was removed")
+        read_only = statement.verb is Verb.BEGIN_READ
+        self._context.transaction = Transaction(read_only, arrived_s)
+        return Reply(state=self._context.state)
+
+    async def _run_on_group(
+        self, statement: Statement, arrived_s: float
+    ) -> Reply | None:
+        if statement.verb is Verb.COMMIT and self._context.transaction is None:
+            return self._fail(Code.MALFORMED, "no transaction is open")
+        in_transaction = self._context.transaction is not None
+        route = self._route if in_transaction else self._find_route()
+        if route is None:
+            return self._fail(Code.NO_DATABASE, "the database was removed")
+        runner = self._find_runner(route.group)
+        if runner is None:
+            return self._fail(Code.BUSY, "the group is not known yet")
+        work = asyncio.ensure_future(
+            runner.run(self._context, statement, route, arrived_s)
+        )
+        return await self._unless_closed(work)
+
+    async def _unless_closed(self, work: asyncio.Task) -> Reply | None:
+        closed = asyncio.ensure_future(self._stream.closed.wait())
+        try:
+            await asyncio.wait([work, closed], return_when=asyncio.FIRST_COMPLETED)
+            return work.result() if work.done() else None
+        finally:
+            closed.cancel()
+            if not work.done():
+                work.cancel()
+
+    def _find_route(self) -> Route | None:
+        configuration = self._read_configuration()
+        if configuration is not None:
+            self._route = configuration.routes.get(self._context.database)
+        return self._route
+
+    def _fail(self, code: Code, reason: str) -> Reply:
+        failure = Failure(code, reason.encode("ascii", "replace"))
+        return Reply(failure=failure, state=self._context.state)
+
+    def _write_failure(self, code: Code, reason: str) -> None:
+        failure = Failure(code, reason.encode("ascii", "replace"))
+        self._stream.write(self._codec.encode_failure(failure))
--- /dev/null
+++ b/src/wasabipitch/gateway.py
@@ -0,0 +1,268 @@
+"""A host of the deployment without control machines: one process, all roles."""
+
+import asyncio
+import contextlib
+import secrets
+from collections.abc import Coroutine
+from dataclasses import dataclass
+
+from wasabipitch import tasks
+from wasabipitch.clock import now_s
+from wasabipitch.coordination.directory import Directory
+from wasabipitch.coordination.documents import (
+    GROUPS_PREFIX,
+    Configuration,
+    DocumentDecoder,
+    GroupRecord,
+    GroupSettings,
+    HostRecord,
+    decode,
+)
+from wasabipitch.coordination.mirror import StoreMirror
+from wasabipitch.coordination.presence import Presence
+from wasabipitch.coordination.roster import Roster
+from wasabipitch.coordination.store import CoordinationStore, Item, Promoter
+from wasabipitch.exceptions import StoreError
+from wasabipitch.front.server import CallerServer
+from wasabipitch.group.keeper import GroupKeeper
+from wasabipitch.group.runner import GroupRunner
+from wasabipitch.group.view import GroupState
+from wasabipitch.instances.dispatcher import Dispatcher
+from wasabipitch.models import Address
+from wasabipitch.operations.decisions import DecisionLog
+from wasabipitch.operations.logwriter import LogWriter
+from wasabipitch.operations.statusserver import StatusServer
+from wasabipitch.wire.codecs import CallerCodec, InstanceCodec
+
+# A host that has not heard from the store for this long takes no new callers.
+READY_CONFIRMED_S = 4.0
+HOUSEKEEPING_S = 0.25
+# The entry stops sending callers after two failed checks, one second apart.
+OUT_OF_ROTATION_S = 2.4
+STOP_STEP_S = 0.1
+# Of the grace, open transactions may use this share.
+TRANSACTION_SHARE = 0.5
+# Left of the grace for closing, in seconds.
+CLOSE_MARGIN_S = 0.8
+
+
+@dataclass(frozen=True, slots=True)
+class GatewaySettings:
+    """What a host is told when it starts.
+
+    Args:
+        host: its name.
+        callers: where it listens for callers.
+        checks: where it answers health checks.
+        store: where the store listens.
+        promoter: where promotions are ordered.
+        grace_s: from the order to stop to the end.
+    """
+
+    host: str
+    data_centre: str
+    callers: Address
+    checks: Address
+    store: Address
+    promoter: Address
+    grace_s: float
+
+
+@dataclass(frozen=True, slots=True)
+class Adapters:
+    """What translates for the gateway."""
+
+    callers: CallerCodec
+    instances: InstanceCodec
+    documents: DocumentDecoder
+    store: CoordinationStore
+    promoter: Promoter
+
+
+@dataclass(frozen=True, slots=True)
+class Group:
+    """A group's parts on this host."""
+
+    state: GroupState
+    dispatcher: Dispatcher
+    runner: GroupRunner
+    task: asyncio.Task
+
+
+class Gateway:
+    """Serves callers on one host."""
+
+    def __init__(
+        self, cfg: GatewaySettings, adapters: Adapters, writer: LogWriter
+    ) -> None:
+        self._cfg = cfg
+        self._adapters = adapters
+        self._writer = writer
+        self.decisions = DecisionLog(cfg.host, writer)
+        incarnation = f"{cfg.host}.{secrets.token_hex(4)}"
+        record = HostRecord(cfg.host, cfg.data_centre, incarnation)
+        self._mirror = StoreMirror(adapters.store, self.decisions)
+        self._presence = Presence(adapters.store, self._mirror, record)
+        self._roster = Roster(self._mirror, self._resize)
+        self._directory = Directory(
+            self._mirror,
+            adapters.documents,
+            self.decisions,
+            self._apply_configuration,
+            self._update_group,
+        )
+        self._mirror.subscribe(self._note_record)
+        self._mirror.on_confirmed(self._wake_groups)
+        self._groups: dict[str, Group] = {}
+        self._server = CallerServer(
+            adapters.callers,
+            self.decisions,
+            lambda: self._directory.configuration,
+            self._find_runner,
+        )
+        self._checks = StatusServer(self._is_ready)
+        self._stopping = False
+        self._stack = contextlib.AsyncExitStack()
+
+    async def start(self) -> None:
+        """Start serving; callers are taken once the store has been read."""
+        self.decisions.belief(
+            "started",
+            data_centre=self._cfg.data_centre,
+            incarnation=self._presence.record.incarnation,
+        )
+        self._run_task(self._writer.run())
+        await self._checks.start(self._cfg.checks)
+        self._stack.push_async_callback(self._checks.close)
+        await self._server.start(self._cfg.callers)
+        self._stack.push_async_callback(self._server.close)
+        for work in (
+            self._mirror.run(),
+            self._mirror.run_checks(),
+            self._presence.run(),
+            self._run_housekeeping(),
+        ):
+            self._run_task(work)
+
+    async def stop(self) -> None:
+        """Take no new callers, finish what is in progress, then close."""
+        started_s = now_s()
+        self._stopping = True
+        self.decisions.belief("stopping", busy=self._server.busy)
+        await self._drain(started_s)
+        with contextlib.suppress(StoreError, TimeoutError):
+            async with asyncio.timeout(0.3):
+                await self._presence.leave()
+        self.decisions.belief("stopped", busy=self._server.busy)
+        for group in self._groups.values():
+            group.task.cancel()
+        await self._stack.aclose()
+        for group in self._groups.values():
+            group.dispatcher.close()
+        self._writer.flush()
+
+    async def _drain(self, started_s: float) -> None:
+        grace_s = self._cfg.grace_s
+        while True:
+            taken_s = now_s() - started_s
+            if taken_s > grace_s - CLOSE_MARGIN_S:
+                return
+            if taken_s > grace_s * TRANSACTION_SHARE:
+                self._server.abort_transactions()
+            if taken_s > OUT_OF_ROTATION_S:
+                self._server.stop_accepting()
+                self._server.close_idle()
+                if not self._server.sessions:
+                    return
+            await asyncio.sleep(STOP_STEP_S)
+
+    def _run_task(self, work: Coroutine) -> None:
+        task = tasks.spawn(work, work.__qualname__)
+        self._stack.push_async_callback(tasks.cancel, task)
+
+    async def _run_housekeeping(self) -> None:
+        while True:
+            self._directory.drop_missing()
+            await asyncio.sleep(HOUSEKEEPING_S)
+
+    def _is_ready(self) -> bool:
+        if self._stopping or self._directory.configuration is None:
+            return False
+        settled = [g for g in self._groups.values() if g.state.record is not None]
+        heard = now_s() - self._mirror.confirmed_at_s < READY_CONFIRMED_S
+        return bool(settled) and heard
+
+    def _find_runner(self, group: str) -> GroupRunner | None:
+        found = self._groups.get(group)
+        return found.runner if found else None
+
+    def _apply_configuration(self, configuration: Configuration) -> None:
+        for name in set(self._groups) - set(configuration.groups):
+            group = self._groups.pop(name)
+            group.task.cancel()
+            group.dispatcher.close()
+        for settings in configuration.groups.values():
+            if settings.name not in self._groups:
+                self._groups[settings.name] = self._make_group(settings)
+            self._groups[settings.name].state.settings = settings
+            self._update_group(settings.name)
+
+    def _make_group(self, settings: GroupSettings) -> Group:
+        state = GroupState(
+            settings, lambda: self._mirror.confirmed_at_s, self.decisions
+        )
+        dispatcher = Dispatcher(
+            self._adapters.instances,
+            self.decisions,
+            self._cfg.data_centre,
+            state.is_primary,
+        )
+        runner = GroupRunner(
+            state, dispatcher, self._adapters.instances, self.decisions
+        )
+        keeper = GroupKeeper(
+            state,
+            dispatcher,
+            self._adapters.instances,
+            self._adapters.store,
+            self._adapters.promoter,
+            self._mirror,
+            self._presence,
+            self._roster,
+            self.decisions,
+        )
+        self._load_record(state, self._mirror.items.get(GROUPS_PREFIX + state.name))
+        return Group(
+            state,
+            dispatcher,
+            runner,
+            tasks.spawn(keeper.run(), f"keeper of {state.name}"),
+        )
+
+    def _update_group(self, name: str) -> None:
+        group = self._groups.get(name)
+        if group is None:
+            return
+        state = group.state
+        state.entries = self._directory.instances_of(name)
+        hosts = max(1, len(self._roster.hosts))
+        group.dispatcher.update(state.entries, state.settings.max_connections, hosts)
+        state.wake()
+
+    def _resize(self) -> None:
+        for name in self._groups:
+            self._update_group(name)
+
+    def _wake_groups(self) -> None:
+        for group in self._groups.values():
+            group.state.wake()
+
+    def _note_record(self, key: str, item: Item | None) -> None:
+        group = self._groups.get(key.removeprefix(GROUPS_PREFIX))
+        if group is not None and key.startswith(GROUPS_PREFIX):
+            self._load_record(group.state, item)
+
+    def _load_record(self, state: GroupState, item: Item | None) -> None:
+        if item is None or item.revision <= state.record_revision:
+            return
+        state.set_record(decode(item.value, GroupRecord), item.revision)
--- /dev/null
+++ b/src/wasabipitch/group/view.py
@@ -0,0 +1,182 @@
+"""What a host believes of a group, and since when."""
+
+import asyncio
+import contextlib
+from collections.abc import Callable, Iterator
+
+from wasabipitch.clock import now_s
+from wasabipitch.coordination.documents import (
+    Consistency,
+    GroupRecord,
+    GroupSettings,
+    InstanceEntry,
+    Phase,
+    Route,
+)
+from wasabipitch.models import ORIGIN, Position
+from wasabipitch.operations.decisions import DecisionLog
+from wasabipitch.policy.rights import (
+    RIGHT_S,
+    PositionSamples,
+    ReadRight,
+    judge_read,
+)
+
+
+class GroupState:
+    """A group's instances, its primary, and the positions seen on it.
+
+    Args:
+        read_confirmed_at_s: returns when the store last confirmed the records.
+    """
+
+    def __init__(
+        self,
+        settings: GroupSettings,
+        read_confirmed_at_s: Callable[[], float],
+        decisions: DecisionLog,
+    ) -> None:
+        self.settings = settings
+        self.entries: dict[str, InstanceEntry] = {}
+        self.record: GroupRecord | None = None
+        self.record_revision = 0
+        self.record_since_s = 0.0
+        self.samples = PositionSamples()
+        # The greatest position that this host knows to hold an acknowledged commit.
+        self.acknowledged = ORIGIN
+        # Since when no request could reach a primary, or None.
+        self.primary_lost_at_s: float | None = None
+        # When the settled primary last said that it takes no writes, or None.
+        self.read_only_at_s: float | None = None
+        # Commits of records before this one count as unknown from now on.
+        self.abandoned_revision = 0
+        self._commits_s: dict[object, float] = {}
+        self._read_confirmed_at_s = read_confirmed_at_s
+        self._decisions = decisions
+        self._changed = asyncio.Event()
+
+    @property
+    def name(self) -> str:
+        """The group's."""
+        return self.settings.name
+
+    @property
+    def is_changing(self) -> bool:
+        """Whether the primary is being replaced."""
+        return self.record is not None and self.record.phase is Phase.CHANGING
+
+    @property
+    def primary(self) -> str | None:
+        """The instance that leads, or None while none is settled."""
+        record = self.record
+        if record is None or record.phase is not Phase.STEADY:
+            return None
+        entry = self.entries.get(record.primary)
+        if entry is None or entry.born_ms != record.primary_born_ms:
+            return None
+        return record.primary
+
+    @property
+    def covered_until_s(self) -> float:
+        """Until when no other instance than ``primary`` can have led."""
+        if self.record is None or self.record.phase is not Phase.STEADY:
+            return 0.0
+        return self._read_confirmed_at_s() + RIGHT_S
+
+    def is_primary(self, name: str) -> bool:
+        """Return whether an instance is the settled primary."""
+        return name == self.primary
+
+    def judge_read(
+        self, route: Route, arrived_s: float, session_floor: Position
+    ) -> ReadRight:
+        """Return what a read of a route may use."""
+        max_age_s = route.max_age_s
+        if route.consistency is Consistency.PRIMARY:
+            max_age_s = 0.0
+        floor = session_floor if route.consistency is Consistency.OWN_WRITES else ORIGIN
+        return judge_read(
+            arrived_s, max_age_s, self.covered_until_s, floor, self.samples
+        )
+
+    def note_position(
+        self, instance: str, revision: int, sent_at_s: float, position: Position
+    ) -> None:
+        """Note the primary's position in an answer.
+
+        Args:
+            revision: of the group record when the statement was sent.
+            sent_at_s: when it was sent.
+        """
+        if revision != self.record_revision or not self.is_primary(instance):
+            return
+        self.samples.add(min(sent_at_s, self.covered_until_s), position)
+
+    @property
+    def commits_under_way(self) -> int:
+        """How many writes were sent to the primary and have no answer yet."""
+        return len(self._commits_s)
+
+    @property
+    def oldest_commit_s(self) -> float | None:
+        """When the oldest of those was sent, or None."""
+        return min(self._commits_s.values(), default=None)
+
+    @contextlib.contextmanager
+    def commit_under_way(self) -> Iterator[None]:
+        """Count a write as under way while the block runs."""
+        token = object()
+        self._commits_s[token] = now_s()
+        try:
+            yield
+        finally:
+            del self._commits_s[token]
+
+    def note_primary(self, usable: bool) -> None:
+        """Note whether a request could reach a primary just now."""
+        if usable:
+            self.primary_lost_at_s = None
+        elif self.primary_lost_at_s is None:
+            self.primary_lost_at_s = now_s()
+
+    def note_read_only(self, instance: str) -> None:
+        """Note that an instance said that it takes no writes."""
+        if self.is_primary(instance):
+            self.read_only_at_s = now_s()
+
+    def note_acknowledged(self, position: Position) -> None:
+        """Note that a commit at or before a position was acknowledged."""
+        self.acknowledged = max(self.acknowledged, position)
+
+    def set_record(self, record: GroupRecord | None, revision: int) -> None:
+        """Take over a newer group record."""
+        old = self.record
+        self.record, self.record_revision = record, revision
+        self.record_since_s = now_s()
+        self.read_only_at_s = None
+        if record is None or old is None or record.primary != old.primary:
+            # Positions that the old primary alone held may have been rolled back.
+            self.samples = PositionSamples()
+        self._decisions.belief(
+            "group record",
+            group=self.name,
+            revision=revision,
+            phase=record.phase.value if record else None,
+            primary=record.primary if record else None,
+            holder=record.holder if record else None,
+        )
+        self.wake()
+
+    def wake(self) -> None:
+        """Wake those who wait for a change."""
+        self._changed.set()
+        self._changed = asyncio.Event()
+
+    async def wait_changed(self, timeout_s: float) -> None:
+        """Wait until something changes, or for a time."""
+        changed = self._changed
+        try:
+            async with asyncio.timeout(max(0.0, timeout_s)):
+                await changed.wait()
+        except TimeoutError:
+            return
--- /dev/null
+++ b/src/wasabipitch/instances/__init__.py
@@ -0,0 +1,1 @@
+"""Connections to database instances: opening, lending and taking back."""
--- /dev/null
+++ b/src/wasabipitch/instances/dispatcher.py
@@ -0,0 +1,205 @@
+"""Lends a group's connections to those who wait for one."""
+
+import asyncio
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from itertools import count
+
+from wasabipitch.clock import now_s
+from wasabipitch.coordination.documents import InstanceEntry
+from wasabipitch.exceptions import NoTarget, Overloaded
+from wasabipitch.instances.connection import InstanceConnection
+from wasabipitch.instances.pool import InstancePool
+from wasabipitch.operations.decisions import DecisionLog
+from wasabipitch.policy import placement, waiting
+from wasabipitch.policy.placement import ServiceTimes
+from wasabipitch.wire.codecs import InstanceCodec
+
+# Left on each instance for hosts that look into a replacement of its primary.
+SPARE_CONNECTIONS = 2
+# Beyond its own part a host may borrow this many while others leave them unused.
+BORROWED = 2
+_arrivals = count()
+
+
+@dataclass(frozen=True, slots=True)
+class Loan:
+    """A connection lent to one statement or transaction."""
+
+    pool: InstancePool
+    conn: InstanceConnection
+
+    def release(self) -> None:
+        """Give the connection back."""
+        self.pool.release(self.conn)
+
+
+@dataclass(eq=False)
+class Need:
+    """What a request needs of a connection.
+
+    Args:
+        allows: whether an instance may serve it now, by name.
+        kind: of statement, for its expected service time.
+        priority: 0 is the highest.
+        deadline_s: until when it may wait.
+        avoid: instances that have just failed it.
+    """
+
+    allows: Callable[[str], bool]
+    kind: str
+    priority: int
+    deadline_s: float
+    avoid: set[str] = field(default_factory=set)
+    arrival: int = field(default_factory=lambda: next(_arrivals))
+    granted: asyncio.Future = field(default_factory=asyncio.Future)
+
+    @property
+    def order(self) -> tuple[int, int]:
+        """Requests of a lower order go first."""
+        return (self.priority, self.arrival)
+
+
+class Dispatcher:
+    """Places requests on a group's instances.
+
+    Args:
+        data_centre: where this host runs.
+        is_primary: whether an instance leads the group, by name.
+    """
+
+    def __init__(
+        self,
+        codec: InstanceCodec,
+        decisions: DecisionLog,
+        data_centre: str,
+        is_primary: Callable[[str], bool],
+    ) -> None:
+        self.pools: dict[str, InstancePool] = {}
+        self.times = ServiceTimes()
+        self._codec = codec
+        self._decisions = decisions
+        self._data_centre = data_centre
+        self._is_primary = is_primary
+        self._waiting: list[Need] = []
+
+    def update(
+        self, entries: dict[str, InstanceEntry], max_connections: int, hosts: int
+    ) -> None:
+        """Follow the registered instances and the host's part of connections."""
+        for name in set(self.pools) - set(entries):
+            self.pools.pop(name).close()
+        part = max(1, (max_connections - SPARE_CONNECTIONS) // max(1, hosts))
+        for name, entry in entries.items():
+            pool = self.pools.get(name)
+            if pool is not None and pool.entry.address != entry.address:
+                pool.close()
+                pool = None
+            if pool is None:
+                pool = InstancePool(entry, self._codec, self._decisions, self.dispatch)
+                self.pools[name] = pool
+            pool.entry = entry
+            pool.limit = part
+            pool.borrow_limit = min(part + BORROWED, max_connections)
+        self.dispatch()
+
+    def keep_open(self) -> None:
+        """Open each instance's connections ahead of need."""
+        for pool in self.pools.values():
+            pool.give_back_borrowed()
+            if not pool.entry.leaving:
+                pool.want(pool.limit)
+
+    async def acquire(self, need: Need) -> Loan:
+        """Wait for a connection that suits.
+
+        Raises:
+            Overloaded: it would not be served in time.
+            NoTarget: no instance may serve it.
+        """
+        loan = self._try(need)
+        if loan is not None:
+            return loan
+        self._admit(need)
+        self._waiting.append(need)
+        self._waiting.sort(key=lambda other: other.order)
+        self.dispatch()
+        try:
+            async with asyncio.timeout(max(0.0, need.deadline_s - now_s())):
+                return await need.granted
+        except TimeoutError:
+            self._forget(need)
+            raise self._explain(need) from None
+        except asyncio.CancelledError:
+            self._forget(need)
+            raise
+
+    def dispatch(self) -> None:
+        """Lend what is free; called whenever something has changed."""
+        for need in list(self._waiting):
+            if need.granted.done():
+                self._waiting.remove(need)
+                continue
+            loan = self._try(need)
+            if loan is not None:
+                self._waiting.remove(need)
+                need.granted.set_result(loan)
+            else:
+                self._open_for(need)
+
+    def _suited(self, need: Need) -> list[InstancePool]:
+        allowed = [pool for name, pool in self.pools.items() if need.allows(name)]
+        fresh = [pool for pool in allowed if pool.name not in need.avoid]
+        return fresh or allowed
+
+    def _try(self, need: Need) -> Loan | None:
+        at_s = now_s()
+        suited = [pool for pool in self._suited(need) if pool.has_idle()]
+        sound = [pool for pool in suited if pool.silent_since_s is None]
+        loads = [self._load(pool, at_s) for pool in sound or suited]
+        best = placement.choose(loads, self.times.read(need.kind))
+        if best is None:
+            return None
+        pool = self.pools[best.name]
+        return Loan(pool, pool.lend())
+
+    def _load(self, pool: InstancePool, at_s: float) -> placement.Load:
+        return placement.Load(
+            name=pool.name,
+            near=pool.entry.data_centre == self._data_centre,
+            is_primary=self._is_primary(pool.name),
+            running=pool.lent,
+            slots=pool.entry.slots,
+            slowness=pool.slowness.read(at_s),
+        )
+
+    def _open_for(self, need: Need) -> None:
+        for pool in self._suited(need):
+            pool.want(pool.borrow_limit)
+
+    def _admit(self, need: Need) -> None:
+        suited = self._suited(need)
+        line = waiting.Line(
+            ahead=sum(other.order < need.order for other in self._waiting),
+            servers=sum(pool.open for pool in suited),
+            service_s=self.times.read(need.kind),
+        )
+        refusal = waiting.admit(line, need.deadline_s - now_s())
+        if refusal is not None:
+            raise Overloaded(refusal.reason)
+
+    def _forget(self, need: Need) -> None:
+        if need in self._waiting:
+            self._waiting.remove(need)
+        if need.granted.done() and not need.granted.cancelled():
+            need.granted.result().release()
+
+    def _explain(self, need: Need) -> NoTarget | Overloaded:
+        if not self._suited(need):
+            return NoTarget("no instance may serve it before its time limit")
+        return Overloaded("no connection became free before its time limit")
+
+    def close(self) -> None:
+        """Close all connections."""
+        for pool in self.pools.values():
+            pool.close()
--- /dev/null
+++ b/src/wasabipitch/instances/pool.py
@@ -0,0 +1,216 @@
+"""A host's connections to one instance, and what it knows of that instance."""
+
+import asyncio
+from collections import deque
+from collections.abc import Callable
+
+from wasabipitch import tasks
+from wasabipitch.clock import now_s
+from wasabipitch.coordination.documents import InstanceEntry
+from wasabipitch.exceptions import (
+    ConnectionRefused,
+    InstanceLost,
+    NoConnectionLeft,
+    TargetDown,
+    WrongInstance,
+)
+from wasabipitch.instances.connection import InstanceConnection, connect
+from wasabipitch.operations.decisions import DecisionLog
+from wasabipitch.policy.placement import LaggingBackoff, Slowness
+from wasabipitch.wire.codecs import InstanceCodec
+from wasabipitch.wire.messages import SessionState
+
+MIN_RETRY_S = 0.05
+MAX_RETRY_S = 0.5
+# At its limit an instance stays so until somebody's connection ends.
+LIMIT_RETRY_S = 0.4
+# Connections beyond the host's own part are given back when idle for this long.
+BORROWED_IDLE_S = 1.0
+# A statement given up on keeps its connection until its answer, or for this long.
+ABANDONED_S = 3.0
+
+
+class InstancePool:
+    """Opens, lends and takes back the connections to one instance.
+
+    Args:
+        entry: the instance's registration.
+        on_change: called when a connection becomes free or the pool learns
+            something that matters to those who wait.
+    """
+
+    def __init__(
+        self,
+        entry: InstanceEntry,
+        codec: InstanceCodec,
+        decisions: DecisionLog,
+        on_change: Callable[[], None],
+    ) -> None:
+        self.entry = entry
+        self.limit = 1
+        self.borrow_limit = 1
+        self.slowness = Slowness()
+        self.lagging = LaggingBackoff()
+        self.refused_at_s: float | None = None
+        self.failing_since_s: float | None = None
+        self.answered_at_s = 0.0
+        self.silent_since_s: float | None = None
+        self._codec = codec
+        self._decisions = decisions
+        self._on_change = on_change
+        self._idle: deque[InstanceConnection] = deque()
+        self._lent: set[InstanceConnection] = set()
+        self._tasks: set[asyncio.Task] = set()
+        self._opening = 0
+        self._retry_at_s = 0.0
+        self._retry_s = MIN_RETRY_S
+        self._closed = False
+
+    @property
+    def name(self) -> str:
+        """The instance's."""
+        return self.entry.name
+
+    @property
+    def open(self) -> int:
+        """How many connections are open or being opened."""
+        return len(self._idle) + len(self._lent) + self._opening
+
+    @property
+    def lent(self) -> int:
+        """How many connections are in use."""
+        return len(self._lent)
+
+    @property
+    def connections(self) -> list[InstanceConnection]:
+        """All open connections."""
+        return [*self._idle, *self._lent]
+
+    def has_idle(self) -> bool:
+        """Return whether a connection can be lent at once."""
+        while self._idle and not self._idle[-1].is_clean:
+            self._idle.pop().close()
+        return bool(self._idle)
+
+    def lend(self) -> InstanceConnection:
+        """Return an idle connection; ``has_idle`` has just said there is one."""
+        conn = self._idle.pop()
+        self._lent.add(conn)
+        return conn
+
+    def release(self, conn: InstanceConnection) -> None:
+        """Take a connection back; one that isn't clean is cleaned or closed."""
+        if conn not in self._lent:
+            return
+        if conn.is_open and not conn.is_clean and not self._closed:
+            self._spawn(self._clean(conn))
+            return
+        self._take_back(conn)
+
+    def want(self, count: int) -> None:
+        """Open connections in the background until that many are open."""
+        if self._closed or now_s() < self._retry_at_s:
+            return
+        while self.open < count and not self._opening:
+            self._opening += 1
+            self._spawn(self._open())
+
+    def give_back_borrowed(self) -> None:
+        """Close idle connections beyond the host's own part."""
+        at_s = now_s()
+        while self.open > self.limit and self._idle:
+            if at_s - self._idle[0].used_at_s < BORROWED_IDLE_S:
+                return
+            self._idle.popleft().close()
+
+    def note_answer(self) -> None:
+        """Note that the instance has answered a statement."""
+        self.answered_at_s = now_s()
+        self.silent_since_s = None
+
+    def note_silence(self, since_s: float) -> None:
+        """Note that a statement sent at a time got no answer so far."""
+        if since_s > self.answered_at_s and self.silent_since_s is None:
+            self.silent_since_s = since_s
+
+    def close(self) -> None:
+        """Close all connections for good."""
+        self._closed = True
+        for task in self._tasks:
+            task.cancel()
+        for conn in self.connections:
+            conn.close()
+        self._idle.clear()
+        self._lent.clear()
+
+    def _spawn(self, work) -> None:
+        task = tasks.spawn(work, f"connections to {self.name}")
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    def _take_back(self, conn: InstanceConnection) -> None:
+        self._lent.discard(conn)
+        if (
+            self._closed
+            or not conn.is_clean
+            or conn.entry.born_ms != self.entry.born_ms
+        ):
+            conn.close()
+        else:
+            self._idle.append(conn)
+        self._on_change()
+
+    async def _clean(self, conn: InstanceConnection) -> None:
+        try:
+            async with asyncio.timeout(ABANDONED_S):
+                # The answer to the rollback comes after all the others.
+                reply = await conn.send(self._codec.rollback())
+                if reply.state is not SessionState.IDLE:
+                    conn.close()
+        except (InstanceLost, TimeoutError):
+            conn.close()
+        finally:
+            self._take_back(conn)
+
+    async def _open(self) -> None:
+        try:
+            conn = await connect(self.entry, self._codec)
+        except TargetDown as exc:
+            self._note_failure(exc)
+        else:
+            self._note_opened()
+            if self._closed:
+                conn.close()
+                return
+            self._idle.append(conn)
+        finally:
+            self._opening -= 1
+            self._on_change()
+
+    def _note_opened(self) -> None:
+        if self.failing_since_s is not None:
+            self._decisions.belief(
+                "instance reachable", instance=self.name, group=self.entry.group
+            )
+        self.failing_since_s = None
+        self.refused_at_s = None
+        self._retry_s = MIN_RETRY_S
+        self.note_answer()
+
+    def _note_failure(self, exc: TargetDown) -> None:
+        at_s = now_s()
+        if isinstance(exc, NoConnectionLeft):
+            self._retry_at_s = at_s + LIMIT_RETRY_S
+            return
+        if self.failing_since_s is None:
+            self.failing_since_s = at_s
+            self._decisions.belief(
+                "instance unreachable",
+                instance=self.name,
+                group=self.entry.group,
+                reason=str(exc),
+            )
+        if isinstance(exc, (ConnectionRefused, WrongInstance)):
+            self.refused_at_s = at_s
+        self._retry_at_s = at_s + self._retry_s
+        self._retry_s = min(MAX_RETRY_S, self._retry_s * 2)
--- /dev/null
+++ b/src/wasabipitch/operations/__init__.py
@@ -0,0 +1,1 @@
+"""What an operator sees: decision logs, metrics and the status server."""
--- /dev/null
+++ b/src/wasabipitch/operations/decisions.py
@@ -0,0 +1,82 @@
+"""The decision log: one line for each decision that an engineer may ask about."""
+
+import logging
+from typing import Any
+
+from pythonjsonlogger.json import JsonFormatter
+
+from wasabipitch.clock import now_s
+from wasabipitch.operations.logwriter import LogWriter
+
+# Of the routine decisions, one in this many is logged.
+ROUTINE_SAMPLE = 50
+FORMAT = "%(asctime)s %(levelname)s %(message)s"
+
+
+class _WriterHandler(logging.Handler):
+    """Sends log records to the non-blocking writer."""
+
+    def __init__(self, writer: LogWriter) -> None:
+        super().__init__()
+        self._writer = writer
+
+    def emit(self, record: logging.LogRecord) -> None:
+        routine = record.levelno <= logging.DEBUG
+        self._writer.write(self.format(record), record.getMessage(), routine)
+
+
+class DecisionLog:
+    """Logs decisions on requests and changes of belief as JSON lines.
+
+    Args:
+        host: added to each line.
+        writer: takes the lines; None keeps them out, for tests.
+    """
+
+    def __init__(self, host: str, writer: LogWriter | None = None) -> None:
+        self._logger = logging.Logger(f"wasabipitch.{host}", logging.DEBUG)
+        self._routine_count = 0
+        self._reported: dict[str, int] = {}
+        self._writer = writer
+        if writer is None:
+            self._logger.addHandler(logging.NullHandler())
+            return
+        handler = _WriterHandler(writer)
+        handler.setFormatter(
+            JsonFormatter(
+                FORMAT,
+                rename_fields={
+                    "asctime": "time",
+                    "levelname": "level",
+                    "message": "event",
+                },
+                static_fields={"host": host},
+            )
+        )
+        self._logger.addHandler(handler)
+        logging.getLogger().addHandler(handler)
+
+    def belief(self, event: str, **fields: Any) -> None:
+        """Log a change of what the process believes, or of its life."""
+        self._log(logging.WARNING, event, fields)
+        self._report_dropped()
+
+    def request(self, event: str, **fields: Any) -> None:
+        """Log a decision on a request that its caller will notice."""
+        self._log(logging.INFO, event, fields)
+
+    def routine(self, event: str, **fields: Any) -> None:
+        """Log a sample of the decisions on requests that go well."""
+        self._routine_count += 1
+        if self._routine_count % ROUTINE_SAMPLE == 0:
+            self._log(logging.DEBUG, event, fields)
+
+    def _log(self, level: int, event: str, fields: dict[str, Any]) -> None:
+        self._logger.log(level, event, extra={"at_s": round(now_s(), 3), **fields})
+
+    def _report_dropped(self) -> None:
+        if self._writer is None or self._writer.dropped == self._reported:
+            return
+        self._reported = dict(self._writer.dropped)
+        fields = {"dropped": self._reported}
+        self._log(logging.WARNING, "log lines dropped", fields)
--- /dev/null
+++ b/src/wasabipitch/operations/logwriter.py
@@ -0,0 +1,70 @@
+"""Writes log lines to standard output without ever blocking the process."""
+
+import asyncio
+import os
+from collections import Counter, deque
+
+# Lines kept while the reader stalls: 4,000 lines of some 300 bytes are 1.2 MB.
+MAX_LINES = 4000
+# Routine lines are dropped first, from this fill on.
+ROUTINE_MAX_LINES = 1000
+FLUSH_INTERVAL_S = 0.05
+MAX_BATCH_BYTES = 32_768
+
+
+class LogWriter:
+    """A bounded ring of lines and one non-blocking writer.
+
+    Args:
+        fd: the file descriptor that lines go to; it becomes non-blocking.
+    """
+
+    def __init__(self, fd: int = 1) -> None:
+        self.dropped: Counter[str] = Counter()
+        self._fd = fd
+        self._lines: deque[bytes] = deque()
+        self._rest = b""
+        os.set_blocking(fd, False)
+
+    def write(self, line: str, kind: str, routine: bool) -> None:
+        """Queue a line, or count it as dropped if the ring is full."""
+        limit = ROUTINE_MAX_LINES if routine else MAX_LINES
+        if len(self._lines) >= limit:
+            self.dropped[kind] += 1
+            return
+        self._lines.append(line.encode() + b"\n")
+
+    async def run(self) -> None:
+        """Write what is queued; runs until cancelled, then writes the rest."""
+        try:
+            while True:
+                self.flush()
+                await asyncio.sleep(FLUSH_INTERVAL_S)
+        finally:
+            self.flush()
+
+    def flush(self) -> None:
+        """Write as much as the reader takes now."""
+        while self._lines or self._rest:
+            batch = self._take_batch()
+            try:
+                written = os.write(self._fd, batch)
+            except BlockingIOError:
+                written = 0
+            except OSError:
+                # Nobody reads any more, and there is nowhere else to say so.
+                self._lines.clear()
+                self._rest = b""
+                return
+            self._rest = batch[written:]
+            if self._rest:
+                return
+
+    def _take_batch(self) -> bytes:
+        parts = [self._rest]
+        size = len(self._rest)
+        while self._lines and size < MAX_BATCH_BYTES:
+            line = self._lines.popleft()
+            parts.append(line)
+            size += len(line)
+        return b"".join(parts)
--- /dev/null
+++ b/src/wasabipitch/policy/placement.py
@@ -0,0 +1,116 @@
+"""Which instance a statement goes to.
+
+Answers slow, lagging and far instances beside quick ones: work goes where it is
+expected to end first, with what was measured a while ago counting less and less.
+"""
+
+import math
+from collections.abc import Iterable
+from dataclasses import dataclass
+
+# A measured slowness is forgotten at this rate, so that an instance is tried again.
+FORGET_S = 3.0
+EWMA_WEIGHT = 0.15
+MIN_SLOWNESS = 0.5
+MAX_SLOWNESS = 12.0
+# A round trip to another data centre costs some 1 ms, and its bytes are priced.
+FAR_S = 0.0015
+# The primary has work that nobody else can do.
+PRIMARY_FACTOR = 1.25
+LAGGING_MIN_S = 0.1
+LAGGING_MAX_S = 1.0
+FIRST_SERVICE_S = 0.012
+
+
+@dataclass(frozen=True, slots=True)
+class Load:
+    """What is known of an instance when a statement is placed.
+
+    Args:
+        running: statements of this host that run or wait there.
+        slots: that it runs at once.
+        slowness: its service times against those of the group, 1 for alike.
+    """
+
+    name: str
+    near: bool
+    is_primary: bool
+    running: int
+    slots: int
+    slowness: float
+
+
+def expected_s(load: Load, service_s: float) -> float:
+    """Return when a statement sent there now is expected to be answered."""
+    rounds = 1.0 + load.running / max(1, load.slots)
+    expected = service_s * load.slowness * rounds
+    if load.is_primary:
+        expected *= PRIMARY_FACTOR
+    return expected if load.near else expected + FAR_S
+
+
+def choose(loads: Iterable[Load], service_s: float) -> Load | None:
+    """Return the instance that is expected to answer first."""
+    return min(loads, key=lambda load: expected_s(load, service_s), default=None)
+
+
+class Slowness:
+    """How an instance's service times compare with the group's."""
+
+    def __init__(self) -> None:
+        self._value = 1.0
+        self._at_s = 0.0
+
+    def read(self, at_s: float) -> float:
+        """Return the slowness as far as it is still remembered."""
+        age_s = max(0.0, at_s - self._at_s)
+        return 1.0 + (self._value - 1.0) * math.exp(-age_s / FORGET_S)
+
+    def add(self, ratio: float, at_s: float) -> None:
+        """Add a service time, as a ratio to the group's mean."""
+        ratio = min(MAX_SLOWNESS, max(MIN_SLOWNESS, ratio))
+        known = self.read(at_s)
+        self._value = known + EWMA_WEIGHT * (ratio - known)
+        self._at_s = at_s
+
+
+class ServiceTimes:
+    """Mean service times of a group, by kind of statement."""
+
+    def __init__(self) -> None:
+        self._means_s: dict[str, float] = {}
+
+    def read(self, kind: str) -> float:
+        """Return the mean in seconds."""
+        return self._means_s.get(kind, FIRST_SERVICE_S)
+
+    def add(self, kind: str, seconds: float) -> float:
+        """Add a service time and return its ratio to the mean so far."""
+        mean_s = self.read(kind)
+        ratio = seconds / max(mean_s, 1e-4)
+        self._means_s[kind] = mean_s + EWMA_WEIGHT * (min(seconds, 4 * mean_s) - mean_s)
+        return ratio
+
+
+class LaggingBackoff:
+    """Keeps reads off an instance that has just said that it lags."""
+
+    def __init__(self) -> None:
+        self._until_s = 0.0
+        self._wait_s = LAGGING_MIN_S
+
+    def is_off(self, at_s: float) -> bool:
+        """Return whether it is spared now."""
+        return at_s < self._until_s
+
+    def note_lagging(self, at_s: float) -> None:
+        """Spare it, each time for longer."""
+        if self.is_off(at_s):
+            return
+        self._until_s = at_s + self._wait_s
+        self._wait_s = min(LAGGING_MAX_S, self._wait_s * 2)
+
+    def note_current(self) -> None:
+        """Take it in again: it served a read."""
+        self._wait_s = LAGGING_MIN_S
+        self._until_s = 0.0
--- /dev/null
+++ b/src/wasabipitch/policy/retries.py
@@ -0,0 +1,70 @@
+"""When a request runs again or beside itself, and when it waits for a primary.
+
+Answers lost answers, silent instances and replaced primaries: what surely did
+not run is tried elsewhere, a read that hangs is asked again elsewhere, and a
+request without a primary waits only while one is about to come.
+"""
+
+from dataclasses import dataclass
+
+# A read is asked elsewhere when this share of its response-time objective is
+# gone, so that the second answer can still come within the objective.
+HEDGE_SHARE = 0.45
+MIN_HEDGE_S = 0.04
+# Against a mean service time: below this a read isn't late, only long.
+HEDGE_FACTOR = 5.0
+# Of all reads, the share that may be asked twice.
+HEDGE_BUDGET = 0.1
+HEDGE_BURST = 8.0
+# A replacement that everyone follows takes some 0.4 s, one that waits for a
+# silent host up to 3 s.
+CHANGE_S = 3.2
+# Time without a primary in the record before a change begins.
+DETECTION_S = 1.5
+
+
+class HedgeBudget:
+    """Allows second copies of reads as a share of all reads."""
+
+    def __init__(self) -> None:
+        self._tokens = HEDGE_BURST
+
+    def earn(self) -> None:
+        """Count a read."""
+        self._tokens = min(HEDGE_BURST, self._tokens + HEDGE_BUDGET)
+
+    def spend(self) -> bool:
+        """Take one second copy; return False if there is none left."""
+        if self._tokens < 1.0:
+            return False
+        self._tokens -= 1.0
+        return True
+
+
+def hedge_after_s(objective_s: float, service_s: float) -> float:
+    """Return how long a read may go unanswered before it is asked elsewhere."""
+    return max(MIN_HEDGE_S, HEDGE_SHARE * objective_s, HEDGE_FACTOR * service_s)
+
+
+@dataclass(frozen=True, slots=True)
+class Outage:
+    """A group without a usable primary.
+
+    Args:
+        changing_for_s: how long it has been under replacement, or None.
+        down_for_s: how long the primary can't be reached, or None.
+        confirmed: whether the store's word on the group is fresh.
+    """
+
+    changing_for_s: float | None
+    down_for_s: float | None
+    confirmed: bool
+
+
+def may_hold(outage: Outage) -> bool:
+    """Return whether a request that needs a primary should wait for one."""
+    if outage.changing_for_s is not None:
+        return outage.changing_for_s < CHANGE_S
+    if not outage.confirmed:
+        return False
+    return outage.down_for_s is None or outage.down_for_s < DETECTION_S
--- /dev/null
+++ b/src/wasabipitch/wire/__init__.py
@@ -0,0 +1,1 @@
+"""The messages between callers, hosts and instances, whatever their encoding."""
--- /dev/null
+++ b/src/wasabipitch/wire/lines.py
@@ -0,0 +1,168 @@
+"""Connections that carry lines: one class for callers' and instances' side."""
+
+import asyncio
+import socket
+from collections import deque
+
+from wasabipitch.exceptions import (
+    ConnectionRefused,
+    InstanceLost,
+    MalformedMessage,
+    TargetDown,
+)
+from wasabipitch.models import Address
+
+# The protocol's largest message, and the words around it.
+MAX_LINE_BYTES = (1 << 20) + 1024
+# Reading pauses while this many lines wait, so that a flood holds no memory.
+MAX_WAITING_LINES = 64
+# Unacknowledged data for this long means that the peer can't be reached.
+USER_TIMEOUT_MS = 1500
+# An idle connection that went silent is noticed after idle + count * interval.
+KEEPALIVE_IDLE_S = 2
+KEEPALIVE_INTERVAL_S = 1
+KEEPALIVE_COUNT = 2
+
+
+class LineStream(asyncio.Protocol):
+    """Reads lines from a connection and writes bytes to it."""
+
+    def __init__(self) -> None:
+        self.closed = asyncio.Event()
+        self._transport: asyncio.Transport | None = None
+        self._lines: deque[bytes] = deque()
+        self._buffer = bytearray()
+        self._arrived = asyncio.Event()
+        self._writable = asyncio.Event()
+        self._writable.set()
+        self._paused = False
+        self._too_long = False
+
+    @property
+    def is_open(self) -> bool:
+        """Whether both sides still hold the connection."""
+        return not self.closed.is_set()
+
+    @property
+    def has_line(self) -> bool:
+        """Whether a whole line waits to be read."""
+        return bool(self._lines)
+
+    def connection_made(self, transport: asyncio.Transport) -> None:
+        """Set the socket's time limits."""
+        self._transport = transport
+        sock = transport.get_extra_info("socket")
+        if sock is not None:
+            _set_options(sock)
+
+    def data_received(self, data: bytes) -> None:
+        """Cut what came into lines."""
+        self._buffer += data
+        if b"\n" in data:
+            *lines, rest = self._buffer.split(b"\n")
+            self._buffer = bytearray(rest)
+            self._lines.extend(bytes(line).removesuffix(b"\r") for line in lines)
+        if len(self._buffer) > MAX_LINE_BYTES:
+            self._too_long = True
+            self._buffer.clear()
+            self.abort()
+        if len(self._lines) > MAX_WAITING_LINES and not self._paused:
+            self._paused = True
+            self._transport.pause_reading()
+        self._arrived.set()
+
+    def eof_received(self) -> bool:
+        """Close when the peer does."""
+        return False
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """Wake everyone who waits."""
+        self.closed.set()
+        self._arrived.set()
+        self._writable.set()
+
+    def pause_writing(self) -> None:
+        """Hold writers back: the peer reads too slowly."""
+        self._writable.clear()
+
+    def resume_writing(self) -> None:
+        """Let writers go on."""
+        self._writable.set()
+
+    async def read_line(self) -> bytes | None:
+        """Return the next line without its end, or None once closed.
+
+        Raises:
+            MalformedMessage: if a line is longer than the protocol allows.
+        """
+        while not self._lines:
+            if self._too_long:
+                raise MalformedMessage(f"line of over {MAX_LINE_BYTES} bytes")
+            if self.closed.is_set():
+                return None
+            self._arrived.clear()
+            await self._arrived.wait()
+        line = self._lines.popleft()
+        if self._paused and len(self._lines) < MAX_WAITING_LINES // 2:
+            self._paused = False
+            if self.is_open:
+                self._transport.resume_reading()
+        return line
+
+    def write(self, data: bytes) -> None:
+        """Send bytes, if the connection is still open."""
+        if self.is_open and not self._transport.is_closing():
+            self._transport.write(data)
+
+    async def drain(self) -> None:
+        """Wait until the peer has taken most of what was written."""
+        await self._writable.wait()
+
+    def close(self) -> None:
+        """Close once everything written is sent."""
+        if self._transport is not None:
+            self._transport.close()
+
+    def abort(self) -> None:
+        """Close at once."""
+        if self._transport is not None:
+            self._transport.abort()
+
+
+def _set_options(sock: socket.socket) -> None:
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+    tcp = socket.IPPROTO_TCP
+    sock.setsockopt(tcp, socket.TCP_KEEPIDLE, KEEPALIVE_IDLE_S)
+    sock.setsockopt(tcp, socket.TCP_KEEPINTVL, KEEPALIVE_INTERVAL_S)
+    sock.setsockopt(tcp, socket.TCP_KEEPCNT, KEEPALIVE_COUNT)
+    sock.setsockopt(tcp, socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MS)
+
+
+async def open_stream(address: Address, timeout_s: float) -> LineStream:
+    """Connect to an address.
+
+    Raises:
+        ConnectionRefused: no process listens there.
+        TargetDown: it can't be reached in time.
+    """
+    loop = asyncio.get_running_loop()
+    try:
+        async with asyncio.timeout(timeout_s):
+            _, stream = await loop.create_connection(
+                LineStream, address.ip, address.port
+            )
+    except ConnectionRefusedError as exc:
+        raise ConnectionRefused(f"{address}: refused") from exc
+    except (OSError, TimeoutError) as exc:
+        reason = str(exc) or "no answer"
+        raise TargetDown(f"{address}: {reason}") from exc
+    return stream
+
+
+async def read_message(stream: LineStream) -> bytes:
+    """Return the next line; raises ``InstanceLost`` if the stream ends."""
+    line = await stream.read_line()
+    if line is None:
+        raise InstanceLost("the connection ended")
+    return line
