End a stop within its grace; hold one connection an instance at rest

Cause: a mirror whose watch was cancelled took its own cancellation for a restart of the watch, so stopping processes were killed at the end of the grace. After a loss of power instances keep the old connections for 3 s, and restarted hosts counted few hosts and opened more than the cap. Ruled out: the health check's keep-alive connections (closed at once now too).

--- a/src/wasabipitch/coordination/mirror.py
+++ b/src/wasabipitch/coordination/mirror.py
@@ -134,20 +134,18 @@
             call = self._store.watch(ALL_KEYS, self.revision, WATCH_S)
             self._watch = asyncio.ensure_future(call)
             try:
-                changes = await self._watch
-            except asyncio.CancelledError:
-                if not self._watch.cancelled():
-                    # This task itself is being cancelled.
-                    self._watch.cancel()
-                    raise
-                self._decisions.belief("watch restarted", revision=self.revision)
-                continue
+                # It may also be cancelled by a check that finds it silent.
+                await asyncio.wait([self._watch])
+                if self._watch.cancelled():
+                    self._decisions.belief("watch restarted", revision=self.revision)
+                    continue
+                changes = self._watch.result()
             except StoreUnavailable as exc:
                 self._note_failure(exc)
                 await asyncio.sleep(RETRY_S)
                 continue
             finally:
-                self._watch = None
+                self._watch.cancel()
             self._note_answer()
             for event in changes.events:
                 self._apply(event)
--- a/src/wasabipitch/coordination/roster.py
+++ b/src/wasabipitch/coordination/roster.py
@@ -20,6 +20,9 @@
 from wasabipitch.models import ORIGIN, Position
 from wasabipitch.policy.rights import RIGHT_S
 
+# How long a host counts for the division of connections after it has left.
+SIZE_MEMORY_S = 10.0
+
 logger = logging.getLogger(__name__)
 
 
@@ -36,8 +39,21 @@
         self._mirror = mirror
         self._on_change = on_change
         self._left_at_s: dict[str, float] = {}
+        self._seen_at_s: dict[str, float] = {}
         mirror.subscribe(self._note)
 
+    @property
+    def size(self) -> int:
+        """How many hosts there are, those included that were here lately.
+
+        An entry may be taken from a host that lives, and its connections with it
+        must not be given to the others.
+        """
+        at_s = now_s()
+        for record in self.hosts.values():
+            self._seen_at_s[record.name] = at_s
+        return sum(at_s - seen < SIZE_MEMORY_S for seen in self._seen_at_s.values())
+
     def hosts_answered(self, group: str, revision: int) -> bool:
         """Return whether every host gave up the primary of a group record.
 
@@ -86,10 +102,20 @@
             if self.hosts.pop(incarnation, None) is not None:
                 self._left_at_s[incarnation] = now_s()
         else:
+            self._supersede(record)
             self.hosts[incarnation] = record
             self._left_at_s.pop(incarnation, None)
         self._on_change()
 
+    def _supersede(self, record: HostRecord) -> None:
+        """Forget earlier lives of a host: it can't run twice."""
+        for incarnation, known in list(self.hosts.items()):
+            if known.name == record.name and incarnation != record.incarnation:
+                del self.hosts[incarnation]
+        for incarnation in list(self._left_at_s):
+            if incarnation.rpartition(".")[0] == record.name:
+                del self._left_at_s[incarnation]
+
     def _decode(self, item: Item, kind: type):
         try:
             return decode(item.value, kind)
--- a/src/wasabipitch/front/server.py
+++ b/src/wasabipitch/front/server.py
@@ -24,6 +24,9 @@
 
 # Callers give up on an unanswered startup after 2 s; a silent one is cut later.
 STARTUP_TIMEOUT_S = 10.0
+# A host that has just started reads the configuration within tens of ms.
+CONFIGURATION_WAIT_S = 1.5
+CONFIGURATION_STEP_S = 0.02
 BACKLOG = 1024
 
 
@@ -132,7 +135,7 @@
         return message
 
     async def _run_session(self, stream: LineStream, startup: Startup) -> None:
-        configuration = self._read_configuration()
+        configuration = await self._wait_configuration()
         if configuration is None or startup.database not in configuration.routes:
             self._refuse_database(stream, startup, configuration)
             return
@@ -149,6 +152,12 @@
         finally:
             self.sessions.discard(session)
 
+    async def _wait_configuration(self) -> Configuration | None:
+        until_s = now_s() + CONFIGURATION_WAIT_S
+        while self._read_configuration() is None and now_s() < until_s:
+            await asyncio.sleep(CONFIGURATION_STEP_S)
+        return self._read_configuration()
+
     def _refuse_database(
         self,
         stream: LineStream,
--- a/src/wasabipitch/gateway.py
+++ b/src/wasabipitch/gateway.py
@@ -42,6 +42,9 @@
 STOP_STEP_S = 0.1
 # Of the grace, open transactions may use this share.
 TRANSACTION_SHARE = 0.5
+# The entry may still send callers where few hosts are left; after this share of
+# the grace they are turned away, so that the last statements can end.
+ACCEPTING_SHARE = 0.6
 # Left of the grace for closing, in seconds.
 CLOSE_MARGIN_S = 0.8
 
@@ -169,10 +172,11 @@
                 return
             if taken_s > grace_s * TRANSACTION_SHARE:
                 self._server.abort_transactions()
-            if taken_s > OUT_OF_ROTATION_S:
+            if taken_s > grace_s * ACCEPTING_SHARE:
                 self._server.stop_accepting()
+            if taken_s > OUT_OF_ROTATION_S:
                 self._server.close_idle()
-                if not self._server.sessions:
+                if not self._server.busy:
                     return
             await asyncio.sleep(STOP_STEP_S)
 
@@ -245,7 +249,7 @@
             return
         state = group.state
         state.entries = self._directory.instances_of(name)
-        hosts = max(1, len(self._roster.hosts))
+        hosts = max(1, self._roster.size)
         group.dispatcher.update(state.entries, state.settings.max_connections, hosts)
         state.wake()
 
--- a/src/wasabipitch/group/runner.py
+++ b/src/wasabipitch/group/runner.py
@@ -152,10 +152,13 @@
 
     async def _send_write(self, req: Request, loan: Loan) -> Reply | None:
         """Return the answer, or None if the statement surely did not run."""
-        revision = self._state.record_revision
         try:
             if not await self._sync(req, loan.conn):
                 return None
+            # The primary may have been given up while the request waited.
+            if not self._state.is_primary(loan.pool.name):
+                return None
+            revision = self._state.record_revision
             with self._state.commit_under_way():
                 message = self._encode(req, loan.conn, None)
                 reply = await self._ask(req, loan, message)
@@ -248,13 +251,12 @@
         self, req: Request, loan: Loan, floor: Position | None
     ) -> Reply | None:
         state, name = self._state, loan.pool.name
-        if floor is None and not state.is_primary(name):
-            loan.release()
-            return None
-        revision, sent_at_s = state.record_revision, now_s()
         try:
             if not await self._sync(req, loan.conn):
                 return None
+            if floor is None and not state.is_primary(name):
+                return None
+            revision, sent_at_s = state.record_revision, now_s()
             message = self._encode(req, loan.conn, floor)
             reply = await self._ask(req, loan, message)
         except InstanceLost:
@@ -317,14 +319,12 @@
     ) -> bool:
         floor = right.floor if tx.read_only else None
         state, name = self._state, loan.pool.name
-        if floor is None and not state.is_primary(name):
-            loan.release()
-            return False
-        revision, sent_at_s = state.record_revision, now_s()
         try:
-            if not await self._sync(req, loan.conn):
+            synced = await self._sync(req, loan.conn)
+            if not synced or (floor is None and not state.is_primary(name)):
                 loan.release()
                 return False
+            revision, sent_at_s = state.record_revision, now_s()
             message = self._codec.begin(tx.read_only, floor)
             reply = await self._ask(req, loan, message)
         except (InstanceLost, TimeoutError):
--- a/src/wasabipitch/instances/dispatcher.py
+++ b/src/wasabipitch/instances/dispatcher.py
@@ -9,7 +9,7 @@
 from wasabipitch.coordination.documents import InstanceEntry
 from wasabipitch.exceptions import NoTarget, Overloaded
 from wasabipitch.instances.connection import InstanceConnection
-from wasabipitch.instances.pool import InstancePool
+from wasabipitch.instances.pool import RESTING_CONNECTIONS, InstancePool
 from wasabipitch.operations.decisions import DecisionLog
 from wasabipitch.policy import placement, waiting
 from wasabipitch.policy.placement import ServiceTimes
@@ -100,15 +100,15 @@
                 self.pools[name] = pool
             pool.entry = entry
             pool.limit = part
-            pool.borrow_limit = min(part + BORROWED, max_connections)
+            pool.borrow_limit = part + BORROWED
         self.dispatch()
 
     def keep_open(self) -> None:
-        """Open each instance's connections ahead of need."""
+        """Hold a few connections to each instance, and close what is idle."""
         for pool in self.pools.values():
-            pool.give_back_borrowed()
+            pool.give_back_idle()
             if not pool.entry.leaving:
-                pool.want(pool.limit)
+                pool.want(RESTING_CONNECTIONS)
 
     async def acquire(self, need: Need) -> Loan:
         """Wait for a connection that suits.
--- a/src/wasabipitch/instances/pool.py
+++ b/src/wasabipitch/instances/pool.py
@@ -23,8 +23,13 @@
 MIN_RETRY_S = 0.05
 MAX_RETRY_S = 0.5
 # At its limit an instance stays so until somebody's connection ends.
-LIMIT_RETRY_S = 0.4
-# Connections beyond the host's own part are given back when idle for this long.
+LIMIT_RETRY_S = 0.15
+# Held at rest. After a loss of power instances keep the old connections for 3 s,
+# so that what hosts hold at rest is missing when all of them return.
+RESTING_CONNECTIONS = 1
+# Connections beyond those are given back when idle for this long, or, beyond the
+# host's own part, for the shorter time.
+IDLE_S = 4.0
 BORROWED_IDLE_S = 1.0
 # A statement given up on keeps its connection until its answer, or for this long.
 ABANDONED_S = 3.0
@@ -115,11 +120,12 @@
             self._opening += 1
             self._spawn(self._open())
 
-    def give_back_borrowed(self) -> None:
-        """Close idle connections beyond the host's own part."""
+    def give_back_idle(self) -> None:
+        """Close connections that have been idle for long."""
         at_s = now_s()
-        while self.open > self.limit and self._idle:
-            if at_s - self._idle[0].used_at_s < BORROWED_IDLE_S:
+        while self.open > RESTING_CONNECTIONS and self._idle:
+            limit_s = BORROWED_IDLE_S if self.open > self.limit else IDLE_S
+            if at_s - self._idle[0].used_at_s < limit_s:
                 return
             self._idle.popleft().close()
 
--- a/src/wasabipitch/operations/statusserver.py
+++ b/src/wasabipitch/operations/statusserver.py
@@ -25,7 +25,7 @@
     async def start(self, address: Address) -> None:
         """Listen for checks."""
         server = web.Server(self._answer, access_log=None)
-        self._runner = web.ServerRunner(server)
+        self._runner = web.ServerRunner(server, shutdown_timeout=0)
         await self._runner.setup()
         site = web.TCPSite(self._runner, address.ip, address.port)
         await site.start()
