Reach the store through a peer while it turns a host away

Cause: hosts that the store turned away lost the right to read primaries after 2.5 s, and could not say that they gave up a primary, so replacements waited. Ruled out: longer rights, which lengthen each replacement with a silent host.

--- a/src/wasabipitch/coordination/documents.py
+++ b/src/wasabipitch/coordination/documents.py
@@ -143,11 +143,16 @@
 
 @dataclass(frozen=True, slots=True)
 class HostRecord:
-    """A host that lives, kept under its lease."""
+    """A host that lives, kept under its lease.
+
+    Args:
+        links: where it accepts links from its peers, as ``ip:port``.
+    """
 
     name: str
     data_centre: str
     incarnation: str
+    links: str = ""
 
 
 @dataclass(frozen=True, slots=True)
--- /dev/null
+++ b/src/wasabipitch/coordination/relay.py
@@ -0,0 +1,225 @@
+"""Calls to the store by way of a peer, for a host that the store turns away."""
+
+import random
+from collections.abc import Callable, Iterable, Mapping, Sequence
+
+from wasabipitch import exceptions
+from wasabipitch.clock import now_s
+from wasabipitch.coordination.store import (
+    Changes,
+    CoordinationStore,
+    Item,
+    Listing,
+    Removal,
+)
+from wasabipitch.exceptions import LinkError, StoreError, StoreUnavailable
+from wasabipitch.linkbook import LinkBook
+from wasabipitch.links import RemoteError
+from wasabipitch.messages import StoreAnswer, StoreCall, StoredItem
+from wasabipitch.models import Host
+from wasabipitch.operations.decisions import DecisionLog
+from wasabipitch.verdict import Verdict
+
+# After a failure the store itself is tried again this much later.
+DISTRUST_S = 1.5
+# A peer that did not help is asked again this much later.
+PEER_PAUSE_S = 1.0
+PEER_TIMEOUT_S = 0.5
+PEER_TRIES = 2
+# Calls that do no harm when they are made twice.
+REPEATABLE = frozenset({"get", "read_revision", "list", "watch", "renew_lease"})
+
+
+def _pack(event: Item | Removal) -> StoredItem:
+    if isinstance(event, Removal):
+        return StoredItem(event.key, None, event.revision)
+    return StoredItem(event.key, event.value, event.revision, event.lease)
+
+
+def _unpack(item: StoredItem) -> Item | Removal:
+    if item.value is None:
+        return Removal(item.key, item.revision)
+    return Item(item.key, item.value, item.revision, item.lease)
+
+
+async def answer(store: CoordinationStore, call: StoreCall) -> StoreAnswer:
+    """Make a peer's call and return what the store answered."""
+    try:
+        return await _perform(store, call)
+    except StoreError as exc:
+        return StoreAnswer(error=type(exc).__name__, reason=exc.message)
+
+
+async def _perform(store: CoordinationStore, call: StoreCall) -> StoreAnswer:
+    match call.name:
+        case "get":
+            item = await store.get(call.key)
+            return StoreAnswer(() if item is None else (_pack(item),))
+        case "read_revision":
+            revision, store_revision = await store.read_revision(call.key)
+            return StoreAnswer((), revision, store_revision)
+        case "list":
+            listing = await store.list(call.key)
+            items = tuple(map(_pack, listing.items))
+            return StoreAnswer(items, 0, listing.revision)
+        case "watch":
+            changes = await store.watch(call.key, call.revision, call.seconds)
+            events = tuple(map(_pack, changes.events))
+            return StoreAnswer(events, 0, changes.revision)
+        case "commit":
+            revision = await store.commit(
+                call.expected, call.writes, call.removes, call.lease
+            )
+            return StoreAnswer((), revision)
+        case "open_lease":
+            return StoreAnswer((), await store.open_lease(call.seconds))
+        case "renew_lease":
+            await store.renew_lease(call.lease)
+        case "end_lease":
+            await store.end_lease(call.lease)
+        case _:
+            raise StoreError(f"unknown call {call.name!r}")
+    return StoreAnswer()
+
+
+class RelayedStore:
+    """The store itself, or while it turns this host away, a peer's way to it.
+
+    Args:
+        direct: the store.
+        links: to the peers.
+        read_peers: returns the hosts that may help.
+    """
+
+    def __init__(
+        self,
+        direct: CoordinationStore,
+        links: LinkBook,
+        read_peers: Callable[[], Iterable[Host]],
+        decisions: DecisionLog,
+    ) -> None:
+        self._direct = direct
+        self._links = links
+        self._read_peers = read_peers
+        self._decisions = decisions
+        self._distrusted_until_s = 0.0
+        self._paused_until_s: dict[str, float] = {}
+        self._relaying = False
+
+    async def get(self, key: str) -> Item | None:
+        """Return a key's item, or None if the key is absent."""
+        reply = await self._call(StoreCall("get", key))
+        return _unpack(reply.items[0]) if reply.items else None
+
+    async def read_revision(self, key: str) -> tuple[int, int]:
+        """Return a key's revision and the store's."""
+        reply = await self._call(StoreCall("read_revision", key))
+        return reply.revision, reply.store_revision
+
+    async def list(self, prefix: str) -> Listing:
+        """Return the items under a prefix."""
+        reply = await self._call(StoreCall("list", prefix))
+        return Listing(tuple(map(_unpack, reply.items)), reply.store_revision)
+
+    async def watch(self, prefix: str, after: int, wait_s: float) -> Changes:
+        """Wait for changes under a prefix after a revision."""
+        call = StoreCall("watch", prefix, after, wait_s)
+        reply = await self._call(call, wait_s)
+        return Changes(tuple(map(_unpack, reply.items)), reply.store_revision)
+
+    async def commit(
+        self,
+        expected: Mapping[str, int],
+        writes: Mapping[str, bytes],
+        removes: Sequence[str] = (),
+        lease: int = 0,
+    ) -> int:
+        """Write all or nothing if keys are at expected revisions."""
+        call = StoreCall(
+            "commit",
+            lease=lease,
+            expected=dict(expected),
+            writes=dict(writes),
+            removes=tuple(removes),
+        )
+        # Without a condition the last write counts, however often it is made.
+        reply = await self._call(call, repeatable=not expected)
+        return reply.revision
+
+    async def open_lease(self, ttl_s: float) -> int:
+        """Return a new lease."""
+        reply = await self._call(StoreCall("open_lease", seconds=ttl_s))
+        return reply.revision
+
+    async def renew_lease(self, lease: int) -> None:
+        """Make a lease last for its whole time again."""
+        await self._call(StoreCall("renew_lease", lease=lease))
+
+    async def end_lease(self, lease: int) -> None:
+        """End a lease."""
+        await self._call(StoreCall("end_lease", lease=lease))
+
+    async def _call(
+        self, call: StoreCall, wait_s: float = 0.0, repeatable: bool = False
+    ) -> StoreAnswer:
+        if now_s() < self._distrusted_until_s:
+            reply = await self._call_peers(call, wait_s)
+            if reply is not None:
+                return reply
+        try:
+            reply = await _perform(self._direct, call)
+        except StoreUnavailable as exc:
+            self._distrusted_until_s = now_s() + DISTRUST_S
+            may_repeat = repeatable or call.name in REPEATABLE
+            if not may_repeat and exc.verdict is not Verdict.NOT_RUN:
+                raise
+            reply = await self._call_peers(call, wait_s)
+            if reply is None:
+                raise
+            return reply
+        self._note_relaying(False)
+        self._distrusted_until_s = 0.0
+        return reply
+
+    async def _call_peers(self, call: StoreCall, wait_s: float) -> StoreAnswer | None:
+        at_s = now_s()
+        peers = [
+            peer
+            for peer in self._read_peers()
+            if self._paused_until_s.get(peer.name, 0.0) <= at_s
+        ]
+        for peer in random.sample(peers, min(PEER_TRIES, len(peers))):
+            reply = await self._ask(peer, call, wait_s)
+            if reply is None or reply.error == StoreUnavailable.__name__:
+                self._paused_until_s[peer.name] = now_s() + PEER_PAUSE_S
+                if call.name == "commit" and call.expected and reply is None:
+                    message = f"{peer.name} did not answer a conditional write"
+                    raise StoreUnavailable(message)
+                continue
+            self._note_relaying(True, peer.name)
+            if reply.error:
+                raise _find_error(reply.error)(reply.reason)
+            return reply
+        return None
+
+    async def _ask(
+        self, peer: Host, call: StoreCall, wait_s: float
+    ) -> StoreAnswer | None:
+        try:
+            link = self._links.find(peer)
+            return await link.call(call, PEER_TIMEOUT_S + wait_s)
+        except (LinkError, RemoteError) as exc:
+            self._decisions.routine("peer did not relay", peer=peer.name, why=str(exc))
+            return None
+
+    def _note_relaying(self, relaying: bool, peer: str = "") -> None:
+        if relaying == self._relaying:
+            return
+        self._relaying = relaying
+        event = "store reached through peers" if relaying else "store reached itself"
+        self._decisions.belief(event, peer=peer)
+
+
+def _find_error(name: str) -> type[StoreError]:
+    error = getattr(exceptions, name, StoreError)
+    return error if issubclass(error, StoreError) else StoreError
--- a/src/wasabipitch/coordination/roster.py
+++ b/src/wasabipitch/coordination/roster.py
@@ -17,11 +17,13 @@
 )
 from wasabipitch.coordination.mirror import StoreMirror
 from wasabipitch.coordination.store import Item
-from wasabipitch.models import ORIGIN, Position
+from wasabipitch.models import ORIGIN, Host, Position
 from wasabipitch.policy.rights import RIGHT_S
 
 # How long a host counts for the division of connections after it has left.
 SIZE_MEMORY_S = 10.0
+# How long a host is asked for help after its entry has gone.
+PEER_MEMORY_S = 30.0
 
 logger = logging.getLogger(__name__)
 
@@ -40,6 +42,7 @@
         self._on_change = on_change
         self._left_at_s: dict[str, float] = {}
         self._seen_at_s: dict[str, float] = {}
+        self._known: dict[str, HostRecord] = {}
         mirror.subscribe(self._note)
 
     @property
@@ -49,10 +52,26 @@
         An entry may be taken from a host that lives, and its connections with it
         must not be given to the others.
         """
+        at_s = now_s()
+        self._note_present()
+        return sum(at_s - seen < SIZE_MEMORY_S for seen in self._seen_at_s.values())
+
+    def list_peers(self, own_name: str) -> list[Host]:
+        """Return the other hosts that were here lately."""
+        at_s = now_s()
+        self._note_present()
+        return [
+            Host(record.name, "gateway", record.links, record.data_centre)
+            for record in self._known.values()
+            if record.name != own_name
+            and at_s - self._seen_at_s[record.name] < PEER_MEMORY_S
+        ]
+
+    def _note_present(self) -> None:
         at_s = now_s()
         for record in self.hosts.values():
             self._seen_at_s[record.name] = at_s
-        return sum(at_s - seen < SIZE_MEMORY_S for seen in self._seen_at_s.values())
+            self._known[record.name] = record
 
     def hosts_answered(self, group: str, revision: int) -> bool:
         """Return whether every host gave up the primary of a group record.
--- a/src/wasabipitch/gateway.py
+++ b/src/wasabipitch/gateway.py
@@ -20,20 +20,26 @@
 )
 from wasabipitch.coordination.mirror import StoreMirror
 from wasabipitch.coordination.presence import Presence
+from wasabipitch.coordination.relay import RelayedStore, answer
 from wasabipitch.coordination.roster import Roster
 from wasabipitch.coordination.store import CoordinationStore, Item, Promoter
-from wasabipitch.exceptions import StoreError
+from wasabipitch.events import Clock
+from wasabipitch.exceptions import LinkError, StoreError
 from wasabipitch.front.server import CallerServer
 from wasabipitch.group.keeper import GroupKeeper
 from wasabipitch.group.runner import GroupRunner
 from wasabipitch.group.view import GroupState
 from wasabipitch.instances.dispatcher import Dispatcher
-from wasabipitch.models import Address
+from wasabipitch.linkbook import LinkBook
+from wasabipitch.linkserver import Exchange, LinkServer
+from wasabipitch.messages import Hello, Message, StoreCall
+from wasabipitch.models import Address, Host
 from wasabipitch.operations.decisions import DecisionLog
 from wasabipitch.operations.logwriter import LogWriter
 from wasabipitch.operations.statusserver import StatusServer
 from wasabipitch.wire.codecs import CallerCodec, InstanceCodec
 
+HOST_ROLE = "gateway"
 # A host that has not heard from the store for this long takes no new callers.
 READY_CONFIRMED_S = 4.0
 HOUSEKEEPING_S = 0.25
@@ -57,6 +63,8 @@
         host: its name.
         callers: where it listens for callers.
         checks: where it answers health checks.
+        links: where it accepts links from its peers.
+        seeds: where some peers accept links; they may be down.
         store: where the store listens.
         promoter: where promotions are ordered.
         grace_s: from the order to stop to the end.
@@ -66,6 +74,8 @@
     data_centre: str
     callers: Address
     checks: Address
+    links: Address
+    seeds: tuple[Address, ...]
     store: Address
     promoter: Address
     grace_s: float
@@ -103,9 +113,16 @@
         self._writer = writer
         self.decisions = DecisionLog(cfg.host, writer)
         incarnation = f"{cfg.host}.{secrets.token_hex(4)}"
-        record = HostRecord(cfg.host, cfg.data_centre, incarnation)
-        self._mirror = StoreMirror(adapters.store, self.decisions)
-        self._presence = Presence(adapters.store, self._mirror, record)
+        record = HostRecord(cfg.host, cfg.data_centre, incarnation, str(cfg.links))
+        clock = Clock()
+        host = Host(cfg.host, HOST_ROLE, str(cfg.links), cfg.data_centre)
+        self._links = LinkBook(Hello(host, incarnation), clock)
+        self._link_server = LinkServer(self._answer_peer, clock)
+        self._store = RelayedStore(
+            adapters.store, self._links, self._list_peers, self.decisions
+        )
+        self._mirror = StoreMirror(self._store, self.decisions)
+        self._presence = Presence(self._store, self._mirror, record)
         self._roster = Roster(self._mirror, self._resize)
         self._directory = Directory(
             self._mirror,
@@ -137,6 +154,9 @@
         self._run_task(self._writer.run())
         await self._checks.start(self._cfg.checks)
         self._stack.push_async_callback(self._checks.close)
+        await self._link_server.start(self._cfg.links)
+        self._stack.push_async_callback(self._link_server.close)
+        self._stack.push_async_callback(self._links.close)
         await self._server.start(self._cfg.callers)
         self._stack.push_async_callback(self._server.close)
         for work in (
@@ -189,6 +209,22 @@
             self._directory.drop_missing()
             await asyncio.sleep(HOUSEKEEPING_S)
 
+    def _list_peers(self) -> list[Host]:
+        peers = self._roster.list_peers(self._cfg.host)
+        if peers:
+            return peers
+        return [
+            Host(str(seed), HOST_ROLE, str(seed), "")
+            for seed in self._cfg.seeds
+            if seed != self._cfg.links
+        ]
+
+    async def _answer_peer(self, exchange: Exchange) -> Message:
+        message = exchange.message
+        if not isinstance(message, StoreCall):
+            raise LinkError(f"unexpected message {type(message).__name__}")
+        return await answer(self._adapters.store, message)
+
     def _is_ready(self) -> bool:
         if self._stopping or self._directory.configuration is None:
             return False
@@ -228,7 +264,7 @@
             state,
             dispatcher,
             self._adapters.instances,
-            self._adapters.store,
+            self._store,
             self._adapters.promoter,
             self._mirror,
             self._presence,
--- a/src/wasabipitch/messages.py
+++ b/src/wasabipitch/messages.py
@@ -303,6 +303,61 @@
     peers: tuple[str, ...] = ()
 
 
+@dataclass(frozen=True, slots=True)
+class StoreCall:
+    """A call to the store, made for a peer that the store turns away.
+
+    Args:
+        name: of the call: a method of ``CoordinationStore``.
+        key: or prefix, or empty.
+        revision: after which a watch begins.
+        seconds: that a watch waits, or a lease lasts.
+        lease: that is renewed or ended, or that writes are kept under.
+        expected: the revisions of keys on which a write depends.
+    """
+
+    name: str
+    key: str = ""
+    revision: int = 0
+    seconds: float = 0.0
+    lease: int = 0
+    expected: dict[str, int] = field(default_factory=dict)
+    writes: dict[str, bytes] = field(default_factory=dict)
+    removes: tuple[str, ...] = ()
+
+
+@dataclass(frozen=True, slots=True)
+class StoredItem:
+    """An item of the store, or its removal.
+
+    Args:
+        value: None if the key is gone since the revision.
+    """
+
+    key: str
+    value: bytes | None
+    revision: int
+    lease: int = 0
+
+
+@dataclass(frozen=True, slots=True)
+class StoreAnswer:
+    """What the store answered a ``StoreCall``.
+
+    Args:
+        items: that were read, or that changed.
+        revision: of the key, the change or the lease, by call.
+        store_revision: of the store.
+        error: the class of the error that the call raised, or empty.
+    """
+
+    items: tuple[StoredItem, ...] = ()
+    revision: int = 0
+    store_revision: int = 0
+    error: str = ""
+    reason: str = ""
+
+
 ControlMessage = (
     Hello
     | Heartbeat
@@ -320,5 +375,7 @@
     | Events
     | Switchover
     | SetCut
+    | StoreCall
+    | StoreAnswer
 )
 Message = Execute | Result | Rows | Failure | Cancel | ControlMessage
