--- a/src/wasabipitch/contracts.py
+++ b/src/wasabipitch/contracts.py
@@ -5,7 +5,7 @@
 which checks types on unpacking.
 """
 
-import importlib.resources
+import os.path
 import struct
 import typing
 from collections.abc import Sequence
@@ -23,8 +23,8 @@
 FRAME_HEADER = struct.Struct("<I")
 MAX_FRAME_BYTES = 64 * 1024 * 1024
 
-_SCHEMA_PATH = importlib.resources.files("wasabipitch") / "protocol.capnp"
-_SCHEMA = capnp.load(str(_SCHEMA_PATH))
+_SCHEMA_PATH = os.path.join(os.path.dirname(__file__), "protocol.capnp")
+_SCHEMA = capnp.load(_SCHEMA_PATH)
 _CONTROL_TYPES = {t.__name__: t for t in typing.get_args(messages.ControlMessage)}
 _TRAVERSAL_WORDS = MAX_FRAME_BYTES // 8
 
--- a/src/wasabipitch/exceptions.py
+++ b/src/wasabipitch/exceptions.py
@@ -208,3 +208,7 @@
 
 class PromotionRefused(RequestError):
     """The platform did not take an order to promote an instance."""
+
+
+class HttpError(StoreError):
+    """An HTTP request got no whole response."""
--- a/src/wasabipitch/gateway.py
+++ b/src/wasabipitch/gateway.py
@@ -36,7 +36,7 @@
 from wasabipitch.models import Address, Host
 from wasabipitch.operations.decisions import DecisionLog
 from wasabipitch.operations.logwriter import LogWriter
-from wasabipitch.operations.statusserver import StatusServer
+from wasabipitch.operations.statusserver import make_status_server
 from wasabipitch.wire.codecs import CallerCodec, InstanceCodec
 
 HOST_ROLE = "gateway"
@@ -140,7 +140,7 @@
             lambda: self._directory.configuration,
             self._find_runner,
         )
-        self._checks = StatusServer(self._is_ready)
+        self._checks = make_status_server(self._is_ready)
         self._stopping = False
         self._stack = contextlib.AsyncExitStack()
 
--- /dev/null
+++ b/src/wasabipitch/http/client.py
@@ -0,0 +1,171 @@
+"""Calls to one HTTP address, over connections that are kept open."""
+
+import asyncio
+import json
+from collections.abc import Mapping
+from dataclasses import dataclass
+from typing import Any
+from urllib.parse import urlencode
+
+import httptools
+
+from wasabipitch.exceptions import HttpError
+from wasabipitch.models import Address
+
+# Of a response; a listing of the store is at most 1 MB a page.
+MAX_RESPONSE_BYTES = 16 * 1024 * 1024
+# Idle connections kept; a watch holds one of its own while it waits.
+MAX_IDLE = 4
+
+
+@dataclass(frozen=True, slots=True)
+class Response:
+    """A whole HTTP response."""
+
+    status: int
+    body: bytes
+
+
+class _Connection(asyncio.Protocol):
+    """One connection; it carries one request at a time."""
+
+    def __init__(self) -> None:
+        self.reusable = False
+        self._transport: asyncio.Transport | None = None
+        self._parser: httptools.HttpResponseParser | None = None
+        self._body = bytearray()
+        self._response: asyncio.Future[Response] | None = None
+
+    def connection_made(self, transport: asyncio.Transport) -> None:
+        self._transport = transport
+
+    def send(self, request: bytes) -> asyncio.Future[Response]:
+        self.reusable = False
+        self._parser = httptools.HttpResponseParser(self)
+        self._body = bytearray()
+        self._response = asyncio.get_running_loop().create_future()
+        self._transport.write(request)
+        return self._response
+
+    def data_received(self, data: bytes) -> None:
+        if self._parser is None:
+            self.abort("bytes that nobody asked for")
+            return
+        try:
+            self._parser.feed_data(data)
+        except httptools.HttpParserError as exc:
+            self.abort(f"malformed response: {exc}")
+
+    def on_body(self, data: bytes) -> None:
+        self._body += data
+        if len(self._body) > MAX_RESPONSE_BYTES:
+            self.abort(f"response of over {MAX_RESPONSE_BYTES} bytes")
+
+    def on_message_complete(self) -> None:
+        self.reusable = self._parser.should_keep_alive()
+        status = self._parser.get_status_code()
+        self._parser = None
+        if not self._response.done():
+            self._response.set_result(Response(status, bytes(self._body)))
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        self.reusable = False
+        self._fail(str(exc) if exc else "connection closed before the response")
+
+    def abort(self, reason: str = "given up") -> None:
+        self.reusable = False
+        self._fail(reason)
+        self._transport.abort()
+
+    def _fail(self, reason: str) -> None:
+        if self._response is not None and not self._response.done():
+            self._response.set_exception(HttpError(reason))
+
+
+class HttpClient:
+    """Sends requests to one address; nothing is sent twice.
+
+    Args:
+        address: the server's.
+    """
+
+    def __init__(self, address: Address) -> None:
+        self._address = address
+        self._idle: list[_Connection] = []
+
+    async def request(
+        self,
+        method: str,
+        path: str,
+        timeout_s: float,
+        *,
+        params: Mapping[str, str] | None = None,
+        body: Any = None,
+        headers: Mapping[str, str] | None = None,
+    ) -> Response:
+        """Send a request and return the response.
+
+        Args:
+            method: of the request.
+            path: without its query.
+            timeout_s: for all of it, connecting included.
+            params: of the query.
+            body: sent as JSON, unless it is None.
+            headers: beside those that every request has.
+
+        Raises:
+            ConnectError: no connection came about, so nothing was sent.
+            HttpError: no whole response came.
+        """
+        data = self._encode(method, path, params, body, headers)
+        try:
+            async with asyncio.timeout(timeout_s):
+                conn = await self._connect()
+                try:
+                    response = await conn.send(data)
+                except asyncio.CancelledError:
+                    conn.abort()
+                    raise
+        except TimeoutError as exc:
+            raise HttpError(f"no response in {timeout_s:g} s") from exc
+        if conn.reusable and len(self._idle) < MAX_IDLE:
+            self._idle.append(conn)
+        else:
+            conn.abort()
+        return response
+
+    async def close(self) -> None:
+        """Close the idle connections."""
+        while self._idle:
+            self._idle.pop().abort()
+
+    async def _connect(self) -> _Connection:
+        while self._idle:
+            conn = self._idle.pop()
+            if conn.reusable:
+                return conn
+        loop = asyncio.get_running_loop()
+        try:
+            _, conn = await loop.create_connection(
+                _Connection, self._address.ip, self._address.port
+            )
+        except OSError as exc:
+            raise ConnectError(str(exc)) from exc
+        return conn
+
+    def _encode(self, method, path, params, body, headers) -> bytes:
+        target = f"{path}?{urlencode(params)}" if params else path
+        content = b"" if body is None else json.dumps(body).encode()
+        lines = [
+            f"{method} {target} HTTP/1.1",
+            f"Host: {self._address}",
+            f"Content-Length: {len(content)}",
+        ]
+        if body is not None:
+            lines.append("Content-Type: application/json")
+        lines += [f"{name}: {value}" for name, value in (headers or {}).items()]
+        return "\r\n".join([*lines, "", ""]).encode() + content
+
+
+class ConnectError(HttpError):
+    """No connection to the server came about."""
--- a/src/wasabipitch/operations/statusserver.py
+++ b/src/wasabipitch/operations/statusserver.py
@@ -1,41 +1,23 @@
-"""Answers health checks, and serves the metrics."""
+"""Answers health checks."""
 
 from collections.abc import Callable
 
-from aiohttp import web
-
-from wasabipitch.models import Address
+from wasabipitch.http.client import Response
+from wasabipitch.http.server import HttpServer
 
 READY_PATH = "/readyz"
 HTTP_OK = 200
+HTTP_NOT_FOUND = 404
 HTTP_UNAVAILABLE = 503
 
 
-class StatusServer:
-    """Says over HTTP whether the host takes new callers.
-
-    Args:
-        is_ready: returns that.
-    """
-
-    def __init__(self, is_ready: Callable[[], bool]) -> None:
-        self._is_ready = is_ready
-        self._runner: web.ServerRunner | None = None
-
-    async def start(self, address: Address) -> None:
-        """Listen for checks."""
-        server = web.Server(self._answer, access_log=None)
-        self._runner = web.ServerRunner(server, shutdown_timeout=0)
-        await self._runner.setup()
-        site = web.TCPSite(self._runner, address.ip, address.port)
-        await site.start()
+def make_status_server(is_ready: Callable[[], bool]) -> HttpServer:
+    """Return a server that says whether the host takes new callers."""
 
-    async def close(self) -> None:
-        """Stop listening."""
-        if self._runner is not None:
-            await self._runner.cleanup()
+    def answer(path: str) -> Response:
+        if path.partition("?")[0] != READY_PATH:
+            return Response(HTTP_NOT_FOUND, b"")
+        status = HTTP_OK if is_ready() else HTTP_UNAVAILABLE
+        return Response(status, b"")
 
-    async def _answer(self, request: web.BaseRequest) -> web.Response:
-        if request.path != READY_PATH:
-            return web.Response(status=404)
-        return web.Response(status=HTTP_OK if self._is_ready() else HTTP_UNAVAILABLE)
+    return HttpServer(answer)
