Confirm group records among the hosts while the store answers none of them

Cause: an outage of the whole store ended every host's right to read primaries after 2.5 s. A replacement must first write to the store and then wait out the rights, so the word of every host that it has seen no newer record is as good. Ruled out: a majority of hosts (any single host may replace a primary); longer rights. New hosts replace nothing until every other host must know them.

--- a/src/wasabipitch/coordination/documents.py
+++ b/src/wasabipitch/coordination/documents.py
@@ -11,6 +11,8 @@
 
 HOSTS_PREFIX = "wasabipitch/hosts/"
 GROUPS_PREFIX = "wasabipitch/groups/"
+# The names of hosts that may still run, kept without a lease.
+NAMES_PREFIX = "wasabipitch/names/"
 SEEN_PREFIX = "wasabipitch/seen/"
 DOUBTS_PREFIX = "wasabipitch/doubts/"
 # Written with every group record, so that one read confirms all of them.
--- a/src/wasabipitch/coordination/mirror.py
+++ b/src/wasabipitch/coordination/mirror.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import logging
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 
 from wasabipitch.clock import now_s
 from wasabipitch.coordination.documents import HEAD_KEY
@@ -36,6 +36,10 @@
         self.loaded = asyncio.Event()
         # The time of the last read that found the head as known here, or 0.
         self.confirmed_at_s = 0.0
+        # The time of the last such read that the store itself answered.
+        self.store_confirmed_at_s = 0.0
+        # Confirms the records without the store; set once peers can be asked.
+        self.confirm_among_hosts: Callable[[], Awaitable[float | None]] | None = None
         # The time at which the store last gave any answer, and came back.
         self.answered_at_s = 0.0
         self.returned_at_s = 0.0
@@ -91,17 +95,33 @@
             head, store_revision = await self._store.read_revision(HEAD_KEY)
         except StoreError as exc:
             self._note_failure(exc)
-            return False
+            return await self._check_without_store()
         self._note_answer()
         self._check_watch(store_revision)
-        if head != self._head_revision():
+        if head != self.head_revision:
+            return False
+        self.store_confirmed_at_s = sent_at_s
+        self._note_confirmed(sent_at_s)
+        return True
+
+    async def _check_without_store(self) -> bool:
+        if self.confirm_among_hosts is None:
+            return False
+        head = self.head_revision
+        confirmed_at_s = await self.confirm_among_hosts()
+        if confirmed_at_s is None or head != self.head_revision:
             return False
-        self.confirmed_at_s = sent_at_s
+        self._note_confirmed(confirmed_at_s)
+        return True
+
+    def _note_confirmed(self, at_s: float) -> None:
+        self.confirmed_at_s = max(self.confirmed_at_s, at_s)
         for listener in self._confirm_listeners:
             listener()
-        return True
 
-    def _head_revision(self) -> int:
+    @property
+    def head_revision(self) -> int:
+        """The revision of the newest group record known here."""
         head = self.items.get(HEAD_KEY)
         return head.revision if head else 0
 
--- a/src/wasabipitch/coordination/presence.py
+++ b/src/wasabipitch/coordination/presence.py
@@ -2,10 +2,13 @@
 
 import asyncio
 import logging
+import math
 
 from wasabipitch.clock import now_s
+from wasabipitch.coordination.agreement import EXTENSION_S
 from wasabipitch.coordination.documents import (
     HOSTS_PREFIX,
+    NAMES_PREFIX,
     HostRecord,
     encode,
 )
@@ -37,6 +40,9 @@
         self.lease = 0
         self._store = store
         self._mirror = mirror
+        # Since when the entry has been there, or back after a long absence.
+        self.registered_since_s = math.inf
+        self._name_key = NAMES_PREFIX + record.name
         self._registered_at_s = 0.0
 
     async def run(self) -> None:
@@ -52,9 +58,13 @@
                 await asyncio.sleep(RETRY_S)
 
     async def leave(self) -> None:
-        """End the lease, so that the others know at once."""
-        if self.lease:
-            await self._store.end_lease(self.lease)
+        """Remove the entry and the name, so that the others know at once."""
+        await self._store.commit({}, {}, [self.key, self._name_key])
+
+    @property
+    def is_new(self) -> bool:
+        """Whether a host that lost the store may not know this one yet."""
+        return now_s() - self.registered_since_s < EXTENSION_S + RENEW_INTERVAL_S
 
     async def _register(self) -> None:
         if not self.lease:
@@ -62,14 +72,21 @@
         await self._write()
 
     async def _write(self) -> None:
+        if self._name_key not in self._mirror.items:
+            await self._store.commit({}, {self._name_key: encode(self.record.name)})
+        writes = {self.key: encode(self.record)}
         try:
-            await self._store.commit(
-                {}, {self.key: encode(self.record)}, (), self.lease
-            )
+            await self._store.commit({}, writes, (), self.lease)
         except LeaseEnded:
             self.lease = 0
             raise
-        self._registered_at_s = now_s()
+        self._note_present()
+
+    def _note_present(self) -> None:
+        at_s = now_s()
+        if at_s - self._registered_at_s > EXTENSION_S:
+            self.registered_since_s = at_s
+        self._registered_at_s = at_s
 
     async def _renew_while_present(self) -> None:
         while True:
@@ -79,7 +96,7 @@
             except LeaseEnded:
                 self.lease = 0
                 raise
-            seen = self._mirror.answered_at_s > self._registered_at_s
-            if seen and self.key not in self._mirror.items:
+            self._note_present()
+            if self.key not in self._mirror.items:
                 # The store may drop a key and keep its lease.
                 return
--- a/src/wasabipitch/coordination/relay.py
+++ b/src/wasabipitch/coordination/relay.py
@@ -1,5 +1,6 @@
 """Calls to the store by way of a peer, for a host that the store turns away."""
 
+import asyncio
 import random
 from collections.abc import Callable, Iterable, Mapping, Sequence
 
@@ -20,11 +21,13 @@
 from wasabipitch.operations.decisions import DecisionLog
 from wasabipitch.verdict import Verdict
 
-# After a failure the store itself is tried again this much later.
+# After a call without an answer the store itself is tried again this much later;
+# a refusal comes at once and costs no time.
 DISTRUST_S = 1.5
+SLOW_S = 0.2
 # A peer that did not help is asked again this much later.
 PEER_PAUSE_S = 1.0
-PEER_TIMEOUT_S = 0.5
+PEER_TIMEOUT_S = 0.35
 PEER_TRIES = 2
 # Calls that do no harm when they are made twice.
 REPEATABLE = frozenset({"get", "read_revision", "list", "watch", "renew_lease"})
@@ -166,10 +169,12 @@
             reply = await self._call_peers(call, wait_s)
             if reply is not None:
                 return reply
+        started_s = now_s()
         try:
             reply = await _perform(self._direct, call)
         except StoreUnavailable as exc:
-            self._distrusted_until_s = now_s() + DISTRUST_S
+            if now_s() - started_s > SLOW_S:
+                self._distrusted_until_s = now_s() + DISTRUST_S
             may_repeat = repeatable or call.name in REPEATABLE
             if not may_repeat and exc.verdict is not Verdict.NOT_RUN:
                 raise
@@ -207,8 +212,9 @@
     ) -> StoreAnswer | None:
         try:
             link = self._links.find(peer)
-            return await link.call(call, PEER_TIMEOUT_S + wait_s)
-        except (LinkError, RemoteError) as exc:
+            async with asyncio.timeout(PEER_TIMEOUT_S + wait_s):
+                return await link.call(call, PEER_TIMEOUT_S + wait_s)
+        except (LinkError, RemoteError, TimeoutError) as exc:
             self._decisions.routine("peer did not relay", peer=peer.name, why=str(exc))
             return None
 
--- a/src/wasabipitch/coordination/roster.py
+++ b/src/wasabipitch/coordination/roster.py
@@ -9,6 +9,7 @@
 from wasabipitch.coordination.documents import (
     DOUBTS_PREFIX,
     HOSTS_PREFIX,
+    NAMES_PREFIX,
     SEEN_PREFIX,
     DoubtRecord,
     HostRecord,
@@ -24,6 +25,8 @@
 SIZE_MEMORY_S = 10.0
 # How long a host is asked for help after its entry has gone.
 PEER_MEMORY_S = 30.0
+# How long the name of a host is kept that has not been seen.
+NAME_MEMORY_S = 60.0
 
 logger = logging.getLogger(__name__)
 
@@ -86,6 +89,24 @@
         seen = self._find_seen(group)
         return all(host in seen and seen[host].revision >= revision for host in awaited)
 
+    def is_complete(self) -> bool:
+        """Return whether every host that may still run has its entry now."""
+        names = {
+            key.removeprefix(NAMES_PREFIX) for key in self._mirror.select(NAMES_PREFIX)
+        }
+        return names <= {record.name for record in self.hosts.values()}
+
+    def find_gone_names(self) -> list[str]:
+        """Return the keys of names whose hosts have been away for long."""
+        self._note_present()
+        at_s = now_s()
+        return [
+            key
+            for key in self._mirror.select(NAMES_PREFIX)
+            if at_s - self._seen_at_s.setdefault(key.removeprefix(NAMES_PREFIX), at_s)
+            > NAME_MEMORY_S
+        ]
+
     def find_acknowledged(self, group: str, revision: int) -> Position:
         """Return the greatest position that a host saw acknowledged."""
         positions = [
--- a/src/wasabipitch/gateway.py
+++ b/src/wasabipitch/gateway.py
@@ -8,6 +8,7 @@
 
 from wasabipitch import tasks
 from wasabipitch.clock import now_s
+from wasabipitch.coordination.agreement import RecordAgreement
 from wasabipitch.coordination.directory import Directory
 from wasabipitch.coordination.documents import (
     GROUPS_PREFIX,
@@ -32,7 +33,7 @@
 from wasabipitch.instances.dispatcher import Dispatcher
 from wasabipitch.linkbook import LinkBook
 from wasabipitch.linkserver import Exchange, LinkServer
-from wasabipitch.messages import Hello, Message, StoreCall
+from wasabipitch.messages import AskAgreement, AskHead, Hello, Message, StoreCall
 from wasabipitch.models import Address, Host
 from wasabipitch.operations.decisions import DecisionLog
 from wasabipitch.operations.logwriter import LogWriter
@@ -124,6 +125,14 @@
         self._mirror = StoreMirror(self._store, self.decisions)
         self._presence = Presence(self._store, self._mirror, record)
         self._roster = Roster(self._mirror, self._resize)
+        self._agreement = RecordAgreement(
+            host,
+            self._links,
+            lambda: self._roster.list_peers(cfg.host),
+            lambda: self._mirror.head_revision,
+            lambda: self._mirror.store_confirmed_at_s,
+        )
+        self._mirror.confirm_among_hosts = self._agreement.confirm
         self._directory = Directory(
             self._mirror,
             adapters.documents,
@@ -207,8 +216,18 @@
     async def _run_housekeeping(self) -> None:
         while True:
             self._directory.drop_missing()
+            await self._prune_names()
             await asyncio.sleep(HOUSEKEEPING_S)
 
+    async def _prune_names(self) -> None:
+        keys = self._roster.find_gone_names()
+        if not keys:
+            return
+        try:
+            await self._store.commit({}, {}, keys)
+        except StoreError as exc:
+            self.decisions.routine("names not pruned", reason=str(exc))
+
     def _list_peers(self) -> list[Host]:
         peers = self._roster.list_peers(self._cfg.host)
         if peers:
@@ -220,10 +239,14 @@
         ]
 
     async def _answer_peer(self, exchange: Exchange) -> Message:
-        message = exchange.message
-        if not isinstance(message, StoreCall):
-            raise LinkError(f"unexpected message {type(message).__name__}")
-        return await answer(self._adapters.store, message)
+        match exchange.message:
+            case StoreCall() as call:
+                return await answer(self._adapters.store, call)
+            case AskHead():
+                return self._agreement.answer_head()
+            case AskAgreement() as ask:
+                return await self._agreement.answer(ask)
+        raise LinkError(f"unexpected message {type(exchange.message).__name__}")
 
     def _is_ready(self) -> bool:
         if self._stopping or self._directory.configuration is None:
--- a/src/wasabipitch/group/keeper.py
+++ b/src/wasabipitch/group/keeper.py
@@ -181,13 +181,18 @@
             return
         if self._reason_since_s is None:
             self._reason_since_s = now_s()
-        if self._is_my_turn(self._reason_since_s):
+        if self._may_replace() and self._is_my_turn(self._reason_since_s):
             await self._claim(record, reason)
 
     async def _watch_holder(self, record: GroupRecord) -> None:
-        if self._is_my_turn(self._state.record_since_s + TAKEOVER_S):
+        stuck_at_s = self._state.record_since_s + TAKEOVER_S
+        if self._may_replace() and self._is_my_turn(stuck_at_s):
             await self._claim(record, f"{record.holder} has not ended it")
 
+    def _may_replace(self) -> bool:
+        # While it is new, a host that lost the store may not count on it.
+        return not self._presence.is_new or self._roster.is_complete()
+
     def _is_my_turn(self, since_s: float) -> bool:
         place = rank(self._state.name, self._host, self._roster.hosts)
         return now_s() >= since_s + place * TURN_S
@@ -250,6 +255,7 @@
             self._roster,
             self._decisions,
             self._host,
+            self._presence,
         )
         done = await replacement.run(record)
         if done is not None:
--- a/src/wasabipitch/group/replacement.py
+++ b/src/wasabipitch/group/replacement.py
@@ -5,6 +5,7 @@
 from wasabipitch.clock import now_s
 from wasabipitch.coordination.documents import GroupRecord, InstanceEntry, Phase
 from wasabipitch.coordination.mirror import StoreMirror
+from wasabipitch.coordination.presence import Presence
 from wasabipitch.coordination.roster import Roster
 from wasabipitch.coordination.store import Promoter
 from wasabipitch.exceptions import PromotionRefused, StoreUnavailable
@@ -38,8 +39,10 @@
         roster: Roster,
         decisions: DecisionLog,
         host: str,
+        presence: Presence,
     ) -> None:
         self._state = state
+        self._presence = presence
         self._promoter = promoter
         self._mirror = mirror
         self._roster = roster
@@ -166,7 +169,7 @@
         while self._is_holder(revision):
             if self._roster.hosts_answered(self._state.name, revision):
                 return True
-            if now_s() >= ends_s:
+            if now_s() >= ends_s and not self._presence.is_new:
                 return True
             await asyncio.sleep(STEP_S)
         return False
--- a/src/wasabipitch/messages.py
+++ b/src/wasabipitch/messages.py
@@ -358,6 +358,37 @@
     reason: str = ""
 
 
+@dataclass(frozen=True, slots=True)
+class AskHead:
+    """Asks for the newest group record that a host has seen."""
+
+
+@dataclass(frozen=True, slots=True)
+class HeadReport:
+    """The revision of the newest group record that a host has seen."""
+
+    revision: int
+
+
+@dataclass(frozen=True, slots=True)
+class AskAgreement:
+    """Asks a collector whether all hosts have seen no newer record than this."""
+
+    revision: int
+
+
+@dataclass(frozen=True, slots=True)
+class Agreement:
+    """What all hosts said.
+
+    Args:
+        age_s: how long ago they were asked, at least.
+    """
+
+    agreed: bool
+    age_s: float
+
+
 ControlMessage = (
     Hello
     | Heartbeat
@@ -377,5 +408,9 @@
     | SetCut
     | StoreCall
     | StoreAnswer
+    | AskHead
+    | HeadReport
+    | AskAgreement
+    | Agreement
 )
 Message = Execute | Result | Rows | Failure | Cancel | ControlMessage
