Listen before the imports; unready without confirmation; read records when the watch is deaf

Cause: where the watch heard nothing, hosts learnt of a replacement up to 7 s late, though their checks said at once that the head had changed. Hosts cut off from store and peers took new callers whom they could only refuse.

--- a/src/wasabipitch/coordination/mirror.py
+++ b/src/wasabipitch/coordination/mirror.py
@@ -5,7 +5,7 @@
 from collections.abc import Awaitable, Callable
 
 from wasabipitch.clock import now_s
-from wasabipitch.coordination.documents import HEAD_KEY
+from wasabipitch.coordination.documents import HEAD_KEY, OWN_PREFIX
 from wasabipitch.coordination.store import CoordinationStore, Item, Removal
 from wasabipitch.exceptions import HistoryLost, StoreError, StoreUnavailable
 from wasabipitch.operations.decisions import DecisionLog
@@ -98,12 +98,24 @@
             return await self._check_without_store()
         self._note_answer()
         self._check_watch(store_revision)
-        if head != self.head_revision:
+        if head != self.head_revision and not await self._fetch_records(head):
             return False
         self.store_confirmed_at_s = sent_at_s
         self._note_confirmed(sent_at_s)
         return True
 
+    async def _fetch_records(self, head: int) -> bool:
+        """Read the group records that the watch has not brought yet."""
+        try:
+            listing = await self._store.list(OWN_PREFIX)
+        except StoreError as exc:
+            self._note_failure(exc)
+            return False
+        for item in listing.items:
+            self._apply(item)
+        self._decisions.belief("records read", head=head, revision=self.revision)
+        return self.head_revision >= head
+
     async def _check_without_store(self) -> bool:
         if self.confirm_among_hosts is None:
             return False
@@ -157,8 +169,7 @@
                 # It may also be cancelled by a check that finds it silent.
                 await asyncio.wait([self._watch])
                 if self._watch.cancelled():
-                    self._decisions.belief("watch restarted", revision=self.revision)
-                    continue
+                    raise HistoryLost(f"watch silent at {self.revision}")
                 changes = self._watch.result()
             except StoreUnavailable as exc:
                 self._note_failure(exc)
--- a/src/wasabipitch/front/server.py
+++ b/src/wasabipitch/front/server.py
@@ -1,6 +1,7 @@
 """Accepts callers and runs one task for each of their connections."""
 
 import asyncio
+import socket
 from collections.abc import Callable
 from typing import Protocol
 
@@ -10,7 +11,6 @@
 from wasabipitch.exceptions import MalformedMessage
 from wasabipitch.front.sessions import CallerSession
 from wasabipitch.group.session import SessionContext
-from wasabipitch.models import Address
 from wasabipitch.operations.decisions import DecisionLog
 from wasabipitch.wire.codecs import CallerCodec
 from wasabipitch.wire.lines import LineStream
@@ -27,7 +27,6 @@
 # A host that has just started reads the configuration within tens of ms.
 CONFIGURATION_WAIT_S = 1.5
 CONFIGURATION_STEP_S = 0.02
-BACKLOG = 1024
 
 
 class Runner(Protocol):
@@ -66,12 +65,10 @@
         self._server: asyncio.Server | None = None
         self._tasks: set[asyncio.Task] = set()
 
-    async def start(self, address: Address) -> None:
-        """Listen for callers."""
+    async def start(self, listener: socket.socket) -> None:
+        """Take callers from a socket that listens already."""
         loop = asyncio.get_running_loop()
-        self._server = await loop.create_server(
-            self._make_stream, address.ip, address.port, backlog=BACKLOG
-        )
+        self._server = await loop.create_server(self._make_stream, sock=listener)
 
     def stop_accepting(self) -> None:
         """Take no further callers."""
--- a/src/wasabipitch/gateway.py
+++ b/src/wasabipitch/gateway.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 import secrets
+import socket
 from collections.abc import Coroutine
 from dataclasses import dataclass
 
@@ -41,8 +42,9 @@
 from wasabipitch.wire.codecs import CallerCodec, InstanceCodec
 
 HOST_ROLE = "gateway"
-# A host that has not heard from the store for this long takes no new callers.
-READY_CONFIRMED_S = 4.0
+# A host whose records were not confirmed for this long takes no new callers: two
+# checks have failed, and soon it may not read primaries.
+READY_CONFIRMED_S = 1.6
 HOUSEKEEPING_S = 0.25
 # The entry stops sending callers after two failed checks, one second apart.
 OUT_OF_ROTATION_S = 2.4
@@ -62,7 +64,6 @@
 
     Args:
         host: its name.
-        callers: where it listens for callers.
         checks: where it answers health checks.
         links: where it accepts links from its peers.
         seeds: where some peers accept links; they may be down.
@@ -73,7 +74,6 @@
 
     host: str
     data_centre: str
-    callers: Address
     checks: Address
     links: Address
     seeds: tuple[Address, ...]
@@ -153,8 +153,12 @@
         self._stopping = False
         self._stack = contextlib.AsyncExitStack()
 
-    async def start(self) -> None:
-        """Start serving; callers are taken once the store has been read."""
+    async def start(self, callers: socket.socket) -> None:
+        """Start serving; callers are answered once the store has been read.
+
+        Args:
+            callers: listens for them already.
+        """
         self.decisions.belief(
             "started",
             data_centre=self._cfg.data_centre,
@@ -166,7 +170,7 @@
         await self._link_server.start(self._cfg.links)
         self._stack.push_async_callback(self._link_server.close)
         self._stack.push_async_callback(self._links.close)
-        await self._server.start(self._cfg.callers)
+        await self._server.start(callers)
         self._stack.push_async_callback(self._server.close)
         for work in (
             self._mirror.run(),
--- a/src/wasabipitch/policy/rights.py
+++ b/src/wasabipitch/policy/rights.py
@@ -11,9 +11,10 @@
 
 from wasabipitch.models import ORIGIN, Position
 
-# How long a confirmed primary may be read. A replacement of a primary waits this
-# long for hosts that don't answer; a store that is away is bridged for as long.
-RIGHT_S = 2.5
+# How long a confirmed primary may be read: a check, one that fails, and the
+# agreement among the hosts in its place. A replacement of a primary waits this
+# long for hosts that don't answer.
+RIGHT_S = 2.0
 SAMPLE_INTERVAL_S = 0.04
 # Longer than any declared age, so that an aged read finds an old enough sample.
 SAMPLES_KEPT_S = 6.0
