--- /dev/null
+++ b/src/standins/line_group.py
@@ -0,0 +1,364 @@
+"""A database group that speaks the platform's line protocol, in this process.
+
+Each instance listens on loopback. Commits go to the replicas after a lag, and are
+acknowledged once one of them has received them.
+"""
+
+import asyncio
+import itertools
+from dataclasses import dataclass
+
+from wasabipitch.exceptions import PromotionRefused
+
+HOST = "127.0.0.1"
+MAX_LINE_BYTES = 1 << 20
+
+
+@dataclass(frozen=True, slots=True)
+class Entry:
+    """One commit in an instance's log."""
+
+    term: int
+    number: int
+    writes: tuple[tuple[str, str], ...]
+    request: str
+
+
+class _Session:
+    """What one connection to an instance carries."""
+
+    def __init__(self) -> None:
+        self.values: dict[str, str] = {}
+        self.prepared: dict[str, tuple[str, str]] = {}
+        self.transaction: list[tuple[str, str]] | None = None
+        self.read_only = False
+        self.failed = False
+        self.term = 0
+
+    @property
+    def state(self) -> str:
+        if self.failed:
+            return "E"
+        return "I" if self.transaction is None else "T"
+
+    def end(self) -> None:
+        self.transaction, self.failed = None, False
+
+
+class LineInstance:
+    """One instance: its log, its role and its connections.
+
+    Faults are set by the attributes.
+    """
+
+    def __init__(self, group: "LineGroup", name: str) -> None:
+        self.group = group
+        self.name = name
+        self.log: list[Entry] = []
+        self.applied = 0
+        self.is_primary = False
+        self.term = 1
+        self.held_term = 0
+        self.lag_s = 0.0
+        # Whether it answers nothing, and whether it receives nothing.
+        self.silent = False
+        self.deaf = False
+        # Codes that the next statements of callers end in, without a run.
+        self.refusals: list[str] = []
+        # How many of the next answers are lost after the run.
+        self.lost_answers = 0
+        self.max_connections = 16
+        self.ran: list[tuple[str, str]] = []
+        self.port = 0
+        self._server: asyncio.Server | None = None
+        self._writers: set[asyncio.StreamWriter] = set()
+
+    @property
+    def received(self) -> tuple[int, int]:
+        """The last position in its log."""
+        return (self.log[-1].term, self.log[-1].number) if self.log else (0, 0)
+
+    @property
+    def position(self) -> str:
+        """The last position that it has applied."""
+        if not self.applied:
+            return "0.0"
+        entry = self.log[self.applied - 1]
+        return f"{entry.term}.{entry.number}"
+
+    async def start(self) -> None:
+        """Listen, at the port of the last time if there was one."""
+        self._server = await asyncio.start_server(
+            self._serve, HOST, self.port, limit=MAX_LINE_BYTES
+        )
+        self.port = self._server.sockets[0].getsockname()[1]
+
+    async def stop(self) -> None:
+        """Stop as in a crash: every connection is reset."""
+        if self._server is not None:
+            self._server.close()
+            self._server = None
+        for writer in list(self._writers):
+            writer.transport.abort()
+        await asyncio.sleep(0)
+
+    def read(self, item: str) -> str:
+        """Return an item's data as far as it has been applied."""
+        for entry in reversed(self.log[: self.applied]):
+            for name, data in reversed(entry.writes):
+                if name == item:
+                    return data
+        return "-"
+
+    def receive(self, entry: Entry) -> bool:
+        """Take a commit from the primary; return whether it was taken."""
+        if self.deaf or self._server is None or self.held_term > entry.term:
+            return False
+        self.log.append(entry)
+        loop = asyncio.get_running_loop()
+        loop.call_later(self.lag_s, self._apply, len(self.log))
+        return True
+
+    def _apply(self, count: int) -> None:
+        self.applied = max(self.applied, min(count, len(self.log)))
+
+    async def _serve(self, reader, writer) -> None:
+        if len(self._writers) >= self.max_connections:
+            writer.write(b"ERROR TOOMANY -\r\n")
+            writer.close()
+            return
+        self._writers.add(writer)
+        try:
+            await self._run_session(reader, writer)
+        except (OSError, asyncio.IncompleteReadError):
+            pass
+        finally:
+            self._writers.discard(writer)
+            writer.close()
+
+    async def _run_session(self, reader, writer) -> None:
+        words = (await reader.readline()).decode().split()
+        if words[:2] != ["STARTUP", self.group.name] or words[3:] not in (
+            [],
+            [self.name],
+        ):
+            writer.write(b"ERROR MISROUTED -\r\n")
+            return
+        session = _Session()
+        await self._hold()
+        writer.write(f"READY I {self.position}\r\n".encode())
+        while line := await reader.readline():
+            _, request, text = line.decode().rstrip("\r\n").split(" ", 2)
+            answer = await self._answer(session, request, text)
+            await self._hold()
+            if answer is None:
+                return
+            writer.write(f"{answer}READY {session.state} {self.position}\r\n".encode())
+            await writer.drain()
+
+    async def _hold(self) -> None:
+        while self.silent:
+            await asyncio.sleep(0.01)
+
+    async def _answer(self, session: _Session, request: str, text: str) -> str | None:
+        if request != "-" and self.refusals:
+            return self._fail(session, self.refusals.pop(0))
+        floor, text = _split_floor(text)
+        if floor is not None and floor > _parse(self.position):
+            return self._fail(session, "LAGGING")
+        word, *rest = text.split(" ", 2)
+        handler = getattr(self, f"_do_{word.lower()}", None)
+        if handler is None:
+            return self._fail(session, "MALFORMED")
+        answer = await handler(session, request, rest, text)
+        if request != "-" and self.lost_answers and not answer.startswith("ERROR"):
+            self.lost_answers -= 1
+            return None
+        return answer
+
+    def _fail(self, session: _Session, code: str) -> str:
+        session.failed = session.transaction is not None
+        return f"ERROR {code} {self.name}\r\n"
+
+    def _complete(self, request: str) -> str:
+        return f"COMPLETE {self.name}.{request}\r\n"
+
+    async def _do_set(self, session, request, rest, text) -> str:
+        session.values[rest[0]] = rest[1] if len(rest) > 1 else ""
+        return "COMPLETE -\r\n"
+
+    async def _do_reset(self, session, request, rest, text) -> str:
+        session.values.clear()
+        session.prepared.clear()
+        return "COMPLETE -\r\n"
+
+    async def _do_prepare(self, session, request, rest, text) -> str:
+        kind, _, shape = rest[1].partition(" ")
+        session.prepared[rest[0]] = (kind, shape)
+        return "COMPLETE -\r\n"
+
+    async def _do_begin(self, session, request, rest, text) -> str:
+        session.read_only = rest == ["READ"]
+        if not session.read_only and not self.is_primary:
+            return self._fail(session, "READONLY")
+        session.transaction, session.term = [], self.term
+        return "COMPLETE -\r\n"
+
+    async def _do_rollback(self, session, request, rest, text) -> str:
+        session.end()
+        return "COMPLETE -\r\n"
+
+    async def _do_read(self, session, request, rest, text) -> str:
+        self.ran.append((request, text))
+        values = "".join(f" {k}={v}" for k, v in sorted(session.values.items()))
+        return f"ROW {self.read(rest[0])}{values}\r\n{self._complete(request)}"
+
+    async def _do_write(self, session, request, rest, text) -> str:
+        if not self.is_primary:
+            return self._fail(session, "READONLY")
+        self.ran.append((request, text))
+        write = (rest[0], rest[1] if len(rest) > 1 else "")
+        if session.transaction is not None:
+            session.transaction.append(write)
+        else:
+            await self._commit(request, [write])
+        return self._complete(request)
+
+    async def _do_execute(self, session, request, rest, text) -> str:
+        prepared = session.prepared.get(rest[0])
+        if prepared is None:
+            return self._fail(session, "NOSTMT")
+        arguments = rest[1].split(" ") if len(rest) > 1 else []
+        if prepared[0] == "READ":
+            return await self._do_read(session, request, arguments, prepared[1])
+        return await self._do_write(session, request, arguments, prepared[1])
+
+    async def _do_commit(self, session, request, rest, text) -> str:
+        writes = session.transaction or []
+        if session.failed or (writes and not self.is_primary):
+            session.end()
+            return f"ERROR READONLY {self.name}\r\n"
+        session.end()
+        if writes:
+            await self._commit(request, writes)
+        return self._complete(request)
+
+    async def _commit(self, request: str, writes: list) -> None:
+        number = self.received[1] + 1
+        entry = Entry(self.term, number, tuple(writes), request)
+        self.log.append(entry)
+        while not self.group.replicate(self, entry):
+            await asyncio.sleep(0.01)
+        self.applied = len(self.log)
+
+    async def _do_status(self, session, request, rest, text) -> str:
+        return self._report()
+
+    async def _do_pause(self, session, request, rest, text) -> str:
+        if not self.is_primary and int(rest[0]) > self.term:
+            self.held_term = int(rest[0])
+        return self._report()
+
+    async def _do_resume(self, session, request, rest, text) -> str:
+        self.held_term = 0
+        self.group.catch_up(self)
+        return self._report()
+
+    async def _do_stepdown(self, session, request, rest, text) -> str:
+        if int(rest[0]) > self.term:
+            self.is_primary = False
+        return self._report()
+
+    def _report(self) -> str:
+        role = "primary" if self.is_primary else "replica"
+        term, number = self.received
+        counts = f"0 {len(self._writers)}"
+        row = f"{role} {self.term} {term}.{number} {self.held_term} 0 {counts}"
+        return f"ROW {row}\r\nCOMPLETE -\r\n"
+
+
+class LineGroup:
+    """A primary and its replicas; it also carries out promotions.
+
+    Args:
+        name: the group's.
+        count: of instances; the first leads.
+    """
+
+    def __init__(self, name: str, count: int = 3) -> None:
+        self.name = name
+        self.instances = {f"i-{n}": LineInstance(self, f"i-{n}") for n in range(count)}
+        self.instances["i-0"].is_primary = True
+        self.promotions: list[tuple[str, str, int]] = []
+        # How many of the next promotions are done and not answered.
+        self.lost_promotions = 0
+        self._received_by: dict[tuple[int, int], set[str]] = {}
+        self._terms = itertools.count(2)
+
+    async def start(self) -> None:
+        """Start every instance."""
+        for instance in self.instances.values():
+            await instance.start()
+
+    async def stop(self) -> None:
+        """Stop every instance."""
+        for instance in self.instances.values():
+            await instance.stop()
+
+    @property
+    def primary(self) -> LineInstance:
+        """The instance that leads the latest term."""
+        leaders = [i for i in self.instances.values() if i.is_primary]
+        return max(leaders, key=lambda instance: instance.term)
+
+    def replicate(self, primary: LineInstance, entry: Entry) -> bool:
+        """Send a commit to the replicas; return whether one of them has it."""
+        others = [i for i in self.instances.values() if i is not primary]
+        for replica in others:
+            self._send_missing(primary, replica)
+        return any(entry in replica.log for replica in others)
+
+    def catch_up(self, replica: LineInstance) -> None:
+        """Send a replica what the primary has beyond its log."""
+        if not replica.is_primary:
+            self._send_missing(self.primary, replica)
+
+    async def promote(self, group: str, instance: str, holder: str, fence: int) -> None:
+        """Make an instance lead the next term with what it has received."""
+        self.promotions.append((instance, holder, fence))
+        chosen = self.instances.get(instance)
+        if chosen is None or chosen._server is None:
+            raise PromotionRefused(f"{instance} isn't running")
+        if not chosen.is_primary:
+            chosen.is_primary = True
+            chosen.term = next(self._terms)
+            chosen.held_term = 0
+            chosen.applied = len(chosen.log)
+
+    def _send_missing(self, primary: LineInstance, replica: LineInstance) -> None:
+        if replica.is_primary:
+            return
+        common = 0
+        for own, other in zip(primary.log, replica.log, strict=False):
+            if own != other:
+                break
+            common += 1
+        if len(replica.log) > common and replica.held_term <= primary.term:
+            del replica.log[common:]
+            replica.applied = min(replica.applied, common)
+        for entry in primary.log[common:]:
+            if not replica.receive(entry):
+                return
+        replica.term = max(replica.term, primary.term)
+
+
+def _split_floor(text: str) -> tuple[tuple[int, int] | None, str]:
+    if not text.startswith("AFTER "):
+        return None, text
+    _, position, rest = text.split(" ", 2)
+    return _parse(position), rest
+
+
+def _parse(position: str) -> tuple[int, int]:
+    term, _, number = position.partition(".")
+    return int(term), int(number)
--- a/src/wasabipitch/coordination/mirror.py
+++ b/src/wasabipitch/coordination/mirror.py
@@ -38,6 +38,12 @@
         self.confirmed_at_s = 0.0
         # The time of the last such read that the store itself answered.
         self.store_confirmed_at_s = 0.0
+        # Reads the head together with other hosts; set once they can be asked.
+        self.read_head_shared: Callable[[], Awaitable[tuple[float, int, int]]] | None
+        self.read_head_shared = None
+        # How long changes are gathered before the next watch; more hosts mean more
+        # changes, and each watch is a priced call.
+        self.read_pause_s: Callable[[], float] = lambda: 0.0
         # Confirms the records without the store; set once peers can be asked.
         self.confirm_among_hosts: Callable[[], Awaitable[float | None]] | None = None
         # The time at which the store last gave any answer, and came back.
@@ -90,9 +96,8 @@
 
     async def check(self) -> bool:
         """Read the head once and return whether the copy is confirmed by it."""
-        sent_at_s = now_s()
         try:
-            head, store_revision = await self._store.read_revision(HEAD_KEY)
+            sent_at_s, head, store_revision = await self._read_head()
         except StoreError as exc:
             self._note_failure(exc)
             return await self._check_without_store()
@@ -104,6 +109,13 @@
         self._note_confirmed(sent_at_s)
         return True
 
+    async def _read_head(self) -> tuple[float, int, int]:
+        if self.read_head_shared is not None:
+            return await self.read_head_shared()
+        sent_at_s = now_s()
+        head, store_revision = await self._store.read_revision(HEAD_KEY)
+        return sent_at_s, head, store_revision
+
     async def _fetch_records(self, head: int) -> bool:
         """Read the group records that the watch has not brought yet."""
         try:
@@ -181,6 +193,7 @@
             for event in changes.events:
                 self._apply(event)
             self.revision = max(self.revision, changes.revision)
+            await asyncio.sleep(self.read_pause_s())
 
     def _apply(self, event: Item | Removal) -> None:
         if isinstance(event, Removal):
--- a/src/wasabipitch/coordination/roster.py
+++ b/src/wasabipitch/coordination/roster.py
@@ -21,6 +21,7 @@
 from wasabipitch.models import ORIGIN, Host, Position
 from wasabipitch.policy.rights import RIGHT_S
 
+HOST_ROLE = "gateway"
 # How long a host counts for the division of connections after it has left.
 SIZE_MEMORY_S = 10.0
 # How long a host is asked for help after its entry has gone.
@@ -31,6 +32,10 @@
 logger = logging.getLogger(__name__)
 
 
+def _make_host(record: HostRecord) -> Host:
+    return Host(record.name, HOST_ROLE, record.links, record.data_centre)
+
+
 class Roster:
     """The hosts that live, as the store's copy shows them.
 
@@ -48,23 +53,30 @@
         self._known: dict[str, HostRecord] = {}
         mirror.subscribe(self._note)
 
-    @property
-    def size(self) -> int:
-        """How many hosts there are, those included that were here lately.
+    def find_data_centres(self) -> dict[str, str]:
+        """Return the data centre of each host that was here lately, by name.
 
         An entry may be taken from a host that lives, and its connections with it
         must not be given to the others.
         """
         at_s = now_s()
         self._note_present()
-        return sum(at_s - seen < SIZE_MEMORY_S for seen in self._seen_at_s.values())
+        return {
+            name: record.data_centre
+            for name, record in self._known.items()
+            if at_s - self._seen_at_s[name] < SIZE_MEMORY_S
+        }
+
+    def find_host(self, name: str) -> Host:
+        """Return a host that was here lately."""
+        return _make_host(self._known[name])
 
     def list_peers(self, own_name: str) -> list[Host]:
         """Return the other hosts that were here lately."""
         at_s = now_s()
         self._note_present()
         return [
-            Host(record.name, "gateway", record.links, record.data_centre)
+            _make_host(record)
             for record in self._known.values()
             if record.name != own_name
             and at_s - self._seen_at_s[record.name] < PEER_MEMORY_S
--- a/src/wasabipitch/front/sessions.py
+++ b/src/wasabipitch/front/sessions.py
@@ -52,6 +52,7 @@
             f"{startup.user}-{next(_numbers)}", startup.database
         )
         self._route: Route | None = None
+        self._runner: Any = None
         self._answering = False
         # The transaction was rolled back here, which its caller doesn't know yet.
         self._aborted = False
@@ -159,6 +160,7 @@
         route = self._find_route()
         if route is None:
             return self._fail(Code.NO_DATABASE, "the database was removed")
+        self._runner = None
         read_only = statement.verb is Verb.BEGIN_READ
         self._context.transaction = Transaction(read_only, arrived_s)
         return Reply(state=self._context.state)
@@ -172,9 +174,12 @@
         route = self._route if in_transaction else self._find_route()
         if route is None:
             return self._fail(Code.NO_DATABASE, "the database was removed")
-        runner = self._find_runner(route.group)
+        runner = self._runner if in_transaction else None
+        runner = runner or self._find_runner(route.group)
         if runner is None:
             return self._fail(Code.BUSY, "the group is not known yet")
+        # A transaction stays where it began, whoever owns the group meanwhile.
+        self._runner = runner if in_transaction else None
         work = asyncio.ensure_future(
             runner.run(self._context, statement, route, arrived_s)
         )
--- a/src/wasabipitch/gateway.py
+++ b/src/wasabipitch/gateway.py
@@ -10,6 +10,7 @@
 from wasabipitch import tasks
 from wasabipitch.clock import now_s
 from wasabipitch.coordination.agreement import RecordAgreement
+from wasabipitch.coordination.checks import SharedChecks
 from wasabipitch.coordination.directory import Directory
 from wasabipitch.coordination.documents import (
     GROUPS_PREFIX,
@@ -23,25 +24,45 @@
 from wasabipitch.coordination.mirror import StoreMirror
 from wasabipitch.coordination.presence import Presence
 from wasabipitch.coordination.relay import RelayedStore, answer
-from wasabipitch.coordination.roster import Roster
+from wasabipitch.coordination.roster import HOST_ROLE, Roster
 from wasabipitch.coordination.store import CoordinationStore, Item, Promoter
 from wasabipitch.events import Clock
 from wasabipitch.exceptions import LinkError, StoreError
 from wasabipitch.front.server import CallerServer
 from wasabipitch.group.keeper import GroupKeeper
+from wasabipitch.group.remote import RemoteRunner, StatementService
 from wasabipitch.group.runner import GroupRunner
 from wasabipitch.group.view import GroupState
 from wasabipitch.instances.dispatcher import Dispatcher
 from wasabipitch.linkbook import LinkBook
 from wasabipitch.linkserver import Exchange, LinkServer
-from wasabipitch.messages import AskAgreement, AskHead, Hello, Message, StoreCall
+from wasabipitch.messages import (
+    AskAgreement,
+    AskHead,
+    AskStoreHead,
+    Done,
+    EndSession,
+    Hello,
+    Message,
+    RunStatement,
+    StoreCall,
+)
 from wasabipitch.models import Address, Host
 from wasabipitch.operations.decisions import DecisionLog
 from wasabipitch.operations.logwriter import LogWriter
 from wasabipitch.operations.statusserver import make_status_server
+from wasabipitch.policy.ownership import (
+    choose_owners,
+    count_owners,
+    count_part,
+    order_owners,
+)
 from wasabipitch.wire.codecs import CallerCodec, InstanceCodec
 
-HOST_ROLE = "gateway"
+# Up to so many hosts changes are rare, and each is taken at once.
+FEW_HOSTS = 12
+WATCH_PAUSE_PER_HOST_S = 0.003
+MAX_WATCH_PAUSE_S = 0.5
 # A host whose records were not confirmed for this long takes no new callers: two
 # checks have failed, and soon it may not read primaries.
 READY_CONFIRMED_S = 1.6
@@ -100,6 +121,7 @@
     state: GroupState
     dispatcher: Dispatcher
     runner: GroupRunner
+    remote: RemoteRunner
     task: asyncio.Task
 
 
@@ -118,7 +140,10 @@
         clock = Clock()
         host = Host(cfg.host, HOST_ROLE, str(cfg.links), cfg.data_centre)
         self._links = LinkBook(Hello(host, incarnation), clock)
-        self._link_server = LinkServer(self._answer_peer, clock)
+        self._service = StatementService(self._find_local_runner)
+        self._link_server = LinkServer(
+            self._answer_peer, clock, on_peer_lost=self._service.end_all
+        )
         self._store = RelayedStore(
             adapters.store, self._links, self._list_peers, self.decisions
         )
@@ -132,6 +157,14 @@
             lambda: self._mirror.head_revision,
             lambda: self._mirror.store_confirmed_at_s,
         )
+        self._checks_shared = SharedChecks(
+            host,
+            self._store,
+            self._links,
+            lambda: self._roster.list_peers(cfg.host),
+        )
+        self._mirror.read_head_shared = self._checks_shared.read
+        self._mirror.read_pause_s = self._find_watch_pause_s
         self._mirror.confirm_among_hosts = self._agreement.confirm
         self._directory = Directory(
             self._mirror,
@@ -250,6 +283,13 @@
                 return self._agreement.answer_head()
             case AskAgreement() as ask:
                 return await self._agreement.answer(ask)
+            case AskStoreHead():
+                return await self._checks_shared.answer()
+            case RunStatement() as statement:
+                return await self._service.run(exchange.connection, statement)
+            case EndSession(session):
+                self._service.end(exchange.connection, session)
+                return Done()
         raise LinkError(f"unexpected message {type(exchange.message).__name__}")
 
     def _is_ready(self) -> bool:
@@ -259,10 +299,30 @@
         heard = now_s() - self._mirror.confirmed_at_s < READY_CONFIRMED_S
         return bool(settled) and heard
 
-    def _find_runner(self, group: str) -> GroupRunner | None:
+    def _find_runner(self, group: str) -> GroupRunner | RemoteRunner | None:
+        found = self._groups.get(group)
+        if found is None:
+            return None
+        if self._cfg.host in found.state.owners or not found.state.owners:
+            return found.runner
+        return found.remote
+
+    def _find_local_runner(self, group: str) -> GroupRunner | None:
         found = self._groups.get(group)
         return found.runner if found else None
 
+    def _list_owners(self, state: GroupState) -> list[Host]:
+        centres = self._roster.find_data_centres()
+        owners = {name: centres[name] for name in state.owners if name in centres}
+        order = order_owners(state.name, self._cfg.host, self._cfg.data_centre, owners)
+        return [self._roster.find_host(name) for name in order]
+
+    def _find_watch_pause_s(self) -> float:
+        hosts = len(self._roster.hosts)
+        if hosts <= FEW_HOSTS:
+            return 0.0
+        return min(MAX_WATCH_PAUSE_S, hosts * WATCH_PAUSE_PER_HOST_S)
+
     def _apply_configuration(self, configuration: Configuration) -> None:
         for name in set(self._groups) - set(configuration.groups):
             group = self._groups.pop(name)
@@ -299,12 +359,11 @@
             self.decisions,
         )
         self._load_record(state, self._mirror.items.get(GROUPS_PREFIX + state.name))
-        return Group(
-            state,
-            dispatcher,
-            runner,
-            tasks.spawn(keeper.run(), f"keeper of {state.name}"),
+        remote = RemoteRunner(
+            state.name, self._links, lambda: self._list_owners(state), self.decisions
         )
+        task = tasks.spawn(keeper.run(), f"keeper of {state.name}")
+        return Group(state, dispatcher, runner, remote, task)
 
     def _update_group(self, name: str) -> None:
         group = self._groups.get(name)
@@ -312,8 +371,13 @@
             return
         state = group.state
         state.entries = self._directory.instances_of(name)
-        hosts = max(1, self._roster.size)
-        group.dispatcher.update(state.entries, state.settings.max_connections, hosts)
+        centres = self._roster.find_data_centres()
+        centres.setdefault(self._cfg.host, self._cfg.data_centre)
+        limit = state.settings.max_connections
+        state.owners = choose_owners(name, centres, count_owners(limit, len(centres)))
+        part = count_part(limit, len(state.owners))
+        is_owner = self._cfg.host in state.owners
+        group.dispatcher.update(state.entries, part if is_owner else 0)
         state.wake()
 
     def _resize(self) -> None:
--- a/src/wasabipitch/group/keeper.py
+++ b/src/wasabipitch/group/keeper.py
@@ -209,7 +209,7 @@
             demoted=demoted,
             doubts=len(doubts),
             certain=any(doubt.certain for doubt in doubts),
-            hosts=len(self._roster.hosts),
+            hosts=len(state.owners),
         )
 
     def _is_demoted(self) -> bool:
--- /dev/null
+++ b/src/wasabipitch/group/remote.py
@@ -0,0 +1,330 @@
+"""Statements that run on another host: the asking end and the serving end."""
+
+import asyncio
+from collections.abc import Callable
+
+from wasabipitch.clock import now_s
+from wasabipitch.coordination.documents import Route
+from wasabipitch.exceptions import LinkDown, LinkError, LinkLost
+from wasabipitch.group.runner import GroupRunner
+from wasabipitch.group.session import SessionContext, Transaction
+from wasabipitch.linkbook import LinkBook
+from wasabipitch.links import RemoteError
+from wasabipitch.messages import EndSession, RunStatement, StatementReply
+from wasabipitch.models import Host
+from wasabipitch.operations.decisions import DecisionLog
+from wasabipitch.wire.messages import (
+    Code,
+    Failure,
+    Reply,
+    SessionState,
+    Statement,
+    Verb,
+)
+
+# Beyond the statement's own time limit, for the way back.
+REPLY_MARGIN_S = 0.05
+# A read that an owner keeps for this share of its objective is sent to another;
+# the owner has asked a second instance before that.
+OWNER_PATIENCE = 0.75
+# An owner that did not answer is asked last for this long.
+AVOID_S = 2.0
+MAX_OWNERS_TRIED = 3
+
+
+class RemoteTransaction:
+    """Holds a transaction's place on its owner; stands in for a connection."""
+
+    def __init__(self, owner: Host, end: Callable[[Host], None]) -> None:
+        self.owner = owner
+        self._end = end
+
+    def release(self) -> None:
+        """Tell the owner that the transaction is over."""
+        self._end(self.owner)
+
+
+class RemoteRunner:
+    """Runs a group's statements on its owners.
+
+    Args:
+        group: its name.
+        links: to the peers.
+        find_owners: returns the owners, the first to ask first.
+    """
+
+    def __init__(
+        self,
+        group: str,
+        links: LinkBook,
+        find_owners: Callable[[], list[Host]],
+        decisions: DecisionLog,
+    ) -> None:
+        self._group = group
+        self._links = links
+        self._find_owners = find_owners
+        self._decisions = decisions
+        self._avoid_until_s: dict[str, float] = {}
+        self._tasks: set[asyncio.Task] = set()
+
+    async def run(
+        self,
+        session: SessionContext,
+        statement: Statement,
+        route: Route,
+        arrived_s: float,
+    ) -> Reply:
+        """Run a statement and return the answer for its caller."""
+        message = self._describe(session, statement, route, arrived_s)
+        tx = session.transaction
+        if tx is not None and tx.loan is not None:
+            return await self._run_pinned(session, message, tx)
+        if tx is None and not _writes(message):
+            return await self._run_read(session, message, route)
+        return await self._run_once(session, message, tx)
+
+    async def _run_pinned(
+        self, session: SessionContext, message: RunStatement, tx: Transaction
+    ) -> Reply:
+        owner = tx.loan.owner
+        tx.wrote = tx.wrote or _writes(message)
+        try:
+            reply = await self._ask(owner, message)
+        except LinkError as exc:
+            unknown = message.statement.verb is Verb.COMMIT and tx.wrote
+            code = Code.UNKNOWN if unknown else Code.ABORTED
+            return self._fail(session, message, code, str(exc))
+        return self._take(session, reply, owner)
+
+    async def _run_once(
+        self, session: SessionContext, message: RunStatement, tx: Transaction | None
+    ) -> Reply:
+        if tx is not None:
+            tx.wrote = _writes(message)
+        for owner in self._order():
+            try:
+                reply = await self._ask(owner, message)
+            except LinkDown:
+                continue
+            except LinkError as exc:
+                # A transaction that has not come to its commit keeps nothing.
+                open_work = tx is not None and message.statement.verb is not Verb.COMMIT
+                code = Code.ABORTED if open_work else Code.UNKNOWN
+                return self._fail(session, message, code, str(exc))
+            return self._take(session, reply, owner)
+        return self._fail(session, message, Code.BUSY, "no owner can be reached")
+
+    async def _run_read(
+        self, session: SessionContext, message: RunStatement, route: Route
+    ) -> Reply:
+        patience_s = route.objective_s * OWNER_PATIENCE
+        tasks: dict[asyncio.Task, Host] = {}
+        try:
+            for owner in self._order():
+                tasks[asyncio.ensure_future(self._ask(owner, message))] = owner
+                reply = await self._await_first(tasks, patience_s)
+                if reply is not None:
+                    return self._take(session, *reply)
+            reply = await self._await_first(tasks, message.left_s)
+            if reply is not None:
+                return self._take(session, *reply)
+        finally:
+            for task in tasks:
+                task.cancel()
+        return self._fail(session, message, Code.BUSY, "no owner answers")
+
+    async def _await_first(
+        self, tasks: dict[asyncio.Task, Host], timeout_s: float
+    ) -> tuple[StatementReply, Host] | None:
+        """Return the first answer; tasks that failed are taken out."""
+        until_s = now_s() + timeout_s
+        while tasks:
+            done, _ = await asyncio.wait(
+                tasks,
+                timeout=max(0.0, until_s - now_s()),
+                return_when=asyncio.FIRST_COMPLETED,
+            )
+            if not done:
+                return None
+            for task in done:
+                owner = tasks.pop(task)
+                if task.exception() is None:
+                    return task.result(), owner
+        return None
+
+    async def _ask(self, owner: Host, message: RunStatement) -> StatementReply:
+        timeout_s = message.left_s + REPLY_MARGIN_S
+        try:
+            async with asyncio.timeout(timeout_s):
+                return await self._links.find(owner).call(message, timeout_s)
+        except TimeoutError as exc:
+            self._avoid_until_s[owner.name] = now_s() + AVOID_S
+            raise LinkLost(f"no answer of {owner.name}") from exc
+        except RemoteError as exc:
+            raise LinkLost(f"{owner.name}: {exc.message}") from exc
+        except LinkError:
+            self._avoid_until_s[owner.name] = now_s() + AVOID_S
+            raise
+
+    def _order(self) -> list[Host]:
+        at_s = now_s()
+        owners = self._find_owners()
+        owners.sort(key=lambda owner: self._avoid_until_s.get(owner.name, 0.0) > at_s)
+        return owners[:MAX_OWNERS_TRIED]
+
+    def _describe(
+        self,
+        session: SessionContext,
+        statement: Statement,
+        route: Route,
+        arrived_s: float,
+    ) -> RunStatement:
+        tx = session.transaction
+        return RunStatement(
+            session=session.session,
+            statement=statement,
+            route=route,
+            left_s=max(0.0, route.timeout_s - (now_s() - arrived_s)),
+            values=session.values,
+            shape=session.prepared.get(statement.name),
+            floor=session.floor,
+            in_transaction=tx is not None,
+            read_only=tx is not None and tx.read_only,
+            begins=tx is not None and tx.loan is None,
+        )
+
+    def _take(
+        self, session: SessionContext, reply: StatementReply, owner: Host
+    ) -> Reply:
+        session.floor = max(session.floor, reply.floor)
+        tx = session.transaction
+        if reply.state is SessionState.IN_TRANSACTION and tx is not None:
+            if tx.loan is None:
+                tx.loan = RemoteTransaction(
+                    owner, lambda host: self._end(session, host)
+                )
+        elif tx is not None:
+            # The owner has ended it.
+            session.transaction = None
+            session.failed = reply.state is SessionState.FAILED_TRANSACTION
+        failure = Failure(reply.code, reply.text) if reply.code else None
+        return Reply(reply.rows, reply.signature, failure, session.state)
+
+    def _fail(
+        self, session: SessionContext, message: RunStatement, code: Code, reason: str
+    ) -> Reply:
+        if session.transaction is not None:
+            session.drop_transaction()
+            session.failed = message.statement.verb is not Verb.COMMIT
+        self._decisions.request(
+            "request failed",
+            request=message.statement.request_id.decode("ascii", "replace"),
+            session=session.session,
+            group=self._group,
+            code=code.value,
+            reason=reason,
+        )
+        failure = Failure(code, reason.encode("ascii", "replace"))
+        return Reply(failure=failure, state=session.state)
+
+    def _end(self, session: SessionContext, owner: Host) -> None:
+        task = asyncio.ensure_future(self._send_end(session.session, owner))
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    async def _send_end(self, session: str, owner: Host) -> None:
+        try:
+            await self._links.find(owner).call(EndSession(session))
+        except (LinkError, RemoteError) as exc:
+            # The owner ends it when the link closes, or when it stands idle.
+            self._decisions.routine("end not sent", owner=owner.name, reason=str(exc))
+
+
+def _writes(message: RunStatement) -> bool:
+    if message.statement.verb is Verb.EXECUTE:
+        return message.shape is not None and message.shape.writes
+    return message.statement.verb is Verb.WRITE
+
+
+class StatementService:
+    """Runs statements that other hosts send, as an owner of groups.
+
+    Args:
+        find_runner: returns the runner of a group, or None if it is unknown.
+    """
+
+    def __init__(self, find_runner: Callable[[str], GroupRunner | None]) -> None:
+        self._find_runner = find_runner
+        self._open: dict[tuple[object, str], SessionContext] = {}
+
+    async def run(self, connection: object, message: RunStatement) -> StatementReply:
+        """Run a statement and return its answer.
+
+        Args:
+            connection: the link that it came over.
+            message: the statement with what its session carries.
+        """
+        key = (connection, message.session)
+        context = self._open.pop(key, None)
+        if context is None:
+            if message.in_transaction and not message.begins:
+                return _refuse("the transaction has ended", aborted=True)
+            context = SessionContext(message.session, message.route.database)
+        runner = self._find_runner(message.route.group)
+        if runner is None:
+            context.drop_transaction()
+            return _refuse("the group is not known", message.in_transaction)
+        return await self._run(key, context, message, runner)
+
+    async def _run(
+        self,
+        key: tuple[object, str],
+        context: SessionContext,
+        message: RunStatement,
+        runner: GroupRunner,
+    ) -> StatementReply:
+        arrived_s = now_s() - message.route.timeout_s + message.left_s
+        context.values = message.values
+        context.floor = max(context.floor, message.floor)
+        if message.shape is not None:
+            context.prepared[message.statement.name] = message.shape
+        if message.in_transaction and context.transaction is None:
+            context.transaction = Transaction(message.read_only, now_s())
+        try:
+            reply = await runner.run(
+                context, message.statement, message.route, arrived_s
+            )
+        except asyncio.CancelledError:
+            context.drop_transaction()
+            raise
+        if context.transaction is not None:
+            self._open[key] = context
+        return StatementReply(
+            rows=reply.rows,
+            signature=reply.signature,
+            code=reply.code,
+            text=reply.failure.text if reply.failure else b"",
+            state=reply.state,
+            floor=context.floor,
+        )
+
+    def end(self, connection: object, session: str) -> None:
+        """Roll back what a session has open."""
+        context = self._open.pop((connection, session), None)
+        if context is not None:
+            context.drop_transaction()
+
+    async def end_all(self, connection: object) -> None:
+        """Roll back what came over a link that has closed."""
+        for key in [key for key in self._open if key[0] is connection]:
+            self._open.pop(key).drop_transaction()
+
+
+def _refuse(reason: str, aborted: bool) -> StatementReply:
+    return StatementReply(
+        rows=(),
+        signature=None,
+        code=Code.ABORTED if aborted else Code.BUSY,
+        text=reason.encode(),
+        state=SessionState.FAILED_TRANSACTION if aborted else SessionState.IDLE,
+    )
--- a/src/wasabipitch/group/view.py
+++ b/src/wasabipitch/group/view.py
@@ -38,6 +38,8 @@
     ) -> None:
         self.settings = settings
         self.entries: dict[str, InstanceEntry] = {}
+        # The names of the hosts that hold connections to the instances.
+        self.owners: frozenset[str] = frozenset()
         self.record: GroupRecord | None = None
         self.record_revision = 0
         self.record_since_s = 0.0
--- a/src/wasabipitch/instances/dispatcher.py
+++ b/src/wasabipitch/instances/dispatcher.py
@@ -15,8 +15,6 @@
 from wasabipitch.policy.placement import ServiceTimes
 from wasabipitch.wire.codecs import InstanceCodec
 
-# Left on each instance for hosts that look into a replacement of its primary.
-SPARE_CONNECTIONS = 2
 # Beyond its own part a host may borrow this many while others leave them unused.
 BORROWED = 2
 _arrivals = count()
@@ -83,13 +81,15 @@
         self._is_primary = is_primary
         self._waiting: list[Need] = []
 
-    def update(
-        self, entries: dict[str, InstanceEntry], max_connections: int, hosts: int
-    ) -> None:
-        """Follow the registered instances and the host's part of connections."""
+    def update(self, entries: dict[str, InstanceEntry], part: int) -> None:
+        """Follow the registered instances and the host's part of connections.
+
+        Args:
+            entries: the instances, by name.
+            part: connections that this host may hold to each; 0 for none.
+        """
         for name in set(self.pools) - set(entries):
             self.pools.pop(name).close()
-        part = max(1, (max_connections - SPARE_CONNECTIONS) // max(1, hosts))
         for name, entry in entries.items():
             pool = self.pools.get(name)
             if pool is not None and pool.entry.address != entry.address:
@@ -100,7 +100,7 @@
                 self.pools[name] = pool
             pool.entry = entry
             pool.limit = part
-            pool.borrow_limit = part + BORROWED
+            pool.borrow_limit = part + BORROWED if part else 0
         self.dispatch()
 
     def keep_open(self) -> None:
@@ -108,7 +108,7 @@
         for pool in self.pools.values():
             pool.give_back_idle()
             if not pool.entry.leaving:
-                pool.want(RESTING_CONNECTIONS)
+                pool.want(min(RESTING_CONNECTIONS, pool.limit))
 
     async def acquire(self, need: Need) -> Loan:
         """Wait for a connection that suits.
--- a/src/wasabipitch/instances/pool.py
+++ b/src/wasabipitch/instances/pool.py
@@ -123,7 +123,7 @@
     def give_back_idle(self) -> None:
         """Close connections that have been idle for long."""
         at_s = now_s()
-        while self.open > RESTING_CONNECTIONS and self._idle:
+        while self.open > min(RESTING_CONNECTIONS, self.limit) and self._idle:
             limit_s = BORROWED_IDLE_S if self.open > self.limit else IDLE_S
             if at_s - self._idle[0].used_at_s < limit_s:
                 return
--- a/src/wasabipitch/messages.py
+++ b/src/wasabipitch/messages.py
@@ -3,8 +3,10 @@
 import enum
 from dataclasses import dataclass, field
 
+from wasabipitch.coordination.documents import Route
 from wasabipitch.models import ORIGIN, Column, Host, Position
 from wasabipitch.verdict import Verdict
+from wasabipitch.wire.messages import Code, SessionState, Shape, Statement
 
 
 class Kind(enum.IntEnum):
@@ -389,6 +391,73 @@
     age_s: float
 
 
+@dataclass(frozen=True, slots=True)
+class AskStoreHead:
+    """Asks a peer for the newest group record that the store holds."""
+
+
+@dataclass(frozen=True, slots=True)
+class StoreHead:
+    """What the store said of the newest group record.
+
+    Args:
+        confirmed: whether it said anything lately.
+        revision: of that record.
+        store_revision: of the store.
+        age_s: how long ago it was asked.
+    """
+
+    confirmed: bool
+    revision: int = 0
+    store_revision: int = 0
+    age_s: float = 0.0
+
+
+@dataclass(frozen=True, slots=True)
+class RunStatement:
+    """A caller's statement, from the host of its session to an owner.
+
+    Args:
+        session: unique to one caller's connection.
+        left_s: what is left of the route's time limit.
+        values: of the session.
+        shape: of the prepared statement that it runs, or None.
+        floor: the position of the session's last commit.
+        read_only: whether its transaction was begun so.
+        begins: whether no statement of the transaction has run yet.
+    """
+
+    session: str
+    statement: Statement
+    route: Route
+    left_s: float
+    values: dict[bytes, bytes]
+    shape: Shape | None
+    floor: Position
+    in_transaction: bool
+    read_only: bool
+    begins: bool
+
+
+@dataclass(frozen=True, slots=True)
+class StatementReply:
+    """The answer to a ``RunStatement``.
+
+    Args:
+        signature: the instance's, or None for a failure.
+        code: of the failure, or None for a success.
+        text: of the failure.
+        floor: the position of the session's last commit.
+    """
+
+    rows: tuple[bytes, ...]
+    signature: bytes | None
+    code: Code | None
+    text: bytes
+    state: SessionState
+    floor: Position = ORIGIN
+
+
 ControlMessage = (
     Hello
     | Heartbeat
@@ -412,5 +481,9 @@
     | HeadReport
     | AskAgreement
     | Agreement
+    | AskStoreHead
+    | StoreHead
+    | RunStatement
+    | StatementReply
 )
 Message = Execute | Result | Rows | Failure | Cancel | ControlMessage
--- a/src/wasabipitch/policy/succession.py
+++ b/src/wasabipitch/policy/succession.py
@@ -31,7 +31,7 @@
         demoted: whether it says itself that it no longer leads.
         doubts: hosts that can't work with it.
         certain: whether one of them found no process there.
-        hosts: that live.
+        hosts: that work with it.
     """
 
     registered: bool
