Notice a broken idle connection without traffic

Cause: an idle connection that had ended still counted as open, so a crash of a primary without traffic was not noticed (found by a test that failed first).

--- a/src/wasabipitch/coordination/mirror.py
+++ b/src/wasabipitch/coordination/mirror.py
@@ -34,7 +34,7 @@
         self.items: dict[str, Item] = {}
         self.revision = 0
         self.loaded = asyncio.Event()
-        # The time of the last read that found the head as known here, or 0.
+        # The time of the last read that found no newer head than known here, or 0.
         self.confirmed_at_s = 0.0
         # The time of the last such read that the store itself answered.
         self.store_confirmed_at_s = 0.0
@@ -103,7 +103,7 @@
             return await self._check_without_store()
         self._note_answer()
         self._check_watch(store_revision)
-        if head != self.head_revision and not await self._fetch_records(head):
+        if head > self.head_revision and not await self._fetch_records(head):
             return False
         self.store_confirmed_at_s = sent_at_s
         self._note_confirmed(sent_at_s)
--- a/src/wasabipitch/gateway.py
+++ b/src/wasabipitch/gateway.py
@@ -148,7 +148,7 @@
             adapters.store, self.links, self._list_peers, self.decisions
         )
         self._mirror = StoreMirror(self._store, self.decisions)
-        self._presence = Presence(self._store, self._mirror, record)
+        self.presence = Presence(self._store, self._mirror, record)
         self._roster = Roster(self._mirror, self._resize)
         self._agreement = RecordAgreement(
             host,
@@ -195,7 +195,7 @@
         self.decisions.belief(
             "started",
             data_centre=self._cfg.data_centre,
-            incarnation=self._presence.record.incarnation,
+            incarnation=self.presence.record.incarnation,
         )
         if self._writer is not None:
             self._run_task(self._writer.run())
@@ -209,7 +209,7 @@
         for work in (
             self._mirror.run(),
             self._mirror.run_checks(),
-            self._presence.run(),
+            self.presence.run(),
             self._run_housekeeping(),
         ):
             self._run_task(work)
@@ -222,7 +222,7 @@
         await self._drain(started_s)
         with contextlib.suppress(StoreError, TimeoutError):
             async with asyncio.timeout(0.3):
-                await self._presence.leave()
+                await self.presence.leave()
         self.decisions.belief("stopped", busy=self._server.busy)
         await self.close()
 
@@ -363,7 +363,7 @@
             self._store,
             self._adapters.promoter,
             self._mirror,
-            self._presence,
+            self.presence,
             self._roster,
             self.decisions,
         )
--- a/src/wasabipitch/instances/pool.py
+++ b/src/wasabipitch/instances/pool.py
@@ -121,8 +121,11 @@
             self._spawn(self._open())
 
     def give_back_idle(self) -> None:
-        """Close connections that have been idle for long."""
+        """Close connections that have been idle for long, or are broken."""
         at_s = now_s()
+        for conn in [conn for conn in self._idle if not conn.is_clean]:
+            self._idle.remove(conn)
+            conn.close()
         while self.open > min(RESTING_CONNECTIONS, self.limit) and self._idle:
             limit_s = BORROWED_IDLE_S if self.open > self.limit else IDLE_S
             if at_s - self._idle[0].used_at_s < limit_s:
--- a/tests/wasabipitch/gateway_fixture.py
+++ b/tests/wasabipitch/gateway_fixture.py
@@ -189,6 +189,11 @@
         value = json.dumps({"version": version, **fields}).encode()
         self.store.put("config", value)
 
+    def let_hosts_be_known(self):
+        """Make every host old enough that no other can have missed it."""
+        for gateway in self.hosts.values():
+            gateway.presence.registered_since_s = -1000.0
+
     def state(self, host="host-0"):
         group = self.hosts[host].groups.get(GROUP)
         return group.state if group else _NOTHING
--- a/tests/wasabipitch/test_gateway.py
+++ b/tests/wasabipitch/test_gateway.py
@@ -217,6 +217,7 @@
         self.assertEqual(len(chosen), 1)
 
     async def test_a_host_that_sees_nothing_serves_no_read_of_the_old_primary(self):
+        self.fleet.let_hosts_be_known()
         caller, _ = await self.fleet.connect(PRIMARY_DB, "host-0")
         blind, _ = await self.fleet.connect(PRIMARY_DB, "host-2")
         await self.write(caller, 2)
@@ -231,6 +232,13 @@
         lines = await blind.ask("READ job")
         self.assertTrue(lines[0].startswith("ERROR BUSY"), lines)
 
+    async def test_a_new_host_waits_for_one_that_may_not_know_it(self):
+        await self.cut_off("host-2")
+        self.fleet.register("i-0", leaving=True)
+        await asyncio.sleep(4.0)
+        self.assertIsNone(self.fleet.state("host-0").primary)
+        self.assertEqual(self.fleet.group.promotions, [])
+
     async def cut_off(self, host):
         """Close a host's way to the store and to its peers."""
         self.fleet.ways[host].cut = True
