--- a/Makefile
+++ b/Makefile
@@ -17,9 +17,9 @@
 	$(BIN)/python tools/run_tests.py
 
 lint: setup
-	$(BIN)/ruff format --check src tests tools examples
-	$(BIN)/ruff check src tests tools examples
+	$(BIN)/ruff format --check src platform tests tools examples
+	$(BIN)/ruff check src platform tests tools examples
 
 format: setup
-	$(BIN)/ruff format src tests tools examples
-	$(BIN)/ruff check --fix src tests tools examples
+	$(BIN)/ruff format src platform tests tools examples
+	$(BIN)/ruff check --fix src platform tests tools examples
--- a/src/wasabipitch/coordination/store.py
+++ b/src/wasabipitch/coordination/store.py
@@ -108,6 +108,8 @@
         """Order a promotion.
 
         Args:
+            group: whose primary is replaced.
+            instance: that leads from now on.
             holder: the host that gives the order.
             fence: the fencing token; greater than that of any earlier holder.
 
--- a/src/wasabipitch/gateway.py
+++ b/src/wasabipitch/gateway.py
@@ -13,27 +13,20 @@
 from wasabipitch.coordination.checks import SharedChecks
 from wasabipitch.coordination.directory import Directory
 from wasabipitch.coordination.documents import (
-    GROUPS_PREFIX,
     Configuration,
     DocumentDecoder,
-    GroupRecord,
-    GroupSettings,
     HostRecord,
-    decode,
 )
 from wasabipitch.coordination.mirror import StoreMirror
 from wasabipitch.coordination.presence import Presence
 from wasabipitch.coordination.relay import RelayedStore, answer
 from wasabipitch.coordination.roster import HOST_ROLE, Roster
-from wasabipitch.coordination.store import CoordinationStore, Item, Promoter
+from wasabipitch.coordination.store import CoordinationStore, Promoter
 from wasabipitch.events import Clock
 from wasabipitch.exceptions import LinkError, StoreError
 from wasabipitch.front.server import CallerServer
-from wasabipitch.group.keeper import GroupKeeper
-from wasabipitch.group.remote import RemoteRunner, StatementService
-from wasabipitch.group.runner import GroupRunner
-from wasabipitch.group.view import GroupState
-from wasabipitch.instances.dispatcher import Dispatcher
+from wasabipitch.group.assembly import HostGroups
+from wasabipitch.group.remote import StatementService
 from wasabipitch.linkbook import LinkBook
 from wasabipitch.linkserver import Exchange, LinkServer
 from wasabipitch.messages import (
@@ -51,12 +44,6 @@
 from wasabipitch.operations.decisions import DecisionLog
 from wasabipitch.operations.logwriter import LogWriter
 from wasabipitch.operations.statusserver import make_status_server
-from wasabipitch.policy.ownership import (
-    choose_owners,
-    count_owners,
-    count_part,
-    order_owners,
-)
 from wasabipitch.wire.codecs import CallerCodec, InstanceCodec
 
 # Up to so many hosts changes are rare, and each is taken at once.
@@ -114,17 +101,6 @@
     promoter: Promoter
 
 
-@dataclass(frozen=True, slots=True)
-class Group:
-    """A group's parts on this host."""
-
-    state: GroupState
-    dispatcher: Dispatcher
-    runner: GroupRunner
-    remote: RemoteRunner
-    task: asyncio.Task
-
-
 class Gateway:
     """Serves callers on one host."""
 
@@ -140,7 +116,9 @@
         clock = Clock()
         host = Host(cfg.host, HOST_ROLE, str(cfg.links), cfg.data_centre)
         self.links = LinkBook(Hello(host, incarnation), clock)
-        self._service = StatementService(self._find_local_runner)
+        self._service = StatementService(
+            lambda name: self.groups.find_local_runner(name)
+        )
         self._link_server = LinkServer(
             self._answer_peer, clock, on_peer_lost=self._service.end_all
         )
@@ -149,7 +127,7 @@
         )
         self._mirror = StoreMirror(self._store, self.decisions)
         self.presence = Presence(self._store, self._mirror, record)
-        self._roster = Roster(self._mirror, self._resize)
+        self._roster = Roster(self._mirror, lambda: self.groups.resize())
         self._agreement = RecordAgreement(
             host,
             self.links,
@@ -170,17 +148,26 @@
             self._mirror,
             adapters.documents,
             self.decisions,
-            self._apply_configuration,
-            self._update_group,
+            lambda configuration: self.groups.apply_configuration(configuration),
+            lambda name: self.groups.update_group(name),
+        )
+        self.groups = HostGroups(
+            host,
+            adapters.instances,
+            self._store,
+            adapters.promoter,
+            self._mirror,
+            self.presence,
+            self._roster,
+            self.links,
+            self.decisions,
+            self._directory.instances_of,
         )
-        self._mirror.subscribe(self._note_record)
-        self._mirror.on_confirmed(self._wake_groups)
-        self.groups: dict[str, Group] = {}
         self._server = CallerServer(
             adapters.callers,
             self.decisions,
             lambda: self._directory.configuration,
-            self._find_runner,
+            self.groups.find_runner,
         )
         self._checks = make_status_server(self._is_ready)
         self._stopping = False
@@ -228,11 +215,8 @@
 
     async def close(self) -> None:
         """Close everything at once."""
-        for group in self.groups.values():
-            group.task.cancel()
+        self.groups.close()
         await self._stack.aclose()
-        for group in self.groups.values():
-            group.dispatcher.close()
 
     @property
     def configuration(self) -> Configuration | None:
@@ -304,105 +288,11 @@
     def _is_ready(self) -> bool:
         if self._stopping or self._directory.configuration is None:
             return False
-        settled = [g for g in self.groups.values() if g.state.record is not None]
         heard = now_s() - self._mirror.confirmed_at_s < READY_CONFIRMED_S
-        return bool(settled) and heard
-
-    def _find_runner(self, group: str) -> GroupRunner | RemoteRunner | None:
-        found = self.groups.get(group)
-        if found is None:
-            return None
-        if self._cfg.host in found.state.owners or not found.state.owners:
-            return found.runner
-        return found.remote
-
-    def _find_local_runner(self, group: str) -> GroupRunner | None:
-        found = self.groups.get(group)
-        return found.runner if found else None
-
-    def _list_owners(self, state: GroupState) -> list[Host]:
-        centres = self._roster.find_data_centres()
-        owners = {name: centres[name] for name in state.owners if name in centres}
-        order = order_owners(state.name, self._cfg.host, self._cfg.data_centre, owners)
-        return [self._roster.find_host(name) for name in order]
+        return self.groups.are_settled and heard
 
     def _find_watch_pause_s(self) -> float:
         hosts = len(self._roster.hosts)
         if hosts <= FEW_HOSTS:
             return 0.0
         return min(MAX_WATCH_PAUSE_S, hosts * WATCH_PAUSE_PER_HOST_S)
-
-    def _apply_configuration(self, configuration: Configuration) -> None:
-        for name in set(self.groups) - set(configuration.groups):
-            group = self.groups.pop(name)
-            group.task.cancel()
-            group.dispatcher.close()
-        for settings in configuration.groups.values():
-            if settings.name not in self.groups:
-                self.groups[settings.name] = self._make_group(settings)
-            self.groups[settings.name].state.settings = settings
-            self._update_group(settings.name)
-
-    def _make_group(self, settings: GroupSettings) -> Group:
-        state = GroupState(
-            settings, lambda: self._mirror.confirmed_at_s, self.decisions
-        )
-        dispatcher = Dispatcher(
-            self._adapters.instances,
-            self.decisions,
-            self._cfg.data_centre,
-            state.is_primary,
-        )
-        runner = GroupRunner(
-            state, dispatcher, self._adapters.instances, self.decisions
-        )
-        keeper = GroupKeeper(
-            state,
-            dispatcher,
-            self._adapters.instances,
-            self._store,
-            self._adapters.promoter,
-            self._mirror,
-            self.presence,
-            self._roster,
-            self.decisions,
-        )
-        self._load_record(state, self._mirror.items.get(GROUPS_PREFIX + state.name))
-        remote = RemoteRunner(
-            state.name, self.links, lambda: self._list_owners(state), self.decisions
-        )
-        task = tasks.spawn(keeper.run(), f"keeper of {state.name}")
-        return Group(state, dispatcher, runner, remote, task)
-
-    def _update_group(self, name: str) -> None:
-        group = self.groups.get(name)
-        if group is None:
-            return
-        state = group.state
-        state.entries = self._directory.instances_of(name)
-        centres = self._roster.find_data_centres()
-        centres.setdefault(self._cfg.host, self._cfg.data_centre)
-        limit = state.settings.max_connections
-        state.owners = choose_owners(name, centres, count_owners(limit, len(centres)))
-        part = count_part(limit, len(state.owners))
-        is_owner = self._cfg.host in state.owners
-        group.dispatcher.update(state.entries, part if is_owner else 0)
-        state.wake()
-
-    def _resize(self) -> None:
-        for name in self.groups:
-            self._update_group(name)
-
-    def _wake_groups(self) -> None:
-        for group in self.groups.values():
-            group.state.wake()
-
-    def _note_record(self, key: str, item: Item | None) -> None:
-        group = self.groups.get(key.removeprefix(GROUPS_PREFIX))
-        if group is not None and key.startswith(GROUPS_PREFIX):
-            self._load_record(group.state, item)
-
-    def _load_record(self, state: GroupState, item: Item | None) -> None:
-        if item is None or item.revision <= state.record_revision:
-            return
-        state.set_record(decode(item.value, GroupRecord), item.revision)
--- /dev/null
+++ b/src/wasabipitch/group/borrowing.py
@@ -0,0 +1,105 @@
+"""Borrows a connection that suits a statement, or refuses the statement."""
+
+from collections.abc import Callable
+
+from wasabipitch.clock import now_s
+from wasabipitch.exceptions import NoTarget, Overloaded
+from wasabipitch.group.exchange import MIN_SERVICE_S
+from wasabipitch.group.request import Request, StatementFailed
+from wasabipitch.group.view import GroupState
+from wasabipitch.instances.dispatcher import Dispatcher, Loan, Need
+from wasabipitch.policy.retries import Outage, may_hold
+from wasabipitch.policy.rights import ReadRight
+from wasabipitch.wire.messages import Code
+
+# How often a request that waits for a primary looks whether it still should.
+LOOK_S = 0.1
+
+
+class Borrowing:
+    """Finds connections for the statements of a group."""
+
+    def __init__(self, state: GroupState, dispatcher: Dispatcher) -> None:
+        self._state = state
+        self._dispatcher = dispatcher
+
+    def judge(self, req: Request) -> ReadRight:
+        """Return what a read may use now."""
+        return self._state.judge_read(req.route, req.arrived_s, req.session.floor)
+
+    async def check_right(self, req: Request, right: ReadRight) -> None:
+        """Refuse a read that no instance may serve, unless a primary is to come.
+
+        Raises:
+            StatementFailed: it is refused.
+        """
+        if not right.primary and not self._state.is_changing:
+            raise StatementFailed(Code.BUSY, right.reason)
+
+    async def acquire_for_read(self, req: Request, right: ReadRight) -> Loan:
+        """Return a connection to an instance that may serve a read.
+
+        Raises:
+            StatementFailed: there is none in time.
+        """
+        await self.check_right(req, right)
+        only_primary = right.floor is None
+
+        def allows(name: str) -> bool:
+            return name in self.readable(right)
+
+        return await self.acquire(req, allows, needs_primary=only_primary)
+
+    def readable(self, right: ReadRight) -> set[str]:
+        """Return the instances that may serve a read, by name."""
+        state, at_s = self._state, now_s()
+        if right.floor is None:
+            return {state.primary} if state.primary else set()
+        names = set()
+        for name, pool in self._dispatcher.pools.items():
+            if pool.entry.leaving or pool.lagging.is_off(at_s):
+                continue
+            if name == state.primary and not right.primary:
+                continue
+            names.add(name)
+        return names or ({state.primary} if state.primary else set())
+
+    async def acquire(
+        self, req: Request, allows: Callable[[str], bool], needs_primary: bool
+    ) -> Loan:
+        """Return a connection to an instance that a predicate allows.
+
+        Raises:
+            StatementFailed: there is none in time.
+        """
+        if needs_primary:
+            await self._wait_primary(req)
+        need = Need(
+            allows, req.kind, req.route.priority, req.deadline_s, set(req.avoid)
+        )
+        try:
+            return await self._dispatcher.acquire(need)
+        except (NoTarget, Overloaded) as exc:
+            raise StatementFailed(Code.BUSY, exc.message) from exc
+
+    async def _wait_primary(self, req: Request) -> None:
+        while not self._has_reachable_primary():
+            left_s = req.left_s - MIN_SERVICE_S
+            if left_s <= 0 or not may_hold(self._describe_outage()):
+                raise StatementFailed(Code.BUSY, "the group has no primary now")
+            await self._state.wait_changed(min(left_s, LOOK_S))
+
+    def _has_reachable_primary(self) -> bool:
+        state = self._state
+        pool = self._dispatcher.pools.get(state.primary or "")
+        usable = pool is not None and bool(pool.open or pool.failing_since_s is None)
+        state.note_primary(usable)
+        return usable
+
+    def _describe_outage(self) -> Outage:
+        state, at_s = self._state, now_s()
+        changing_for_s = at_s - state.record_since_s if state.is_changing else None
+        down_for_s = None
+        if state.primary_lost_at_s is not None:
+            down_for_s = at_s - state.primary_lost_at_s
+        return Outage(changing_for_s, down_for_s, state.record is not None)
--- /dev/null
+++ b/src/wasabipitch/group/exchange.py
@@ -0,0 +1,128 @@
+"""Sends statements over lent connections and learns from the answers."""
+
+import asyncio
+
+from wasabipitch.clock import now_s
+from wasabipitch.exceptions import InstanceLost
+from wasabipitch.group.request import Request, StatementFailed
+from wasabipitch.group.view import GroupState
+from wasabipitch.instances.connection import MAX_PREPARED, InstanceConnection
+from wasabipitch.instances.dispatcher import Dispatcher, Loan
+from wasabipitch.models import ORIGIN, Position
+from wasabipitch.wire.codecs import InstanceCodec
+from wasabipitch.wire.messages import NOT_RUN_CODES, Code, Reply, Verb
+
+# Between tries after an instance said that it did not run a statement.
+RETRY_PAUSE_S = 0.01
+# At least this is left to a statement that is tried again.
+MIN_SERVICE_S = 0.01
+
+
+class Exchange:
+    """Runs single messages of any session on the connections of a group."""
+
+    def __init__(
+        self, state: GroupState, dispatcher: Dispatcher, codec: InstanceCodec
+    ) -> None:
+        self._state = state
+        self._dispatcher = dispatcher
+        self._codec = codec
+
+    def encode(
+        self, req: Request, conn: InstanceConnection, floor: Position | None
+    ) -> bytes:
+        """Return a request's message for a connection.
+
+        A statement that the connection has not prepared yet is prepared first.
+        """
+        shape = req.shape
+        floor = None if floor == ORIGIN else floor
+        if shape is None:
+            return self._codec.forward(req.statement, floor)
+        name = conn.prepared.get(shape)
+        message = b""
+        if name is None:
+            name = b"w%d" % len(conn.prepared)
+            conn.prepared[shape] = name
+            # If it fails, the statement that follows finds no such name.
+            conn.send(self._codec.prepare(name, shape))
+        return message + self._codec.execute(req.statement, name, floor)
+
+    async def sync(
+        self, req: Request, conn: InstanceConnection, in_transaction: bool = False
+    ) -> bool:
+        """Give a connection the session's values; return False if it can't."""
+        wanted = req.session.values
+        futs = []
+        stale = not conn.values.keys() <= wanted.keys()
+        if not in_transaction and (stale or len(conn.prepared) >= MAX_PREPARED):
+            futs.append(conn.send(self._codec.reset()))
+            conn.values.clear()
+            conn.prepared.clear()
+        for name, value in wanted.items():
+            if conn.values.get(name) != value:
+                futs.append(conn.send(self._codec.set_value(name, value)))
+        if not futs:
+            return True
+        conn.values = dict(wanted)
+        try:
+            async with asyncio.timeout(max(0.0, req.left_s)):
+                replies = [await fut for fut in futs]
+        except (InstanceLost, TimeoutError):
+            conn.close()
+            return False
+        if any(reply.failure for reply in replies):
+            conn.close()
+            return False
+        return True
+
+    async def ask(self, req: Request, loan: Loan, message: bytes) -> Reply:
+        """Send a message and return its answer.
+
+        Raises:
+            InstanceLost: the connection ended first; it may have run.
+            TimeoutError: the request's time limit passed; it may yet run.
+        """
+        sent_at_s = now_s()
+        fut = loan.conn.send(message)
+        async with asyncio.timeout(max(0.0, req.left_s)):
+            reply = await asyncio.shield(fut)
+        pool = loan.pool
+        pool.note_answer()
+        if reply.failure is None and req.statement.verb is not Verb.COMMIT:
+            taken_s = now_s() - sent_at_s
+            ratio = self._dispatcher.times.add(req.kind, taken_s)
+            pool.slowness.add(ratio, now_s())
+        return reply
+
+    def is_retryable(self, req: Request, loan: Loan | None, reply: Reply) -> bool:
+        """Return whether a statement surely did not run and may be tried again."""
+        code = reply.code
+        if code is None:
+            return False
+        if loan is not None:
+            self._learn_from_refusal(req, loan, code)
+        return code in NOT_RUN_CODES or code is Code.NO_STATEMENT
+
+    def _learn_from_refusal(self, req: Request, loan: Loan, code: Code) -> None:
+        name = loan.pool.name
+        if code is Code.LAGGING:
+            loan.pool.lagging.note_lagging(now_s())
+        if code in (Code.LAGGING, Code.BUSY):
+            req.avoid.add(name)
+        if code is Code.READ_ONLY:
+            self._state.note_read_only(name)
+        if code is Code.NO_STATEMENT:
+            loan.conn.prepared.clear()
+
+    async def pause(self, req: Request) -> None:
+        """Wait before the next try.
+
+        Raises:
+            StatementFailed: no time is left for one.
+        """
+        req.tries += 1
+        pause_s = RETRY_PAUSE_S * min(8, req.tries)
+        if req.left_s <= pause_s + MIN_SERVICE_S:
+            raise StatementFailed(Code.BUSY, "not run before its time limit")
+        await asyncio.sleep(pause_s)
--- /dev/null
+++ b/src/wasabipitch/group/reads.py
@@ -0,0 +1,148 @@
+"""Single reads: on any instance that is fresh enough, twice if one is silent."""
+
+import asyncio
+from dataclasses import replace
+
+from wasabipitch.clock import now_s
+from wasabipitch.exceptions import InstanceLost, NoTarget, Overloaded
+from wasabipitch.group.borrowing import Borrowing
+from wasabipitch.group.exchange import Exchange
+from wasabipitch.group.request import Request, StatementFailed
+from wasabipitch.group.view import GroupState
+from wasabipitch.instances.dispatcher import Dispatcher, Loan, Need
+from wasabipitch.models import Position
+from wasabipitch.operations.decisions import DecisionLog
+from wasabipitch.policy.retries import HedgeBudget, hedge_after_s
+from wasabipitch.policy.rights import ReadRight
+from wasabipitch.wire.messages import Code, Reply, SessionState
+
+
+class ReadRunner:
+    """Runs single reads of any session on one group."""
+
+    def __init__(
+        self,
+        state: GroupState,
+        dispatcher: Dispatcher,
+        exchange: Exchange,
+        borrowing: Borrowing,
+        decisions: DecisionLog,
+    ) -> None:
+        self._state = state
+        self._dispatcher = dispatcher
+        self._exchange = exchange
+        self._borrowing = borrowing
+        self._decisions = decisions
+        self._hedges = HedgeBudget()
+
+    async def run(self, req: Request) -> Reply:
+        """Return a read's answer; raises ``StatementFailed``."""
+        self._hedges.earn()
+        while True:
+            right = self._borrowing.judge(req)
+            loan = await self._borrowing.acquire_for_read(req, right)
+            reply = await self._send_read(req, loan, right)
+            if reply is not None:
+                return reply
+            await self._exchange.pause(req)
+
+    async def _send_read(
+        self, req: Request, loan: Loan, right: ReadRight
+    ) -> Reply | None:
+        first = asyncio.ensure_future(self._read_on(req, loan, right.floor))
+        service_s = self._dispatcher.times.read(req.kind)
+        wait_s = hedge_after_s(req.route.objective_s, service_s)
+        done, _ = await _wait_cancelling([first], min(wait_s, max(0.0, req.left_s)))
+        if done or req.left_s <= service_s:
+            return await first
+        loan.pool.note_silence(now_s() - wait_s)
+        second = self._start_hedge(req, loan, right)
+        tasks = [first] if second is None else [first, second]
+        return await self._first_answer(tasks)
+
+    def _start_hedge(
+        self, req: Request, first: Loan, right: ReadRight
+    ) -> asyncio.Task | None:
+        others = self._borrowing.readable(right) - {first.pool.name}
+        idle = [n for n in others if self._dispatcher.pools[n].has_idle()]
+        if not idle or not self._hedges.spend():
+            return None
+        self._decisions.request(
+            "read asked elsewhere",
+            request=req.statement.request_id.decode("ascii", "replace"),
+            group=self._state.name,
+            instance=first.pool.name,
+            waited_s=round(now_s() - req.arrived_s, 3),
+        )
+        return asyncio.ensure_future(self._hedge(req, right, set(idle)))
+
+    async def _hedge(
+        self, req: Request, right: ReadRight, names: set[str]
+    ) -> Reply | None:
+        need = Need(names.__contains__, req.kind, req.route.priority, req.deadline_s)
+        try:
+            loan = await self._dispatcher.acquire(need)
+        except (NoTarget, Overloaded):
+            return None
+        return await self._read_on(req, loan, right.floor)
+
+    async def _first_answer(self, tasks: list[asyncio.Task]) -> Reply | None:
+        failure: StatementFailed | None = None
+        reply: Reply | None = None
+        pending = set(tasks)
+        try:
+            while pending:
+                done, pending = await asyncio.wait(
+                    pending, return_when=asyncio.FIRST_COMPLETED
+                )
+                for task in done:
+                    try:
+                        reply = task.result() or reply
+                    except StatementFailed as exc:
+                        failure = exc
+                if reply is not None:
+                    return reply
+        finally:
+            for task in pending:
+                task.cancel()
+        if failure is not None:
+            raise failure
+        return None
+
+    async def _read_on(
+        self, req: Request, loan: Loan, floor: Position | None
+    ) -> Reply | None:
+        state, name = self._state, loan.pool.name
+        try:
+            if not await self._exchange.sync(req, loan.conn):
+                return None
+            if floor is None and not state.is_primary(name):
+                return None
+            revision, sent_at_s = state.record_revision, now_s()
+            message = self._exchange.encode(req, loan.conn, floor)
+            reply = await self._exchange.ask(req, loan, message)
+        except InstanceLost:
+            req.avoid.add(name)
+            return None
+        except TimeoutError:
+            raise StatementFailed(
+                Code.TIMEOUT, f"no answer of {name} in time"
+            ) from None
+        finally:
+            loan.release()
+        if reply.position is not None:
+            state.note_position(name, revision, sent_at_s, reply.position)
+        if self._exchange.is_retryable(req, loan, reply):
+            return None
+        loan.pool.lagging.note_current()
+        return replace(reply, state=SessionState.IDLE, position=None)
+
+
+async def _wait_cancelling(tasks, timeout_s: float):
+    """Wait for tasks; cancel them if this wait itself is cancelled."""
+    try:
+        return await asyncio.wait(tasks, timeout=timeout_s)
+    except asyncio.CancelledError:
+        for task in tasks:
+            task.cancel()
+        raise
--- /dev/null
+++ b/src/wasabipitch/group/transactions.py
@@ -0,0 +1,135 @@
+"""Transactions: begun with their first statement, on one connection to the end."""
+
+import asyncio
+from dataclasses import replace
+
+from wasabipitch.clock import now_s
+from wasabipitch.exceptions import InstanceLost
+from wasabipitch.group.borrowing import Borrowing
+from wasabipitch.group.exchange import Exchange
+from wasabipitch.group.request import Request, StatementFailed
+from wasabipitch.group.session import Transaction
+from wasabipitch.group.view import GroupState
+from wasabipitch.group.writes import WriteRunner
+from wasabipitch.instances.dispatcher import Loan
+from wasabipitch.policy.rights import ReadRight
+from wasabipitch.wire.codecs import InstanceCodec
+from wasabipitch.wire.messages import Code, Reply, SessionState, Verb
+
+
+class TransactionRunner:
+    """Runs the statements of open transactions on one group."""
+
+    def __init__(
+        self,
+        state: GroupState,
+        codec: InstanceCodec,
+        exchange: Exchange,
+        borrowing: Borrowing,
+        writes: WriteRunner,
+    ) -> None:
+        self._state = state
+        self._codec = codec
+        self._exchange = exchange
+        self._borrowing = borrowing
+        self._writes = writes
+
+    async def run(self, req: Request, tx: Transaction) -> Reply:
+        """Return the answer to a statement; raises ``StatementFailed``."""
+        session = req.session
+        if req.statement.verb is Verb.EXECUTE and req.shape is None:
+            raise StatementFailed(Code.NO_STATEMENT, "no such prepared statement")
+        while True:
+            first = tx.loan is None
+            if first:
+                await self._begin(req, tx)
+            reply = await self._send_in_transaction(req, tx)
+            if reply.failure is None:
+                break
+            session.drop_transaction()
+            if not (first and self._exchange.is_retryable(req, None, reply)):
+                raise StatementFailed(
+                    reply.failure.code, reply.failure.text.decode("ascii", "replace")
+                )
+            # Nothing of the transaction has run yet: it may begin elsewhere.
+            session.transaction = tx = Transaction(tx.read_only, tx.arrived_s)
+            await self._exchange.pause(req)
+        if req.statement.verb is Verb.COMMIT:
+            return self._finish_transaction(req, tx, reply)
+        return replace(reply, state=session.state, position=None)
+
+    async def _begin(self, req: Request, tx: Transaction) -> None:
+        while True:
+            right = self._state.judge_read(req.route, tx.arrived_s, req.session.floor)
+            if tx.read_only:
+                loan = await self._borrowing.acquire_for_read(req, right)
+            else:
+                await self._borrowing.check_right(req, right)
+                loan = await self._borrowing.acquire(
+                    req, self._state.is_primary, needs_primary=True
+                )
+            if await self._begin_on(req, tx, loan, right):
+                return
+            await self._exchange.pause(req)
+
+    async def _begin_on(
+        self, req: Request, tx: Transaction, loan: Loan, right: ReadRight
+    ) -> bool:
+        floor = right.floor if tx.read_only else None
+        state, name = self._state, loan.pool.name
+        try:
+            synced = await self._exchange.sync(req, loan.conn)
+            if not synced or (floor is None and not state.is_primary(name)):
+                loan.release()
+                return False
+            revision, sent_at_s = state.record_revision, now_s()
+            message = self._codec.begin(tx.read_only, floor)
+            reply = await self._exchange.ask(req, loan, message)
+        except (InstanceLost, TimeoutError):
+            req.avoid.add(name)
+            loan.release()
+            return False
+        except asyncio.CancelledError:
+            loan.release()
+            raise
+        if reply.failure is not None:
+            loan.release()
+            if not self._exchange.is_retryable(req, loan, reply):
+                raise StatementFailed(Code.BUSY, "the transaction did not begin")
+            return False
+        if reply.position is not None:
+            state.note_position(name, revision, sent_at_s, reply.position)
+        tx.loan, tx.revision = loan, revision
+        return True
+
+    async def _send_in_transaction(self, req: Request, tx: Transaction) -> Reply:
+        conn = tx.loan.conn
+        commits = req.statement.verb is Verb.COMMIT
+        try:
+            if not await self._exchange.sync(req, conn, in_transaction=True):
+                raise StatementFailed(Code.ABORTED, "session values were refused")
+            tx.wrote = tx.wrote or req.writes
+            message = self._exchange.encode(req, conn, None)
+            if not (commits and tx.wrote):
+                return await self._exchange.ask(req, tx.loan, message)
+            with self._state.commit_under_way():
+                return await self._exchange.ask(req, tx.loan, message)
+        except (InstanceLost, TimeoutError) as exc:
+            self._end_broken(req, tx)
+            unknown = commits and tx.wrote
+            code = Code.UNKNOWN if unknown else Code.ABORTED
+            reason = str(exc) or f"no answer of {tx.loan.pool.name} in time"
+            raise StatementFailed(code, reason) from exc
+
+    def _end_broken(self, req: Request, tx: Transaction) -> None:
+        # A closed connection rolls back, which makes the promise true, unless
+        # its commit is under way.
+        if req.statement.verb is not Verb.COMMIT:
+            tx.loan.conn.close()
+        req.session.drop_transaction()
+
+    def _finish_transaction(self, req: Request, tx: Transaction, reply: Reply) -> Reply:
+        req.session.drop_transaction()
+        if tx.wrote:
+            return self._writes.finish_commit(req, tx.loan, reply, tx.revision)
+        return replace(reply, state=SessionState.IDLE, position=None)
--- a/src/wasabipitch/group/view.py
+++ b/src/wasabipitch/group/view.py
@@ -107,8 +107,10 @@
         """Note the primary's position in an answer.
 
         Args:
+            instance: that gave the answer.
             revision: of the group record when the statement was sent.
             sent_at_s: when it was sent.
+            position: of its log, by the answer.
         """
         if revision != self.record_revision or not self.is_primary(instance):
             return
--- a/src/wasabipitch/policy/rights.py
+++ b/src/wasabipitch/policy/rights.py
@@ -45,6 +45,7 @@
         Args:
             at_s: when the statement was sent whose answer gave the position,
                 and no later than the end of the right to the primary.
+            position: by the answer.
         """
         while self._samples and self._samples[0].at_s < at_s - SAMPLES_KEPT_S:
             self._samples.popleft()
@@ -94,6 +95,7 @@
         max_age_s: how old the data may be; 0 for not at all.
         covered_until_s: until when the host's primary is surely the only one.
         session_floor: the position of the session's last commit.
+        samples: the primary's positions over the last seconds.
     """
     needed_s = arrived_s - max_age_s
     if covered_until_s < needed_s:
--- a/src/wasabipitch/policy/waiting.py
+++ b/src/wasabipitch/policy/waiting.py
@@ -43,6 +43,7 @@
     """Return why a request is refused, or None if it may wait.
 
     Args:
+        line: of the requests that it would wait behind.
         left_s: the time that it has.
     """
     if left_s <= line.service_s:
--- a/tests/adapter/test_settings.py
+++ b/tests/adapter/test_settings.py
@@ -4,14 +4,14 @@
 import sys
 import tempfile
 import unittest
+from pathlib import Path
 
 from adapter import settings
 from adapter.listener import listen_for_callers
+from tests.adapter import PLATFORM
 from wasabipitch.exceptions import SettingsError
 from wasabipitch.models import Address
 
-from tests.adapter import PLATFORM
-
 FIELDS = {
     "Node": "front-rome-1",
     "Zone": "rome",
@@ -30,11 +30,10 @@
 
 class SettingsTest(unittest.TestCase):
     def write(self, text):
-        file = tempfile.NamedTemporaryFile("w", suffix=".json", delete=False)
-        self.addCleanup(os.unlink, file.name)
-        with file:
-            file.write(text)
-        return file.name
+        folder = self.enterContext(tempfile.TemporaryDirectory())
+        path = Path(folder) / "settings.json"
+        path.write_text(text, encoding="utf-8")
+        return str(path)
 
     def test_fields_are_decoded(self):
         cfg = settings.load(self.write(json.dumps(FIELDS)))
--- a/tests/adapter/test_store.py
+++ b/tests/adapter/test_store.py
@@ -46,10 +46,8 @@
                     break
                 status, fields = answer
                 data = json.dumps(fields).encode()
-                writer.write(
-                    f"HTTP/1.1 {status} X\r\nContent-Length: {len(data)}\r\n\r\n".encode()
-                    + data
-                )
+                head = f"HTTP/1.1 {status} X\r\nContent-Length: {len(data)}\r\n\r\n"
+                writer.write(head.encode() + data)
         writer.close()
 
 
--- a/tests/adapter/test_wire.py
+++ b/tests/adapter/test_wire.py
@@ -41,7 +41,14 @@
         self.assertEqual((execute.name, execute.arguments), (b"s1", b"1a4 xkq wn"))
 
     def test_other_lines_are_refused(self):
-        lines = [b"", b"\x00\xff", b"QUERY 5c", b"QUERY 5c READ", b"STARTUP", b"HELLO a"]
+        lines = [
+            b"",
+            b"\x00\xff",
+            b"QUERY 5c",
+            b"QUERY 5c READ",
+            b"STARTUP",
+            b"HELLO a",
+        ]
         for line in lines:
             with self.subTest(line=line), self.assertRaises(MalformedMessage):
                 self.codec.decode(line)
--- a/tests/wasabipitch/gateway_fixture.py
+++ b/tests/wasabipitch/gateway_fixture.py
@@ -5,6 +5,9 @@
 import json
 import socket
 
+from standins.line_group import HOST, LineGroup
+from standins.memory_store import MemoryStore
+from tests.adapter import PLATFORM  # noqa: F401 (puts the adapter on the path)
 from wasabipitch.coordination.documents import (
     Configuration,
     Consistency,
@@ -15,9 +18,6 @@
 from wasabipitch.gateway import Adapters, Gateway, GatewaySettings
 from wasabipitch.models import Address
 
-from standins.line_group import HOST, LineGroup
-from standins.memory_store import MemoryStore
-from tests.adapter import PLATFORM  # noqa: F401 (puts the adapter on the path)
 from adapter.wire import LineCallerCodec, LineInstanceCodec  # isort: skip
 
 GROUP = "ledger"
@@ -195,8 +195,7 @@
             gateway.presence.registered_since_s = -1000.0
 
     def state(self, host="host-0"):
-        group = self.hosts[host].groups.get(GROUP)
-        return group.state if group else _NOTHING
+        return self.hosts[host].groups.find_state(GROUP) or _NOTHING
 
     async def connect(self, database, host="host-0"):
         caller, greeting = await Caller.connect(self.ports[host], database)
--- a/tests/wasabipitch/policy/test_succession.py
+++ b/tests/wasabipitch/policy/test_succession.py
@@ -53,7 +53,9 @@
 
     def test_a_silent_replica_may_hold_what_a_silent_host_saw(self):
         found = candidates(a=7)
-        self.assertIsNone(choose_successor(found, ["b"], Position(1, 7), False).instance)
+        self.assertIsNone(
+            choose_successor(found, ["b"], Position(1, 7), False).instance
+        )
         choice = choose_successor(found, ["b"], Position(1, 7), True)
         self.assertEqual(choice.instance, "a")
 
--- a/tests/wasabipitch/test_gateway.py
+++ b/tests/wasabipitch/test_gateway.py
@@ -333,7 +333,9 @@
         self.assertEqual((await second.ask("READ job"))[0], "ROW a")
 
     async def test_connections_stay_within_the_limit(self):
-        callers = [(await self.fleet.connect(BOUNDED_DB, h))[0] for h in self.fleet.hosts]
+        callers = [
+            (await self.fleet.connect(BOUNDED_DB, h))[0] for h in self.fleet.hosts
+        ]
         await asyncio.gather(*(c.ask("READ job") for c in callers for _ in range(1)))
         for instance in self.fleet.group.instances.values():
             self.assertLessEqual(len(instance._writers), 5)
