--- a/src/wasabipitch/group/exchange.py
+++ b/src/wasabipitch/group/exchange.py
@@ -89,6 +89,7 @@
             reply = await asyncio.shield(fut)
         pool = loan.pool
         pool.note_answer()
+        pool.failures.add(reply.code is Code.FAILED, now_s())
         if reply.failure is None and req.statement.verb is not Verb.COMMIT:
             taken_s = now_s() - sent_at_s
             ratio = self._dispatcher.times.add(req.kind, taken_s)
--- a/src/wasabipitch/group/keeper.py
+++ b/src/wasabipitch/group/keeper.py
@@ -156,6 +156,8 @@
             return DoubtRecord(state.record_revision, False, "unreachable")
         if _is_older(pool.silent_since_s, at_s, SILENT_S):
             return DoubtRecord(state.record_revision, False, "silent")
+        if pool.failures.is_high(at_s):
+            return DoubtRecord(state.record_revision, False, "fails part of its work")
         if _is_older(state.oldest_commit_s, at_s, HANGING_S):
             return DoubtRecord(state.record_revision, False, "commits hang")
         return None
--- a/src/wasabipitch/group/reads.py
+++ b/src/wasabipitch/group/reads.py
@@ -16,6 +16,9 @@
 from wasabipitch.policy.rights import ReadRight
 from wasabipitch.wire.messages import Code, Reply, SessionState
 
+# A read that fails on several instances fails by itself.
+MAX_FAILED_TRIES = 2
+
 
 class ReadRunner:
     """Runs single reads of any session on one group."""
@@ -134,6 +137,10 @@
             state.note_position(name, revision, sent_at_s, reply.position)
         if self._exchange.is_retryable(req, loan, reply):
             return None
+        if reply.code is Code.FAILED and req.tries < MAX_FAILED_TRIES:
+            # A read that ran and failed does no harm when it runs again.
+            req.avoid.add(name)
+            return None
         loan.pool.lagging.note_current()
         return replace(reply, state=SessionState.IDLE, position=None)
 
--- a/src/wasabipitch/instances/dispatcher.py
+++ b/src/wasabipitch/instances/dispatcher.py
@@ -171,6 +171,7 @@
             running=pool.lent,
             slots=pool.entry.slots,
             slowness=pool.slowness.read(at_s),
+            failures=pool.failures.read(at_s),
         )
 
     def _open_for(self, need: Need) -> None:
--- a/src/wasabipitch/instances/pool.py
+++ b/src/wasabipitch/instances/pool.py
@@ -16,7 +16,7 @@
 )
 from wasabipitch.instances.connection import InstanceConnection, connect
 from wasabipitch.operations.decisions import DecisionLog
-from wasabipitch.policy.placement import LaggingBackoff, Slowness
+from wasabipitch.policy.placement import FailureShare, LaggingBackoff, Slowness
 from wasabipitch.wire.codecs import InstanceCodec
 from wasabipitch.wire.messages import SessionState
 
@@ -56,6 +56,7 @@
         self.borrow_limit = 1
         self.slowness = Slowness()
         self.lagging = LaggingBackoff()
+        self.failures = FailureShare()
         self.refused_at_s: float | None = None
         self.failing_since_s: float | None = None
         self.answered_at_s = 0.0
--- a/src/wasabipitch/policy/placement.py
+++ b/src/wasabipitch/policy/placement.py
@@ -17,6 +17,11 @@
 FAR_S = 0.0015
 # The primary has work that nobody else can do.
 PRIMARY_FACTOR = 1.25
+FAILURE_WEIGHT = 0.1
+FAILURE_COST = 10.0
+MIN_OUTCOMES = 12
+# Of a primary's statements; below it a replacement costs callers more.
+MAX_FAILURE_SHARE = 0.25
 LAGGING_MIN_S = 0.1
 LAGGING_MAX_S = 1.0
 FIRST_SERVICE_S = 0.012
@@ -30,6 +35,7 @@
         running: statements of this host that run or wait there.
         slots: that it runs at once.
         slowness: its service times against those of the group, 1 for alike.
+        failures: the share of its statements that failed lately.
     """
 
     name: str
@@ -38,12 +44,14 @@
     running: int
     slots: int
     slowness: float
+    failures: float = 0.0
 
 
 def expected_s(load: Load, service_s: float) -> float:
     """Return when a statement sent there now is expected to be answered."""
     rounds = 1.0 + load.running / max(1, load.slots)
-    expected = service_s * load.slowness * rounds
+    # A statement that fails is sent again elsewhere, and is late by then.
+    expected = service_s * load.slowness * rounds * (1 + FAILURE_COST * load.failures)
     if load.is_primary:
         expected *= PRIMARY_FACTOR
     return expected if load.near else expected + FAR_S
@@ -74,6 +82,36 @@
         self._at_s = at_s
 
 
+class FailureShare:
+    """Which share of an instance's statements failed lately.
+
+    Answers an instance that fails part of its work while its health check is
+    good: reads go elsewhere, and a primary that does so is replaced.
+    """
+
+    def __init__(self) -> None:
+        self._share = 0.0
+        self._count = 0
+        self._at_s = 0.0
+
+    def read(self, at_s: float) -> float:
+        """Return the share, as far as it is still remembered."""
+        age_s = max(0.0, at_s - self._at_s)
+        return self._share * math.exp(-age_s / FORGET_S)
+
+    def add(self, failed: bool, at_s: float) -> None:
+        """Add the outcome of a statement."""
+        known = self.read(at_s)
+        self._share = known + FAILURE_WEIGHT * (failed - known)
+        self._count += 1
+        self._at_s = at_s
+
+    def is_high(self, at_s: float) -> bool:
+        """Return whether the instance fails too much to be left as it is."""
+        enough = self._count >= MIN_OUTCOMES
+        return enough and self.read(at_s) > MAX_FAILURE_SHARE
+
+
 class ServiceTimes:
     """Mean service times of a group, by kind of statement."""
 
--- a/tests/wasabipitch/policy/test_placement.py
+++ b/tests/wasabipitch/policy/test_placement.py
@@ -2,6 +2,7 @@
 
 from wasabipitch.policy.placement import (
     FORGET_S,
+    FailureShare,
     LaggingBackoff,
     Load,
     ServiceTimes,
@@ -28,6 +29,25 @@
         self.assertIsNone(choose([], 0.012))
 
 
+class FailureShareTest(unittest.TestCase):
+    def test_an_instance_that_fails_part_of_its_work_is_noticed(self):
+        share = FailureShare()
+        for n in range(30):
+            share.add(n % 2 == 0, n * 0.01)
+        self.assertTrue(share.is_high(0.3))
+        self.assertFalse(share.is_high(0.3 + 3 * FORGET_S))
+
+    def test_a_single_failure_is_no_habit(self):
+        share = FailureShare()
+        for n in range(30):
+            share.add(n == 29, n * 0.01)
+        self.assertFalse(share.is_high(0.3))
+
+    def test_reads_go_elsewhere(self):
+        failing = Load("failing", True, False, 0, 2, 1.0, failures=0.4)
+        self.assertEqual(choose([failing, load("a", running=2)], 0.012).name, "a")
+
+
 class SlownessTest(unittest.TestCase):
     def test_it_is_learnt_and_forgotten(self):
         slowness = Slowness()
