Serve counters, latency histograms and gauges as Prometheus reads them

Cause: on-call engineers have only logs and metrics. Series are bounded, and the library that renders is imported when they are first fetched.

--- a/src/wasabipitch/front/server.py
+++ b/src/wasabipitch/front/server.py
@@ -12,6 +12,7 @@
 from wasabipitch.front.sessions import CallerSession
 from wasabipitch.group.session import SessionContext
 from wasabipitch.operations.decisions import DecisionLog
+from wasabipitch.operations.measures import Measures
 from wasabipitch.wire.codecs import CallerCodec
 from wasabipitch.wire.lines import LineStream
 from wasabipitch.wire.messages import (
@@ -56,7 +57,9 @@
         decisions: DecisionLog,
         read_configuration: Callable[[], Configuration | None],
         find_runner: Callable[[str], Runner | None],
+        measures: Measures,
     ) -> None:
+        self._measures = measures
         self.sessions: set[CallerSession] = set()
         self._codec = codec
         self._decisions = decisions
@@ -142,6 +145,7 @@
             startup,
             self._read_configuration,
             self._find_runner,
+            self._measures,
         )
         self.sessions.add(session)
         try:
@@ -162,6 +166,7 @@
         configuration: Configuration | None,
     ) -> None:
         code = Code.BUSY if configuration is None else Code.NO_DATABASE
+        self._measures.count("sessions_refused", reason=code.value)
         self._decisions.request(
             "session refused",
             database=startup.database,
--- a/src/wasabipitch/front/sessions.py
+++ b/src/wasabipitch/front/sessions.py
@@ -9,6 +9,7 @@
 from wasabipitch.coordination.documents import Configuration, Route
 from wasabipitch.exceptions import MalformedMessage
 from wasabipitch.group.session import SessionContext, Transaction
+from wasabipitch.operations.measures import Measures
 from wasabipitch.wire.codecs import CallerCodec
 from wasabipitch.wire.lines import LineStream
 from wasabipitch.wire.messages import (
@@ -43,7 +44,9 @@
         startup: Startup,
         read_configuration: Callable[[], Configuration | None],
         find_runner: Callable[[str], Any],
+        measures: Measures,
     ) -> None:
+        self._measures = measures
         self._stream = stream
         self._codec = codec
         self._read_configuration = read_configuration
@@ -122,10 +125,23 @@
             return False
         reply = await self._run(message, arrived_s)
         if reply is None:
+            self._measures.count("statements_abandoned", verb=message.verb.value)
             return False
+        self._measure(message, reply, now_s() - arrived_s)
         self._stream.write(self._codec.encode_reply(reply))
         return True
 
+    def _measure(self, statement: Statement, reply: Reply, seconds: float) -> None:
+        route = self._route
+        self._measures.observe(
+            "statement_seconds",
+            seconds,
+            kind=route.consistency.value if route else "",
+            verb=statement.verb.value,
+            group=route.group if route else "",
+            outcome=reply.code.value if reply.code else "ok",
+        )
+
     async def _run(self, statement: Statement, arrived_s: float) -> Reply | None:
         """Return the answer, or None if the caller left before it came."""
         context = self._context
--- a/src/wasabipitch/gateway.py
+++ b/src/wasabipitch/gateway.py
@@ -43,7 +43,8 @@
 from wasabipitch.models import Address, Host
 from wasabipitch.operations.decisions import DecisionLog
 from wasabipitch.operations.logwriter import LogWriter
-from wasabipitch.operations.statusserver import make_status_server
+from wasabipitch.operations.measures import Gauge, Measures
+from wasabipitch.operations.statusserver import make_metrics_server, make_status_server
 from wasabipitch.wire.codecs import CallerCodec, InstanceCodec
 
 # Up to so many hosts changes are rare, and each is taken at once.
@@ -73,6 +74,7 @@
     Args:
         host: its name.
         checks: where it answers health checks.
+        metrics: where it serves its metrics, or None.
         links: where it accepts links from its peers.
         seeds: where some peers accept links; they may be down.
         store: where the store listens.
@@ -83,6 +85,7 @@
     host: str
     data_centre: str
     checks: Address
+    metrics: Address | None
     links: Address
     seeds: tuple[Address, ...]
     store: Address
@@ -110,7 +113,8 @@
         self._cfg = cfg
         self._adapters = adapters
         self._writer = writer
-        self.decisions = DecisionLog(cfg.host, writer)
+        self.measures = Measures(self._read_gauges)
+        self.decisions = DecisionLog(cfg.host, writer, self.measures)
         incarnation = f"{cfg.host}.{secrets.token_hex(4)}"
         record = HostRecord(cfg.host, cfg.data_centre, incarnation, str(cfg.links))
         clock = Clock()
@@ -168,8 +172,11 @@
             self.decisions,
             lambda: self._directory.configuration,
             self.groups.find_runner,
+            self.measures,
         )
         self._checks = make_status_server(self._is_ready)
+        self._metrics = make_metrics_server(self.measures.render)
+        self._loop_delay_s = 0.0
         self._stopping = False
         self._stack = contextlib.AsyncExitStack()
 
@@ -188,6 +195,9 @@
             self._run_task(self._writer.run())
         await self._checks.start(self._cfg.checks)
         self._stack.push_async_callback(self._checks.close)
+        if self._cfg.metrics is not None:
+            await self._metrics.start(self._cfg.metrics)
+            self._stack.push_async_callback(self._metrics.close)
         await self._link_server.start(self._cfg.links)
         self._stack.push_async_callback(self._link_server.close)
         self._stack.push_async_callback(self.links.close)
@@ -247,7 +257,9 @@
         while True:
             self._directory.drop_missing()
             await self._prune_names()
+            started_s = now_s()
             await asyncio.sleep(HOUSEKEEPING_S)
+            self._loop_delay_s = max(0.0, now_s() - started_s - HOUSEKEEPING_S)
 
     async def _prune_names(self) -> None:
         keys = self._roster.find_gone_names()
@@ -285,6 +297,16 @@
                 return Done()
         raise LinkError(f"unexpected message {type(exchange.message).__name__}")
 
+    def _read_gauges(self) -> list[Gauge]:
+        confirmed_s = now_s() - self._mirror.confirmed_at_s
+        return [
+            Gauge("sessions", (), len(self._server.sessions)),
+            Gauge("hosts", (), len(self._roster.hosts)),
+            Gauge("loop_delay_seconds", (), self._loop_delay_s),
+            Gauge("records_confirmed_age_seconds", (), confirmed_s),
+            *self.groups.read_gauges(),
+        ]
+
     def _is_ready(self) -> bool:
         if self._stopping or self._directory.configuration is None:
             return False
--- a/src/wasabipitch/group/assembly.py
+++ b/src/wasabipitch/group/assembly.py
@@ -25,6 +25,7 @@
 from wasabipitch.linkbook import LinkBook
 from wasabipitch.models import Host
 from wasabipitch.operations.decisions import DecisionLog
+from wasabipitch.operations.measures import Gauge
 from wasabipitch.policy.ownership import (
     choose_owners,
     count_owners,
@@ -90,6 +91,23 @@
         found = self._groups.get(name)
         return found.state if found else None
 
+    def read_gauges(self) -> list[Gauge]:
+        """Return each group's present values."""
+        gauges = []
+        for name, group in self._groups.items():
+            state, labels = group.state, (("group", name),)
+            owner = self._host.name in state.owners
+            term = state.record.term if state.record else 0
+            gauges += [
+                Gauge("group_owner", labels, owner),
+                Gauge("group_term", labels, term),
+                Gauge("group_changing", labels, state.is_changing),
+                Gauge("requests_waiting", labels, group.dispatcher.waiting),
+                Gauge("commits_under_way", labels, state.commits_under_way),
+            ]
+            gauges += group.dispatcher.read_gauges(name)
+        return gauges
+
     def close(self) -> None:
         """Stop looking after the groups and close all connections."""
         for group in self._groups.values():
--- a/src/wasabipitch/instances/dispatcher.py
+++ b/src/wasabipitch/instances/dispatcher.py
@@ -11,6 +11,7 @@
 from wasabipitch.instances.connection import InstanceConnection
 from wasabipitch.instances.pool import RESTING_CONNECTIONS, InstancePool
 from wasabipitch.operations.decisions import DecisionLog
+from wasabipitch.operations.measures import Gauge
 from wasabipitch.policy import placement, waiting
 from wasabipitch.policy.placement import ServiceTimes
 from wasabipitch.wire.codecs import InstanceCodec
@@ -103,6 +104,25 @@
             pool.borrow_limit = part + BORROWED if part else 0
         self.dispatch()
 
+    @property
+    def waiting(self) -> int:
+        """How many requests wait for a connection."""
+        return len(self._waiting)
+
+    def read_gauges(self, group: str) -> list[Gauge]:
+        """Return the present values of each instance."""
+        gauges, at_s = [], now_s()
+        for name, pool in self.pools.items():
+            labels = (("group", group), ("instance", name))
+            gauges += [
+                Gauge("instance_connections", labels, pool.open),
+                Gauge("instance_connections_used", labels, pool.lent),
+                Gauge("instance_slowness", labels, pool.slowness.read(at_s)),
+                Gauge("instance_failure_share", labels, pool.failures.read(at_s)),
+                Gauge("instance_lagging", labels, pool.lagging.is_off(at_s)),
+            ]
+        return gauges
+
     def keep_open(self) -> None:
         """Hold a few connections to each instance, and close what is idle."""
         for pool in self.pools.values():
--- a/src/wasabipitch/operations/decisions.py
+++ b/src/wasabipitch/operations/decisions.py
@@ -7,6 +7,7 @@
 
 from wasabipitch.clock import now_s
 from wasabipitch.operations.logwriter import LogWriter
+from wasabipitch.operations.measures import Measures
 
 # Of the routine decisions, one in this many is logged.
 ROUTINE_SAMPLE = 50
@@ -31,9 +32,16 @@
     Args:
         host: added to each line.
         writer: takes the lines; None keeps them out, for tests.
+        measures: counts the events, also those that are not logged.
     """
 
-    def __init__(self, host: str, writer: LogWriter | None = None) -> None:
+    def __init__(
+        self,
+        host: str,
+        writer: LogWriter | None = None,
+        measures: Measures | None = None,
+    ) -> None:
+        self._measures = measures or Measures()
         self._logger = logging.Logger(f"wasabipitch.{host}", logging.DEBUG)
         self._routine_count = 0
         self._reported: dict[str, int] = {}
@@ -58,15 +66,18 @@
 
     def belief(self, event: str, **fields: Any) -> None:
         """Log a change of what the process believes, or of its life."""
+        self._measures.count("decisions", event=event)
         self._log(logging.WARNING, event, fields)
         self._report_dropped()
 
     def request(self, event: str, **fields: Any) -> None:
         """Log a decision on a request that its caller will notice."""
+        self._measures.count("decisions", event=event)
         self._log(logging.INFO, event, fields)
 
     def routine(self, event: str, **fields: Any) -> None:
         """Log a sample of the decisions on requests that go well."""
+        self._measures.count("decisions", event=event)
         self._routine_count += 1
         if self._routine_count % ROUTINE_SAMPLE == 0:
             self._log(logging.DEBUG, event, fields)
--- /dev/null
+++ b/src/wasabipitch/operations/measures.py
@@ -0,0 +1,129 @@
+"""Counters and latency histograms, rendered for whoever fetches them.
+
+Counting is a dictionary entry; the library that renders is imported when the
+metrics are first fetched, since a host that starts has no time for it.
+"""
+
+from bisect import bisect_left
+from collections import Counter
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass
+
+PREFIX = "wasabipitch_"
+# Upper ends of the buckets in seconds, from a round trip to a time limit.
+BUCKETS_S = (0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.4, 0.8, 1.6, 3.2)
+# Series kept of one name: unknown databases must not fill the memory.
+MAX_SERIES = 500
+
+Labels = tuple[tuple[str, str], ...]
+
+
+@dataclass(frozen=True, slots=True)
+class Gauge:
+    """A value as it is when the metrics are fetched."""
+
+    name: str
+    labels: Labels
+    value: float
+
+
+class _Histogram:
+    def __init__(self) -> None:
+        self.counts = [0] * (len(BUCKETS_S) + 1)
+        self.total_s = 0.0
+
+    def add(self, seconds: float) -> None:
+        self.counts[bisect_left(BUCKETS_S, seconds)] += 1
+        self.total_s += seconds
+
+    def cumulate(self) -> list[tuple[str, int]]:
+        """Return each bucket's upper end and the count at or below it."""
+        names = [*map(str, BUCKETS_S), "+Inf"]
+        total = 0
+        buckets = []
+        for name, count in zip(names, self.counts, strict=True):
+            total += count
+            buckets.append((name, total))
+        return buckets
+
+
+class Measures:
+    """What a host has counted since its start.
+
+    Args:
+        read_gauges: returns the present values of what goes up and down.
+    """
+
+    def __init__(self, read_gauges: Callable[[], Iterable[Gauge]] = tuple) -> None:
+        self.read_gauges = read_gauges
+        self.counters: dict[str, Counter[Labels]] = {}
+        self._histograms: dict[str, dict[Labels, _Histogram]] = {}
+
+    def count(self, name: str, **labels: str) -> None:
+        """Add one to a counter."""
+        series = self.counters.setdefault(name, Counter())
+        key = _sort(labels)
+        if key in series or len(series) < MAX_SERIES:
+            series[key] += 1
+
+    def observe(self, name: str, seconds: float, **labels: str) -> None:
+        """Add a duration to a histogram."""
+        series = self._histograms.setdefault(name, {})
+        key = _sort(labels)
+        if key not in series:
+            if len(series) >= MAX_SERIES:
+                return
+            series[key] = _Histogram()
+        series[key].add(seconds)
+
+    def render(self) -> bytes:
+        """Return everything in the text format of Prometheus."""
+        from prometheus_client import CollectorRegistry, generate_latest
+
+        registry = CollectorRegistry(auto_describe=False)
+        registry.register(self)
+        return generate_latest(registry)
+
+    def collect(self):
+        """Yield the metric families, as a collector of the library does."""
+        from prometheus_client.core import (
+            CounterMetricFamily,
+            GaugeMetricFamily,
+            HistogramMetricFamily,
+        )
+
+        for name, series in self.counters.items():
+            family = CounterMetricFamily(PREFIX + name, name, labels=_names(series))
+            for labels, value in series.items():
+                family.add_metric(_values(labels), value)
+            yield family
+        for name, histograms in self._histograms.items():
+            family = HistogramMetricFamily(
+                PREFIX + name, name, labels=_names(histograms)
+            )
+            for labels, histogram in histograms.items():
+                buckets = histogram.cumulate()
+                family.add_metric(_values(labels), buckets, histogram.total_s)
+            yield family
+        gauges: dict[str, list[Gauge]] = {}
+        for gauge in self.read_gauges():
+            gauges.setdefault(gauge.name, []).append(gauge)
+        for name, members in gauges.items():
+            labels = _names([members[0].labels])
+            family = GaugeMetricFamily(PREFIX + name, name, labels=labels)
+            for gauge in members:
+                family.add_metric(_values(gauge.labels), gauge.value)
+            yield family
+
+
+def _sort(labels: dict[str, str]) -> Labels:
+    return tuple(sorted(labels.items()))
+
+
+def _names(series: Iterable[Labels]) -> list[str]:
+    first = next(iter(series), ())
+    return [name for name, _ in first]
+
+
+def _values(labels: Labels) -> list[str]:
+    return [value for _, value in labels]
--- a/src/wasabipitch/operations/statusserver.py
+++ b/src/wasabipitch/operations/statusserver.py
@@ -1,16 +1,28 @@
-"""Answers health checks."""
+"""Answers health checks and serves the metrics."""
 
 from collections.abc import Callable
 
 from wasabipitch.http.client import Response
 from wasabipitch.http.server import HttpServer
 
+METRICS_PATH = "/metrics"
 READY_PATH = "/readyz"
 HTTP_OK = 200
 HTTP_NOT_FOUND = 404
 HTTP_UNAVAILABLE = 503
 
 
+def make_metrics_server(render: Callable[[], bytes]) -> HttpServer:
+    """Return a server of the metrics, as text."""
+
+    def answer(path: str) -> Response:
+        if path.partition("?")[0] != METRICS_PATH:
+            return Response(HTTP_NOT_FOUND, b"")
+        return Response(HTTP_OK, render())
+
+    return HttpServer(answer)
+
+
 def make_status_server(is_ready: Callable[[], bool]) -> HttpServer:
     """Return a server that says whether the host takes new callers."""
 
--- a/tests/adapter/test_settings.py
+++ b/tests/adapter/test_settings.py
@@ -14,6 +14,7 @@
 
 FIELDS = {
     "Node": "front-rome-1",
+    "Ip": "127.0.0.1",
     "Zone": "rome",
     "Listen": {
         "Front": "127.0.0.1:0",
--- a/tests/wasabipitch/gateway_fixture.py
+++ b/tests/wasabipitch/gateway_fixture.py
@@ -155,6 +155,7 @@
             host=name,
             data_centre="rome",
             checks=Address(HOST, _free_port()),
+            metrics=None,
             links=Address(HOST, _free_port()),
             seeds=(),
             store=Address(HOST, 1),
