--- /dev/null
+++ b/tests/wasabipitch/coordination/test_agreement.py
@@ -0,0 +1,68 @@
+import unittest
+
+from tests.wasabipitch.coordination.peers_fixture import run_peers
+from wasabipitch.clock import now_s
+from wasabipitch.coordination.agreement import EXTENSION_S, RecordAgreement
+from wasabipitch.messages import AskAgreement, AskHead
+
+
+class AgreementTest(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self):
+        self.heads = {"a": 7, "b": 7, "c": 7}
+        self.silent = set()
+        self.confirmed_s = dict.fromkeys(self.heads, now_s())
+        self.agreements = {}
+        peers = run_peers({name: self.make_handler(name) for name in self.heads})
+        self.peers = await self.enterAsyncContext(peers)
+        for name, peer in self.peers.items():
+            others = [p.host for other, p in self.peers.items() if other != name]
+            self.agreements[name] = RecordAgreement(
+                peer.host,
+                peer.links,
+                lambda others=others: list(others),
+                lambda name=name: self.heads[name],
+                lambda name=name: self.confirmed_s[name],
+            )
+
+    def make_handler(self, name):
+        async def handle(exchange):
+            if name in self.silent:
+                return None
+            match exchange.message:
+                case AskHead():
+                    return self.agreements[name].answer_head()
+                case AskAgreement() as ask:
+                    return await self.agreements[name].answer(ask)
+
+        return handle
+
+    async def test_hosts_that_know_the_same_confirm_it(self):
+        before_s = now_s()
+        for name in self.heads:
+            confirmed_s = await self.agreements[name].confirm()
+            self.assertIsNotNone(confirmed_s)
+            self.assertLessEqual(confirmed_s, now_s())
+            self.assertGreater(confirmed_s, before_s - 1)
+
+    async def test_one_that_has_seen_a_newer_record_stops_all(self):
+        self.heads["c"] = 8
+        for name in ("a", "b"):
+            self.assertIsNone(await self.agreements[name].confirm())
+
+    async def test_one_that_is_silent_stops_all(self):
+        self.silent.add("c")
+        self.assertIsNone(await self.agreements["a"].confirm())
+        self.assertIsNone(await self.agreements["b"].confirm())
+
+    async def test_one_that_knows_less_is_not_confirmed_itself(self):
+        self.heads["b"] = 6
+        self.assertIsNotNone(await self.agreements["a"].confirm())
+        self.assertIsNone(await self.agreements["b"].confirm())
+
+    async def test_one_that_does_not_run_is_left_out(self):
+        await self.peers["c"].server.close()
+        self.assertIsNotNone(await self.agreements["a"].confirm())
+
+    async def test_a_collector_long_without_the_store_counts_on_nobody(self):
+        self.confirmed_s["a"] = now_s() - EXTENSION_S - 1
+        self.assertIsNone(await self.agreements["b"].confirm())
--- /dev/null
+++ b/tests/wasabipitch/coordination/test_mirror.py
@@ -0,0 +1,79 @@
+import asyncio
+import unittest
+from unittest.mock import patch
+
+from standins.memory_store import MemoryStore
+from wasabipitch import tasks
+from wasabipitch.coordination.documents import HEAD_KEY
+from wasabipitch.coordination.mirror import StoreMirror
+from wasabipitch.operations.decisions import DecisionLog
+
+
+class MirrorTest(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self):
+        self.store = MemoryStore()
+        self.store.put("a", b"1")
+        self.mirror = StoreMirror(self.store, DecisionLog("host"))
+        self.changes = []
+        self.mirror.subscribe(lambda key, item: self.changes.append((key, item)))
+        task = tasks.spawn(self.mirror.run(), "mirror")
+        self.addAsyncCleanup(tasks.cancel, task)
+        await self.mirror.loaded.wait()
+
+    async def settle(self):
+        for _ in range(20):
+            await asyncio.sleep(0.01)
+
+    async def test_changes_and_removals_arrive(self):
+        self.store.put("a", b"2")
+        self.store.remove("a")
+        await self.settle()
+        self.assertEqual(
+            [item and item.value for _, item in self.changes][-2:], [b"2", None]
+        )
+        self.assertNotIn("a", self.mirror.items)
+
+    async def test_lost_history_means_reading_all_anew(self):
+        self.store.deaf = True
+        self.store.remove("a")
+        self.store.put("b", b"1")
+        self.store.forget_history()
+        self.store.deaf = False
+        self.store.put("c", b"1")
+        await self.settle()
+        self.assertEqual(set(self.mirror.items), {"b", "c"})
+
+    async def test_a_check_confirms_as_of_when_it_was_sent(self):
+        with patch("wasabipitch.coordination.mirror.now_s", return_value=500.0):
+            self.assertTrue(await self.mirror.check())
+        self.assertEqual(self.mirror.confirmed_at_s, 500.0)
+
+    async def test_a_newer_head_that_the_watch_misses_is_read_at_once(self):
+        self.store.deaf = True
+        await self.store.commit({}, {HEAD_KEY: b"", "wasabipitch/groups/g": b"r"})
+        self.assertTrue(await self.mirror.check())
+        self.assertEqual(self.mirror.items["wasabipitch/groups/g"].value, b"r")
+
+    async def test_an_outage_confirms_nothing(self):
+        self.store.down = True
+        self.assertFalse(await self.mirror.check())
+        self.assertEqual(self.mirror.confirmed_at_s, 0.0)
+
+    async def test_the_hosts_word_takes_the_stores_place(self):
+        self.store.down = True
+
+        async def confirm():
+            return 123.0
+
+        self.mirror.confirm_among_hosts = confirm
+        self.assertTrue(await self.mirror.check())
+        self.assertEqual(self.mirror.confirmed_at_s, 123.0)
+        self.assertEqual(self.mirror.store_confirmed_at_s, 0.0)
+
+    async def test_a_cancelled_mirror_ends(self):
+        mirror = StoreMirror(self.store, DecisionLog("host"))
+        task = tasks.spawn(mirror.run(), "mirror")
+        await mirror.loaded.wait()
+        async with asyncio.timeout(2):
+            await tasks.cancel(task)
+        self.assertTrue(task.cancelled())
--- /dev/null
+++ b/tests/wasabipitch/http/test_client.py
@@ -0,0 +1,66 @@
+import asyncio
+import unittest
+
+from wasabipitch.exceptions import HttpError
+from wasabipitch.http.client import ConnectError, HttpClient, Response
+from wasabipitch.http.server import HttpServer
+from wasabipitch.models import Address
+from wasabipitch.operations.statusserver import make_status_server
+
+
+class HttpTest(unittest.IsolatedAsyncioTestCase):
+    async def serve(self, server):
+        await server.start(Address("127.0.0.1", 0))
+        self.addAsyncCleanup(server.close)
+        return self.client(server._server.sockets[0].getsockname()[1])
+
+    def client(self, port):
+        client = HttpClient(Address("127.0.0.1", port))
+        self.addAsyncCleanup(client.close)
+        return client
+
+    async def test_a_connection_serves_many_requests(self):
+        paths = []
+
+        def answer(path):
+            paths.append(path)
+            return Response(200, b"x" * 100_000)
+
+        client = await self.serve(HttpServer(answer))
+        for n in range(3):
+            response = await client.request("GET", "/a", 1.0, params={"n": str(n)})
+            self.assertEqual(len(response.body), 100_000)
+        self.assertEqual(paths, ["/a?n=0", "/a?n=1", "/a?n=2"])
+        self.assertEqual(len(client._idle), 1)
+
+    async def test_health(self):
+        ready = [True]
+        client = await self.serve(make_status_server(lambda: ready[0]))
+        statuses = [(await client.request("GET", "/readyz", 1.0)).status]
+        ready[0] = False
+        statuses.append((await client.request("GET", "/readyz", 1.0)).status)
+        statuses.append((await client.request("GET", "/else", 1.0)).status)
+        self.assertEqual(statuses, [200, 503, 404])
+
+    async def test_silence_garbage_and_an_early_end(self):
+        async def misbehave(reader, writer):
+            line = await reader.readline()
+            if b"garbage" in line:
+                writer.write(b"\x00\x01 what\r\n\r\n")
+            if b"short" in line:
+                writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 50\r\n\r\nabc")
+            if b"silent" in line:
+                await asyncio.sleep(1)
+            writer.close()
+
+        server = await asyncio.start_server(misbehave, "127.0.0.1", 0)
+        self.addCleanup(server.close)
+        client = self.client(server.sockets[0].getsockname()[1])
+        for path in ("/garbage", "/short", "/silent"):
+            with self.subTest(path=path), self.assertRaises(HttpError):
+                await client.request("GET", path, 0.2)
+        self.assertEqual(client._idle, [])
+
+    async def test_nobody_listens(self):
+        with self.assertRaises(ConnectError):
+            await self.client(1).request("GET", "/", 1.0)
