--- a/src/wasabipitch/group/exchange.py
+++ b/src/wasabipitch/group/exchange.py
@@ -90,6 +90,8 @@
         pool = loan.pool
         pool.note_answer()
         pool.failures.add(reply.code is Code.FAILED, now_s())
+        if reply.failure is None:
+            pool.window.note_answer()
         if reply.failure is None and req.statement.verb is not Verb.COMMIT:
             taken_s = now_s() - sent_at_s
             ratio = self._dispatcher.times.add(req.kind, taken_s)
@@ -111,6 +113,8 @@
             loan.pool.lagging.note_lagging(now_s())
         if code in (Code.LAGGING, Code.BUSY):
             req.avoid.add(name)
+        if code is Code.BUSY:
+            loan.pool.window.note_busy(loan.pool.running + 1, now_s())
         if code is Code.READ_ONLY:
             self._state.note_read_only(name)
         if code is Code.NO_STATEMENT:
--- a/src/wasabipitch/instances/dispatcher.py
+++ b/src/wasabipitch/instances/dispatcher.py
@@ -102,6 +102,7 @@
             pool.entry = entry
             pool.limit = part
             pool.borrow_limit = part + BORROWED if part else 0
+            pool.window.resize(pool.borrow_limit)
         self.dispatch()
 
     @property
--- a/src/wasabipitch/instances/pool.py
+++ b/src/wasabipitch/instances/pool.py
@@ -17,6 +17,7 @@
 from wasabipitch.instances.connection import InstanceConnection, connect
 from wasabipitch.operations.decisions import DecisionLog
 from wasabipitch.policy.placement import FailureShare, LaggingBackoff, Slowness
+from wasabipitch.policy.window import ConcurrencyWindow
 from wasabipitch.wire.codecs import InstanceCodec
 from wasabipitch.wire.messages import SessionState
 
@@ -57,6 +58,7 @@
         self.slowness = Slowness()
         self.lagging = LaggingBackoff()
         self.failures = FailureShare()
+        self.window = ConcurrencyWindow(1)
         self.refused_at_s: float | None = None
         self.failing_since_s: float | None = None
         self.answered_at_s = 0.0
@@ -87,6 +89,11 @@
         """How many connections are in use."""
         return len(self._lent)
 
+    @property
+    def running(self) -> int:
+        """How many statements of this host are at the instance."""
+        return sum(conn.outstanding > 0 for conn in self._lent)
+
     @property
     def connections(self) -> list[InstanceConnection]:
         """All open connections."""
@@ -94,6 +101,8 @@
 
     def has_idle(self) -> bool:
         """Return whether a connection can be lent at once."""
+        if self.running >= self.window.size:
+            return False
         while self._idle and not self._idle[-1].is_clean:
             self._idle.pop().close()
         return bool(self._idle)
