--- a/src/wasabipitch/policy/placement.py
+++ b/src/wasabipitch/policy/placement.py
@@ -15,8 +15,8 @@
 MAX_SLOWNESS = 12.0
 # A round trip to another data centre costs some 1 ms, and its bytes are priced.
 FAR_S = 0.0015
-# The primary has work that nobody else can do.
-PRIMARY_FACTOR = 1.25
+# The primary has work that nobody else can do, and few places for it.
+PRIMARY_FACTOR = 2.0
 FAILURE_WEIGHT = 0.1
 FAILURE_COST = 10.0
 MIN_OUTCOMES = 12
--- /dev/null
+++ b/tests/wasabipitch/group/test_remote.py
@@ -0,0 +1,103 @@
+import asyncio
+import unittest
+
+from tests.wasabipitch.coordination.peers_fixture import run_peers
+from wasabipitch.coordination.documents import Consistency, Route
+from wasabipitch.group.remote import RemoteRunner
+from wasabipitch.group.session import SessionContext, Transaction
+from wasabipitch.messages import Done, EndSession, StatementReply
+from wasabipitch.operations.decisions import DecisionLog
+from wasabipitch.wire.messages import Code, SessionState, Statement, Verb
+
+from wasabipitch.clock import now_s  # isort: skip
+
+ROUTE = Route("bookings", "ledger", Consistency.OWN_WRITES, 1.0, 0.6, 0.2, 1)
+OK = StatementReply((b"row",), b"sig", None, b"", SessionState.IDLE)
+BUSY = StatementReply((), None, Code.BUSY, b"no room", SessionState.IDLE)
+READ = Statement(b"r1", b"READ job", Verb.READ)
+WRITE = Statement(b"w1", b"WRITE job a", Verb.WRITE)
+COMMIT = Statement(b"c1", b"COMMIT", Verb.COMMIT)
+
+
+class RemoteRunnerTest(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self):
+        self.replies = {"o-1": OK, "o-2": OK}
+        self.asked = []
+        self.ended = []
+        names = ("own", "o-1", "o-2")
+        peers = run_peers({name: self.make_handler(name) for name in names})
+        self.peers = await self.enterAsyncContext(peers)
+        self.runner = RemoteRunner(
+            "ledger",
+            self.peers["own"].links,
+            lambda: [self.peers["o-1"].host, self.peers["o-2"].host],
+            DecisionLog("own"),
+        )
+        self.session = SessionContext("s-1", "bookings")
+
+    def make_handler(self, name):
+        async def handle(exchange):
+            if isinstance(exchange.message, EndSession):
+                self.ended.append(name)
+                return Done()
+            self.asked.append(name)
+            reply = self.replies[name]
+            if reply is None:
+                await asyncio.Event().wait()
+            return reply
+
+        return handle
+
+    async def run_statement(self, statement):
+        return await self.runner.run(self.session, statement, ROUTE, now_s())
+
+    async def test_the_nearest_owner_runs_it(self):
+        reply = await self.run_statement(READ)
+        self.assertEqual((reply.rows, reply.signature), ((b"row",), b"sig"))
+        self.assertEqual(self.asked, ["o-1"])
+
+    async def test_an_owner_without_room_sends_it_to_the_next(self):
+        self.replies["o-1"] = BUSY
+        for statement in (READ, WRITE):
+            self.assertIsNone((await self.run_statement(statement)).failure)
+        self.replies["o-2"] = BUSY
+        self.assertEqual((await self.run_statement(WRITE)).code, Code.BUSY)
+        self.assertEqual((await self.run_statement(READ)).code, Code.BUSY)
+
+    async def test_a_read_at_a_silent_owner_is_asked_elsewhere_in_time(self):
+        self.replies["o-1"] = None
+        started_s = now_s()
+        self.assertIsNone((await self.run_statement(READ)).failure)
+        self.assertLess(now_s() - started_s, ROUTE.objective_s)
+
+    async def test_a_write_at_a_silent_owner_is_unknown_and_sent_once(self):
+        self.replies["o-1"] = None
+        self.assertEqual((await self.run_statement(WRITE)).code, Code.UNKNOWN)
+        self.assertEqual(self.asked, ["o-1"])
+
+    async def test_an_owner_that_does_not_run_is_passed_over(self):
+        await self.peers["o-1"].server.close()
+        self.assertIsNone((await self.run_statement(WRITE)).failure)
+        self.assertEqual(self.asked, ["o-2"])
+
+    async def test_a_transaction_lost_before_its_commit_keeps_nothing(self):
+        self.session.transaction = Transaction(False, now_s())
+        in_transaction = StatementReply(
+            (), b"sig", None, b"", SessionState.IN_TRANSACTION
+        )
+        self.replies["o-1"] = in_transaction
+        await self.run_statement(WRITE)
+        self.replies["o-1"] = None
+        self.assertEqual((await self.run_statement(READ)).code, Code.ABORTED)
+        self.assertTrue(self.session.failed)
+
+    async def test_a_commit_without_an_answer_is_unknown_if_it_wrote(self):
+        open_reply = StatementReply((), b"sig", None, b"", SessionState.IN_TRANSACTION)
+        for statement, code in ((WRITE, Code.UNKNOWN), (READ, Code.ABORTED)):
+            with self.subTest(verb=statement.verb):
+                self.session = SessionContext("s-2", "bookings")
+                self.session.transaction = Transaction(False, now_s())
+                self.replies = dict.fromkeys(self.replies, open_reply)
+                await self.run_statement(statement)
+                self.replies = dict.fromkeys(self.replies)
+                self.assertEqual((await self.run_statement(COMMIT)).code, code)
