Let no request wait in line for longer than its response-time objective

Cause: where a group could not carry its load (its primary lost, a replica deaf), all of its requests waited for long and nearly all were late; the wait was reckoned with service times, though a transaction holds its connection over its pauses.

--- a/src/wasabipitch/group/assembly.py
+++ b/src/wasabipitch/group/assembly.py
@@ -165,11 +165,7 @@
         centres = self._roster.find_data_centres()
         centres.setdefault(self._host.name, self._host.data_centre)
         limit = state.settings.max_connections
-        state.owners = choose_owners(
-            name,
-            centres,
-            count_owners(limit, len(centres), len(set(centres.values()))),
-        )
+        state.owners = choose_owners(name, centres, count_owners(limit, len(centres)))
         part = count_part(limit, len(state.owners))
         is_owner = self._host.name in state.owners
         group.dispatcher.update(state.entries, part if is_owner else 0)
--- a/src/wasabipitch/group/borrowing.py
+++ b/src/wasabipitch/group/borrowing.py
@@ -10,6 +10,7 @@
 from wasabipitch.instances.dispatcher import Dispatcher, Loan, Need
 from wasabipitch.policy.retries import Outage, may_hold
 from wasabipitch.policy.rights import ReadRight
+from wasabipitch.policy.waiting import longest_wait_s
 from wasabipitch.wire.messages import Code
 
 # How often a request that waits for a primary looks whether it still should.
@@ -75,7 +76,11 @@
         if needs_primary:
             await self._wait_primary(req)
         need = Need(
-            allows, req.kind, req.route.priority, req.deadline_s, set(req.avoid)
+            allows,
+            req.kind,
+            req.route.priority,
+            min(req.deadline_s, now_s() + longest_wait_s(req.route.objective_s)),
+            set(req.avoid),
         )
         try:
             return await self._dispatcher.acquire(need)
--- a/src/wasabipitch/group/remote.py
+++ b/src/wasabipitch/group/remote.py
@@ -30,8 +30,6 @@
 # An owner that did not answer is asked last for this long.
 AVOID_S = 2.0
 MAX_OWNERS_TRIED = 3
-# With less than this left another owner is not asked for room.
-MIN_LEFT_S = 0.1
 
 
 class RemoteTransaction:
@@ -103,7 +101,6 @@
     ) -> Reply:
         if tx is not None:
             tx.wrote = _writes(message)
-        refused: tuple[StatementReply, Host] | None = None
         for owner in self._order():
             try:
                 reply = await self._ask(owner, message)
@@ -114,28 +111,21 @@
                 open_work = tx is not None and message.statement.verb is not Verb.COMMIT
                 code = Code.ABORTED if open_work else Code.UNKNOWN
                 return self._fail(session, message, code, str(exc))
-            if not _may_ask_another(message, reply):
-                return self._take(session, reply, owner)
-            refused = (reply, owner)
-        if refused is not None:
-            return self._take(session, *refused)
+            return self._take(session, reply, owner)
         return self._fail(session, message, Code.BUSY, "no owner can be reached")
 
     async def _run_read(
         self, session: SessionContext, message: RunStatement, route: Route
     ) -> Reply:
-        refused: tuple[StatementReply, Host] | None = None
         patience_s = route.objective_s * OWNER_PATIENCE
         tasks: dict[asyncio.Task, Host] = {}
         try:
             for owner in self._order():
                 tasks[asyncio.ensure_future(self._ask(owner, message))] = owner
                 reply = await self._await_first(tasks, patience_s)
-                if reply is not None and not _may_ask_another(message, reply[0]):
+                if reply is not None:
                     return self._take(session, *reply)
-                refused = reply or refused
             reply = await self._await_first(tasks, message.left_s)
-            reply = reply or refused
             if reply is not None:
                 return self._take(session, *reply)
         finally:
@@ -250,11 +240,6 @@
             self._decisions.routine("end not sent", owner=owner.name, reason=str(exc))
 
 
-def _may_ask_another(message: RunStatement, reply: StatementReply) -> bool:
-    """Return whether another owner may have room where this one had none."""
-    return reply.code is Code.BUSY and message.left_s > MIN_LEFT_S
-
-
 def _writes(message: RunStatement) -> bool:
     if message.statement.verb is Verb.EXECUTE:
         return message.shape is not None and message.shape.writes
--- a/src/wasabipitch/instances/dispatcher.py
+++ b/src/wasabipitch/instances/dispatcher.py
@@ -18,6 +18,8 @@
 
 # Beyond its own part a host may borrow this many while others leave them unused.
 BORROWED = 2
+FIRST_HELD_S = 0.02
+HELD_WEIGHT = 0.05
 _arrivals = count()
 
 
@@ -27,9 +29,12 @@
 
     pool: InstancePool
     conn: InstanceConnection
+    since_s: float
+    note_held: Callable[[float], None]
 
     def release(self) -> None:
         """Give the connection back."""
+        self.note_held(now_s() - self.since_s)
         self.pool.release(self.conn)
 
 
@@ -81,6 +86,8 @@
         self._data_centre = data_centre
         self._is_primary = is_primary
         self._waiting: list[Need] = []
+        # How long a loan lasts, pauses of transactions included.
+        self._held_s = FIRST_HELD_S
 
     def update(self, entries: dict[str, InstanceEntry], part: int) -> None:
         """Follow the registered instances and the host's part of connections.
@@ -182,7 +189,7 @@
         if best is None:
             return None
         pool = self.pools[best.name]
-        return Loan(pool, pool.lend())
+        return Loan(pool, pool.lend(), at_s, self._note_held)
 
     def _load(self, pool: InstancePool, at_s: float) -> placement.Load:
         return placement.Load(
@@ -204,12 +211,15 @@
         line = waiting.Line(
             ahead=sum(other.order < need.order for other in self._waiting),
             servers=sum(pool.open for pool in suited),
-            service_s=self.times.read(need.kind),
+            service_s=self._held_s,
         )
         refusal = waiting.admit(line, need.deadline_s - now_s())
         if refusal is not None:
             raise Overloaded(refusal.reason)
 
+    def _note_held(self, seconds: float) -> None:
+        self._held_s += HELD_WEIGHT * (seconds - self._held_s)
+
     def _forget(self, need: Need) -> None:
         if need in self._waiting:
             self._waiting.remove(need)
--- a/src/wasabipitch/policy/ownership.py
+++ b/src/wasabipitch/policy/ownership.py
@@ -22,18 +22,12 @@
     return xxhash.xxh64_intdigest(f"{group}/{host}".encode())
 
 
-def count_owners(max_connections: int, hosts: int, data_centres: int = 1) -> int:
-    """Return how many hosts hold connections to a group's instances.
-
-    Few owners are as many in each data centre, so that each has as much work.
-    """
+def count_owners(max_connections: int, hosts: int) -> int:
+    """Return how many hosts hold connections to a group's instances."""
     usable = max(1, max_connections - SPARE_CONNECTIONS)
     if usable // max(1, hosts) >= MIN_PART:
         return max(1, hosts)
-    owners = max(1, usable // OWNER_PART)
-    if owners > data_centres:
-        owners -= owners % data_centres
-    return min(hosts, owners)
+    return min(hosts, max(1, usable // OWNER_PART))
 
 
 def count_part(max_connections: int, owners: int) -> int:
--- a/src/wasabipitch/policy/waiting.py
+++ b/src/wasabipitch/policy/waiting.py
@@ -8,6 +8,12 @@
 
 # More wait only when every instance of a group is gone.
 MAX_WAITING = 512
+# Of the response-time objective, what waiting may use up.
+WAIT_SHARE = 0.8
+# Of the time left, what the expected wait may use up: it is only a mean.
+EXPECTATION_SHARE = 0.8
+# A connection that has to be opened takes some 20 ms.
+MIN_WAIT_S = 0.1
 
 
 @dataclass(frozen=True, slots=True)
@@ -17,7 +23,7 @@
     Args:
         ahead: requests that go before it.
         servers: connections that may serve it, free or in use.
-        service_s: how long one request holds a connection.
+        service_s: how long one request holds a connection, pauses included.
     """
 
     ahead: int
@@ -32,6 +38,19 @@
     reason: str
 
 
+def longest_wait_s(objective_s: float) -> float:
+    """Return how long a request may wait in line.
+
+    Above what the slots can carry, a line in which all wait for long makes all of
+    them late; with this limit those that are served are served in time, and the
+    others hear soon that they may come again.
+
+    Args:
+        objective_s: the response time that callers look for.
+    """
+    return max(MIN_WAIT_S, WAIT_SHARE * objective_s)
+
+
 def expected_wait_s(line: Line) -> float:
     """Return how long a new request is expected to wait."""
     if line.servers <= 0:
@@ -51,6 +70,6 @@
     if line.ahead >= MAX_WAITING:
         return Refusal(f"{MAX_WAITING} requests wait already")
     wait_s = expected_wait_s(line)
-    if wait_s + line.service_s > left_s:
+    if wait_s + line.service_s > left_s * EXPECTATION_SHARE:
         return Refusal(f"the expected wait of {wait_s:.3f} s passes the time limit")
     return None
