--- a/src/wasabipitch/coordination/agreement.py
+++ b/src/wasabipitch/coordination/agreement.py
@@ -17,8 +17,8 @@
 from wasabipitch.exceptions import LinkDown, LinkError
 from wasabipitch.linkbook import LinkBook
 from wasabipitch.links import RemoteError
-from wasabipitch.messages import Agreement, AskAgreement, AskHead, HeadReport
 from wasabipitch.models import Host
+from wasabipitch.peer_messages import Agreement, AskAgreement, AskHead, HeadReport
 
 # Longer than the store's usual outages.
 EXTENSION_S = 12.0
--- a/src/wasabipitch/coordination/checks.py
+++ b/src/wasabipitch/coordination/checks.py
@@ -13,8 +13,8 @@
 from wasabipitch.exceptions import LinkError, StoreError
 from wasabipitch.linkbook import LinkBook
 from wasabipitch.links import RemoteError
-from wasabipitch.messages import AskStoreHead, StoreHead
 from wasabipitch.models import Host
+from wasabipitch.peer_messages import AskStoreHead, StoreHead
 
 # A read serves all that ask within this time.
 SHARED_S = 0.3
--- a/src/wasabipitch/coordination/relay.py
+++ b/src/wasabipitch/coordination/relay.py
@@ -16,9 +16,9 @@
 from wasabipitch.exceptions import LinkError, StoreError, StoreUnavailable
 from wasabipitch.linkbook import LinkBook
 from wasabipitch.links import RemoteError
-from wasabipitch.messages import StoreAnswer, StoreCall, StoredItem
 from wasabipitch.models import Host
 from wasabipitch.operations.decisions import DecisionLog
+from wasabipitch.peer_messages import StoreAnswer, StoreCall, StoredItem
 from wasabipitch.verdict import Verdict
 
 # After a call without an answer the store itself is tried again this much later;
--- a/src/wasabipitch/gateway.py
+++ b/src/wasabipitch/gateway.py
@@ -29,22 +29,19 @@
 from wasabipitch.group.remote import StatementService
 from wasabipitch.linkbook import LinkBook
 from wasabipitch.linkserver import Exchange, LinkServer
-from wasabipitch.messages import (
+from wasabipitch.messages import Done, EndSession, Hello, Message
+from wasabipitch.models import Address, Host
+from wasabipitch.operations.decisions import DecisionLog
+from wasabipitch.operations.logwriter import LogWriter
+from wasabipitch.operations.measures import Gauge, Measures
+from wasabipitch.operations.statusserver import make_metrics_server, make_status_server
+from wasabipitch.peer_messages import (
     AskAgreement,
     AskHead,
     AskStoreHead,
-    Done,
-    EndSession,
-    Hello,
-    Message,
     RunStatement,
     StoreCall,
 )
-from wasabipitch.models import Address, Host
-from wasabipitch.operations.decisions import DecisionLog
-from wasabipitch.operations.logwriter import LogWriter
-from wasabipitch.operations.measures import Gauge, Measures
-from wasabipitch.operations.statusserver import make_metrics_server, make_status_server
 from wasabipitch.wire.codecs import CallerCodec, InstanceCodec
 
 # Up to so many hosts changes are rare, and each is taken at once.
--- a/src/wasabipitch/group/assembly.py
+++ b/src/wasabipitch/group/assembly.py
@@ -20,7 +20,7 @@
 from wasabipitch.group.keeper import GroupKeeper
 from wasabipitch.group.remote import RemoteRunner
 from wasabipitch.group.runner import GroupRunner
-from wasabipitch.group.view import GroupState
+from wasabipitch.group.state import GroupState
 from wasabipitch.instances.dispatcher import Dispatcher
 from wasabipitch.linkbook import LinkBook
 from wasabipitch.models import Host
--- a/src/wasabipitch/group/borrowing.py
+++ b/src/wasabipitch/group/borrowing.py
@@ -6,7 +6,7 @@
 from wasabipitch.exceptions import NoTarget, Overloaded
 from wasabipitch.group.exchange import MIN_SERVICE_S
 from wasabipitch.group.request import Request, StatementFailed
-from wasabipitch.group.view import GroupState
+from wasabipitch.group.state import GroupState
 from wasabipitch.instances.dispatcher import Dispatcher, Loan, Need
 from wasabipitch.policy.retries import Outage, may_hold
 from wasabipitch.policy.rights import ReadRight
--- a/src/wasabipitch/group/exchange.py
+++ b/src/wasabipitch/group/exchange.py
@@ -5,7 +5,7 @@
 from wasabipitch.clock import now_s
 from wasabipitch.exceptions import InstanceLost
 from wasabipitch.group.request import Request, StatementFailed
-from wasabipitch.group.view import GroupState
+from wasabipitch.group.state import GroupState
 from wasabipitch.instances.connection import MAX_PREPARED, InstanceConnection
 from wasabipitch.instances.dispatcher import Dispatcher, Loan
 from wasabipitch.models import ORIGIN, Position
--- a/src/wasabipitch/group/keeper.py
+++ b/src/wasabipitch/group/keeper.py
@@ -20,7 +20,7 @@
 from wasabipitch.coordination.store import CoordinationStore, Promoter
 from wasabipitch.exceptions import RecordConflict, StoreError
 from wasabipitch.group.replacement import Replacement
-from wasabipitch.group.view import GroupState
+from wasabipitch.group.state import GroupState
 from wasabipitch.instances.dispatcher import Dispatcher
 from wasabipitch.operations.decisions import DecisionLog
 from wasabipitch.policy.succession import (
--- a/src/wasabipitch/group/reads.py
+++ b/src/wasabipitch/group/reads.py
@@ -8,7 +8,7 @@
 from wasabipitch.group.borrowing import Borrowing
 from wasabipitch.group.exchange import Exchange
 from wasabipitch.group.request import Request, StatementFailed
-from wasabipitch.group.view import GroupState
+from wasabipitch.group.state import GroupState
 from wasabipitch.instances.dispatcher import Dispatcher, Loan, Need
 from wasabipitch.models import Position
 from wasabipitch.operations.decisions import DecisionLog
--- a/src/wasabipitch/group/remote.py
+++ b/src/wasabipitch/group/remote.py
@@ -10,9 +10,10 @@
 from wasabipitch.group.session import SessionContext, Transaction
 from wasabipitch.linkbook import LinkBook
 from wasabipitch.links import RemoteError
-from wasabipitch.messages import EndSession, RunStatement, StatementReply
+from wasabipitch.messages import EndSession
 from wasabipitch.models import Host
 from wasabipitch.operations.decisions import DecisionLog
+from wasabipitch.peer_messages import RunStatement, StatementReply
 from wasabipitch.wire.messages import (
     Code,
     Failure,
--- a/src/wasabipitch/group/replacement.py
+++ b/src/wasabipitch/group/replacement.py
@@ -10,7 +10,7 @@
 from wasabipitch.coordination.store import Promoter
 from wasabipitch.exceptions import PromotionRefused, StoreUnavailable
 from wasabipitch.group.orders import InstanceOrders
-from wasabipitch.group.view import GroupState
+from wasabipitch.group.state import GroupState
 from wasabipitch.operations.decisions import DecisionLog
 from wasabipitch.policy.rights import RIGHT_S
 from wasabipitch.policy.succession import Candidate, Choice, choose_successor
--- a/src/wasabipitch/group/runner.py
+++ b/src/wasabipitch/group/runner.py
@@ -7,8 +7,8 @@
 from wasabipitch.group.reads import ReadRunner
 from wasabipitch.group.request import Request, StatementFailed
 from wasabipitch.group.session import SessionContext
+from wasabipitch.group.state import GroupState
 from wasabipitch.group.transactions import TransactionRunner
-from wasabipitch.group.view import GroupState
 from wasabipitch.group.writes import WriteRunner
 from wasabipitch.instances.dispatcher import Dispatcher
 from wasabipitch.operations.decisions import DecisionLog
--- a/src/wasabipitch/group/transactions.py
+++ b/src/wasabipitch/group/transactions.py
@@ -9,7 +9,7 @@
 from wasabipitch.group.exchange import Exchange
 from wasabipitch.group.request import Request, StatementFailed
 from wasabipitch.group.session import Transaction
-from wasabipitch.group.view import GroupState
+from wasabipitch.group.state import GroupState
 from wasabipitch.group.writes import WriteRunner
 from wasabipitch.instances.dispatcher import Loan
 from wasabipitch.policy.rights import ReadRight
--- a/src/wasabipitch/group/writes.py
+++ b/src/wasabipitch/group/writes.py
@@ -6,7 +6,7 @@
 from wasabipitch.group.borrowing import Borrowing
 from wasabipitch.group.exchange import Exchange
 from wasabipitch.group.request import Request, StatementFailed
-from wasabipitch.group.view import GroupState
+from wasabipitch.group.state import GroupState
 from wasabipitch.instances.dispatcher import Loan
 from wasabipitch.wire.messages import Code, Reply, SessionState
 
--- a/src/wasabipitch/messages.py
+++ b/src/wasabipitch/messages.py
@@ -3,10 +3,20 @@
 import enum
 from dataclasses import dataclass, field
 
-from wasabipitch.coordination.documents import Route
 from wasabipitch.models import ORIGIN, Column, Host, Position
+from wasabipitch.peer_messages import (
+    Agreement,
+    AskAgreement,
+    AskHead,
+    AskStoreHead,
+    HeadReport,
+    RunStatement,
+    StatementReply,
+    StoreAnswer,
+    StoreCall,
+    StoreHead,
+)
 from wasabipitch.verdict import Verdict
-from wasabipitch.wire.messages import Code, SessionState, Shape, Statement
 
 
 class Kind(enum.IntEnum):
@@ -305,159 +315,6 @@
     peers: tuple[str, ...] = ()
 
 
-@dataclass(frozen=True, slots=True)
-class StoreCall:
-    """A call to the store, made for a peer that the store turns away.
-
-    Args:
-        name: of the call: a method of ``CoordinationStore``.
-        key: or prefix, or empty.
-        revision: after which a watch begins.
-        seconds: that a watch waits, or a lease lasts.
-        lease: that is renewed or ended, or that writes are kept under.
-        expected: the revisions of keys on which a write depends.
-    """
-
-    name: str
-    key: str = ""
-    revision: int = 0
-    seconds: float = 0.0
-    lease: int = 0
-    expected: dict[str, int] = field(default_factory=dict)
-    writes: dict[str, bytes] = field(default_factory=dict)
-    removes: tuple[str, ...] = ()
-
-
-@dataclass(frozen=True, slots=True)
-class StoredItem:
-    """An item of the store, or its removal.
-
-    Args:
-        value: None if the key is gone since the revision.
-    """
-
-    key: str
-    value: bytes | None
-    revision: int
-    lease: int = 0
-
-
-@dataclass(frozen=True, slots=True)
-class StoreAnswer:
-    """What the store answered a ``StoreCall``.
-
-    Args:
-        items: that were read, or that changed.
-        revision: of the key, the change or the lease, by call.
-        store_revision: of the store.
-        error: the class of the error that the call raised, or empty.
-    """
-
-    items: tuple[StoredItem, ...] = ()
-    revision: int = 0
-    store_revision: int = 0
-    error: str = ""
-    reason: str = ""
-
-
-@dataclass(frozen=True, slots=True)
-class AskHead:
-    """Asks for the newest group record that a host has seen."""
-
-
-@dataclass(frozen=True, slots=True)
-class HeadReport:
-    """The revision of the newest group record that a host has seen."""
-
-    revision: int
-
-
-@dataclass(frozen=True, slots=True)
-class AskAgreement:
-    """Asks a collector whether all hosts have seen no newer record than this."""
-
-    revision: int
-
-
-@dataclass(frozen=True, slots=True)
-class Agreement:
-    """What all hosts said.
-
-    Args:
-        age_s: how long ago they were asked, at least.
-    """
-
-    agreed: bool
-    age_s: float
-
-
-@dataclass(frozen=True, slots=True)
-class AskStoreHead:
-    """Asks a peer for the newest group record that the store holds."""
-
-
-@dataclass(frozen=True, slots=True)
-class StoreHead:
-    """What the store said of the newest group record.
-
-    Args:
-        confirmed: whether it said anything lately.
-        revision: of that record.
-        store_revision: of the store.
-        age_s: how long ago it was asked.
-    """
-
-    confirmed: bool
-    revision: int = 0
-    store_revision: int = 0
-    age_s: float = 0.0
-
-
-@dataclass(frozen=True, slots=True)
-class RunStatement:
-    """A caller's statement, from the host of its session to an owner.
-
-    Args:
-        session: unique to one caller's connection.
-        left_s: what is left of the route's time limit.
-        values: of the session.
-        shape: of the prepared statement that it runs, or None.
-        floor: the position of the session's last commit.
-        read_only: whether its transaction was begun so.
-        begins: whether no statement of the transaction has run yet.
-    """
-
-    session: str
-    statement: Statement
-    route: Route
-    left_s: float
-    values: dict[bytes, bytes]
-    shape: Shape | None
-    floor: Position
-    in_transaction: bool
-    read_only: bool
-    begins: bool
-
-
-@dataclass(frozen=True, slots=True)
-class StatementReply:
-    """The answer to a ``RunStatement``.
-
-    Args:
-        signature: the instance's, or None for a failure.
-        code: of the failure, or None for a success.
-        text: of the failure.
-        floor: the position of the session's last commit.
-    """
-
-    rows: tuple[bytes, ...]
-    signature: bytes | None
-    code: Code | None
-    text: bytes
-    state: SessionState
-    floor: Position = ORIGIN
-
-
 ControlMessage = (
     Hello
     | Heartbeat
--- a/tests/wasabipitch/coordination/test_agreement.py
+++ b/tests/wasabipitch/coordination/test_agreement.py
@@ -3,7 +3,7 @@
 from tests.wasabipitch.coordination.peers_fixture import run_peers
 from wasabipitch.clock import now_s
 from wasabipitch.coordination.agreement import EXTENSION_S, RecordAgreement
-from wasabipitch.messages import AskAgreement, AskHead
+from wasabipitch.peer_messages import AskAgreement, AskHead
 
 
 class AgreementTest(unittest.IsolatedAsyncioTestCase):
--- a/tests/wasabipitch/group/test_remote.py
+++ b/tests/wasabipitch/group/test_remote.py
@@ -5,8 +5,9 @@
 from wasabipitch.coordination.documents import Consistency, Route
 from wasabipitch.group.remote import RemoteRunner
 from wasabipitch.group.session import SessionContext, Transaction
-from wasabipitch.messages import Done, EndSession, StatementReply
+from wasabipitch.messages import Done, EndSession
 from wasabipitch.operations.decisions import DecisionLog
+from wasabipitch.peer_messages import StatementReply
 from wasabipitch.wire.messages import Code, SessionState, Statement, Verb
 
 from wasabipitch.clock import now_s  # isort: skip
