Judge a read at a primary anew when it is sent

Cause: a read that waited for a primary was not judged again, and a record that was long on its way let it run at an instance that may have been replaced since. Found by reading; the test fails without the change.

--- a/src/wasabipitch/group/borrowing.py
+++ b/src/wasabipitch/group/borrowing.py
@@ -28,6 +28,21 @@
         """Return what a read may use now."""
         return self._state.judge_read(req.route, req.arrived_s, req.session.floor)
 
+    def may_use_primary(self, req: Request, instance: str, arrived_s: float) -> bool:
+        """Return whether an instance leads and may be read, judged anew.
+
+        The request may have waited since it was judged, and a record that came
+        meanwhile says nothing of how old it is.
+
+        Args:
+            req: the read, or the first statement of a transaction.
+            instance: its name.
+            arrived_s: when the read, or the transaction's first byte, was read.
+        """
+        state = self._state
+        right = state.judge_read(req.route, arrived_s, req.session.floor)
+        return right.primary and state.is_primary(instance)
+
     async def check_right(self, req: Request, right: ReadRight) -> None:
         """Refuse a read that no instance may serve, unless a primary is to come.
 
--- a/src/wasabipitch/group/reads.py
+++ b/src/wasabipitch/group/reads.py
@@ -119,7 +119,9 @@
         try:
             if not await self._exchange.sync(req, loan.conn):
                 return None
-            if floor is None and not state.is_primary(name):
+            if floor is None and not self._borrowing.may_use_primary(
+                req, name, req.arrived_s
+            ):
                 return None
             revision, sent_at_s = state.record_revision, now_s()
             message = self._exchange.encode(req, loan.conn, floor)
--- a/src/wasabipitch/group/transactions.py
+++ b/src/wasabipitch/group/transactions.py
@@ -79,7 +79,10 @@
         state, name = self._state, loan.pool.name
         try:
             synced = await self._exchange.sync(req, loan.conn)
-            if not synced or (floor is None and not state.is_primary(name)):
+            if not synced or (
+                floor is None
+                and not self._borrowing.may_use_primary(req, name, tx.arrived_s)
+            ):
                 loan.release()
                 return False
             revision, sent_at_s = state.record_revision, now_s()
--- a/tests/wasabipitch/test_gateway.py
+++ b/tests/wasabipitch/test_gateway.py
@@ -1,5 +1,6 @@
 import asyncio
 import unittest
+from dataclasses import replace
 
 from tests.wasabipitch.gateway_fixture import (
     BOUNDED_DB,
@@ -8,6 +9,7 @@
     PRIMARY_DB,
     Fleet,
 )
+from wasabipitch.coordination.documents import Phase
 
 
 class FleetCase(unittest.IsolatedAsyncioTestCase):
@@ -237,6 +239,23 @@
         lines = await blind.ask("READ job")
         self.assertTrue(lines[0].startswith("ERROR BUSY"), lines)
 
+    async def test_a_read_that_waited_for_a_primary_is_judged_anew(self):
+        caller, _ = await self.fleet.connect(PRIMARY_DB, "host-0")
+        await self.write(caller, 2)
+        state = self.fleet.state("host-2")
+        blind, _ = await self.fleet.connect(PRIMARY_DB, "host-2")
+        await self.cut_off("host-2")
+        steady = state.record
+        changing = replace(steady, phase=Phase.CHANGING, holder="another")
+        state.set_record(changing, state.record_revision)
+        blind.send("READ job")
+        await asyncio.sleep(0.2)
+        # A record that was long on its way comes when the right is over.
+        state._read_confirmed_at_s = lambda: 0.0
+        state.set_record(steady, state.record_revision)
+        lines = await blind.receive()
+        self.assertTrue(lines[0].startswith("ERROR BUSY"), lines)
+
     async def test_a_new_host_waits_for_one_that_may_not_know_it(self):
         await self.cut_off("host-2")
         self.fleet.register("i-0", leaving=True)
