--- a/src/wasabipitch/gateway.py
+++ b/src/wasabipitch/gateway.py
@@ -4,7 +4,7 @@
 import contextlib
 import secrets
 import socket
-from collections.abc import Coroutine
+from collections.abc import Callable, Coroutine
 from dataclasses import dataclass
 
 from wasabipitch import tasks
@@ -189,7 +189,7 @@
             incarnation=self.presence.record.incarnation,
         )
         if self._writer is not None:
-            self._run_task(self._writer.run())
+            self._run_task(self._writer.run)
         await self._checks.start(self._cfg.checks)
         self._stack.push_async_callback(self._checks.close)
         if self._cfg.metrics is not None:
@@ -200,13 +200,13 @@
         self._stack.push_async_callback(self.links.close)
         await self._server.start(callers)
         self._stack.push_async_callback(self._server.close)
-        for work in (
-            self._mirror.run(),
-            self._mirror.run_checks(),
-            self.presence.run(),
-            self._run_housekeeping(),
+        for start in (
+            self._mirror.run,
+            self._mirror.run_checks,
+            self.presence.run,
+            self._run_housekeeping,
         ):
-            self._run_task(work)
+            self._run_task(start)
 
     async def stop(self) -> None:
         """Take no new callers, finish what is in progress, then close."""
@@ -246,8 +246,8 @@
                     return
             await asyncio.sleep(STOP_STEP_S)
 
-    def _run_task(self, work: Coroutine) -> None:
-        task = tasks.spawn(work, work.__qualname__)
+    def _run_task(self, start: Callable[[], Coroutine]) -> None:
+        task = tasks.spawn_lasting(start, start.__qualname__)
         self._stack.push_async_callback(tasks.cancel, task)
 
     async def _run_housekeeping(self) -> None:
--- a/src/wasabipitch/group/assembly.py
+++ b/src/wasabipitch/group/assembly.py
@@ -153,7 +153,7 @@
         remote = RemoteRunner(
             state.name, self._links, lambda: self._list_owners(state), self._decisions
         )
-        task = tasks.spawn(keeper.run(), f"keeper of {state.name}")
+        task = tasks.spawn_lasting(keeper.run, f"keeper of {state.name}")
         return Group(state, dispatcher, runner, remote, task)
 
     def update_group(self, name: str) -> None:
--- a/src/wasabipitch/tasks.py
+++ b/src/wasabipitch/tasks.py
@@ -2,7 +2,10 @@
 
 import asyncio
 import logging
-from collections.abc import Coroutine
+from collections.abc import Callable, Coroutine
+
+# Keeps a defect that shows at once from filling the log and the processor.
+RESTART_PAUSE_S = 0.5
 
 logger = logging.getLogger(__name__)
 
@@ -19,6 +22,27 @@
     return task
 
 
+def spawn_lasting(start: Callable[[], Coroutine], name: str) -> asyncio.Task:
+    """Run work that lasts as long as the process; an error starts it anew.
+
+    Args:
+        start: returns the coroutine, each time it is begun.
+        name: of the task, for the log.
+    """
+    return spawn(_keep_running(start, name), name)
+
+
+async def _keep_running(start: Callable[[], Coroutine], name: str) -> None:
+    while True:
+        try:
+            await start()
+            return
+        except Exception:
+            # A defect in one round must not end what all later rounds rest on.
+            logger.exception("task %s starts anew", name)
+            await asyncio.sleep(RESTART_PAUSE_S)
+
+
 async def cancel(task: asyncio.Task) -> None:
     """Cancel a task and wait until it has ended."""
     task.cancel()
