--- a/src/wasabipitch/group/borrowing.py
+++ b/src/wasabipitch/group/borrowing.py
@@ -77,6 +77,9 @@
                 continue
             if name == state.primary and not right.primary:
                 continue
+            if pool.entry.is_primary and name != state.primary:
+                # A primary that was replaced and doesn't know it has a log of its own.
+                continue
             names.add(name)
         return names or ({state.primary} if state.primary else set())
 
