Go on with aged reads while a primary is replaced; count own records in an agreement

Cause: while a group's record said that its primary is being replaced, every read waited for the new one, and afterwards only the new primary could serve them until it had given positions of its own. Positions of the old primary cover every commit acknowledged before they were seen, also on its successor, so they stay in use, cut to where the successor began (the record now says where). The right to the old primary lasts until this host gave it up, and not beyond.

--- a/src/wasabipitch/coordination/documents.py
+++ b/src/wasabipitch/coordination/documents.py
@@ -7,7 +7,7 @@
 import msgspec
 
 from wasabipitch.coordination.store import Item
-from wasabipitch.models import Address
+from wasabipitch.models import ORIGIN, Address, Position
 
 HOSTS_PREFIX = "wasabipitch/hosts/"
 GROUPS_PREFIX = "wasabipitch/groups/"
@@ -132,7 +132,8 @@
         primary_born_ms: its start; one that started later is another.
         term: in which it leads, or 0 while that is not known.
         holder: the host that makes the change.
-        chosen: the instance that is being promoted, or empty.
+        start: the end of the primary's log when it began to lead, or ``ORIGIN``
+            while that is not known.
     """
 
     phase: Phase
@@ -140,7 +141,7 @@
     primary_born_ms: int
     term: int
     holder: str = ""
-    chosen: str = ""
+    start: Position = ORIGIN
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/wasabipitch/coordination/mirror.py
+++ b/src/wasabipitch/coordination/mirror.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import logging
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Mapping
 
 from wasabipitch.clock import now_s
 from wasabipitch.coordination.documents import HEAD_KEY, OWN_PREFIX
@@ -33,6 +33,9 @@
     def __init__(self, store: CoordinationStore, decisions: DecisionLog) -> None:
         self.items: dict[str, Item] = {}
         self.revision = 0
+        # Every group record up to this revision is known here. A head that was
+        # read later than the records, on another page, doesn't count.
+        self._records_revision = 0
         self.loaded = asyncio.Event()
         # The time of the last read that found no newer head than known here, or 0.
         self.confirmed_at_s = 0.0
@@ -107,7 +110,7 @@
             return await self._check_without_store()
         self._note_answer()
         self._check_watch(store_revision)
-        if head > self.head_revision and not await self._fetch_records(head):
+        if head > self._records_revision and not await self._fetch_records(head):
             return False
         self.store_confirmed_at_s = sent_at_s
         self._note_confirmed(sent_at_s)
@@ -129,13 +132,16 @@
             return False
         for item in listing.items:
             self._apply(item)
+        self._records_revision = max(self._records_revision, listing.revision)
         self._decisions.belief("records read", head=head, revision=self.revision)
-        return self.head_revision >= head
+        return self._records_revision >= head
 
     async def _check_without_store(self) -> bool:
         if self.confirm_among_hosts is None:
             return False
         head = self.head_revision
+        if head > self._records_revision:
+            return False
         confirmed_at_s = await self.confirm_among_hosts()
         if confirmed_at_s is None or head != self.head_revision:
             return False
@@ -153,6 +159,14 @@
         head = self.items.get(HEAD_KEY)
         return head.revision if head else 0
 
+    def note_written(self, writes: Mapping[str, bytes], revision: int) -> None:
+        """Take over what this host has just written, before the watch brings it.
+
+        A host that agrees with others on the newest record must count its own.
+        """
+        for key, value in writes.items():
+            self._apply(Item(key, value, revision))
+
     def _check_watch(self, store_revision: int) -> None:
         if store_revision <= self.revision:
             self._behind_since_s = None
@@ -174,7 +188,7 @@
             known = self.items.get(item.key)
             if known is None or known.revision < item.revision:
                 self._apply(item)
-        self.revision = max(self.revision, listing.revision)
+        self._note_revision(listing.revision)
         self.loaded.set()
 
     async def _follow(self) -> None:
@@ -196,9 +210,13 @@
             self._note_answer()
             for event in changes.events:
                 self._apply(event)
-            self.revision = max(self.revision, changes.revision)
+            self._note_revision(changes.revision)
             await asyncio.sleep(self.read_pause_s())
 
+    def _note_revision(self, revision: int) -> None:
+        self.revision = max(self.revision, revision)
+        self._records_revision = max(self._records_revision, revision)
+
     def _apply(self, event: Item | Removal) -> None:
         if isinstance(event, Removal):
             known = self.items.get(event.key)
--- a/src/wasabipitch/group/borrowing.py
+++ b/src/wasabipitch/group/borrowing.py
@@ -24,10 +24,6 @@
         self._state = state
         self._dispatcher = dispatcher
 
-    def judge(self, req: Request) -> ReadRight:
-        """Return what a read may use now."""
-        return self._state.judge_read(req.route, req.arrived_s, req.session.floor)
-
     def may_use_primary(self, req: Request, instance: str, arrived_s: float) -> bool:
         """Return whether an instance leads and may be read, judged anew.
 
@@ -43,28 +39,54 @@
         right = state.judge_read(req.route, arrived_s, req.session.floor)
         return right.primary and state.is_primary(instance)
 
-    async def check_right(self, req: Request, right: ReadRight) -> None:
-        """Refuse a read that no instance may serve, unless a primary is to come.
+    def judge(self, req: Request, arrived_s: float) -> ReadRight:
+        """Return what a read may use now.
+
+        Args:
+            req: the read, or the first statement of a transaction.
+            arrived_s: when the read, or the transaction's first byte, was read.
 
         Raises:
-            StatementFailed: it is refused.
+            StatementFailed: no instance may serve it, and no primary is to come.
         """
+        right = self._state.judge_read(req.route, arrived_s, req.session.floor)
         if not right.primary and not self._state.is_changing:
             raise StatementFailed(Code.BUSY, right.reason)
+        return right
 
-    async def acquire_for_read(self, req: Request, right: ReadRight) -> Loan:
-        """Return a connection to an instance that may serve a read.
+    async def acquire_for_read(
+        self, req: Request, arrived_s: float
+    ) -> tuple[Loan, ReadRight]:
+        """Return a connection to an instance that may serve a read, and the right.
+
+        A read that may be old goes on at the replicas while the primary is being
+        replaced; any other waits for the new primary.
+
+        Args:
+            req: the read, or the first statement of a transaction.
+            arrived_s: when the read, or the transaction's first byte, was read.
 
         Raises:
             StatementFailed: there is none in time.
         """
-        await self.check_right(req, right)
-        only_primary = right.floor is None
 
-        def allows(name: str) -> bool:
-            return name in self.readable(right)
+        def is_servable() -> bool:
+            others = self.readable(self.judge(req, arrived_s)) - {self._state.primary}
+            return bool(others) or self._has_reachable_primary()
 
-        return await self.acquire(req, allows, needs_primary=only_primary)
+        await self._wait_until(req, is_servable)
+        right = self.judge(req, arrived_s)
+        loan = await self._borrow(req, lambda name: name in self.readable(right))
+        return loan, right
+
+    async def acquire_primary(self, req: Request) -> Loan:
+        """Return a connection to the primary.
+
+        Raises:
+            StatementFailed: there is none in time.
+        """
+        await self._wait_until(req, self._has_reachable_primary)
+        return await self._borrow(req, self._state.is_primary)
 
     def readable(self, right: ReadRight) -> set[str]:
         """Return the instances that may serve a read, by name."""
@@ -83,16 +105,7 @@
             names.add(name)
         return names or ({state.primary} if state.primary else set())
 
-    async def acquire(
-        self, req: Request, allows: Callable[[str], bool], needs_primary: bool
-    ) -> Loan:
-        """Return a connection to an instance that a predicate allows.
-
-        Raises:
-            StatementFailed: there is none in time.
-        """
-        if needs_primary:
-            await self._wait_primary(req)
+    async def _borrow(self, req: Request, allows: Callable[[str], bool]) -> Loan:
         need = Need(
             allows,
             req.kind,
@@ -105,8 +118,8 @@
         except (NoTarget, Overloaded) as exc:
             raise StatementFailed(Code.BUSY, exc.message) from exc
 
-    async def _wait_primary(self, req: Request) -> None:
-        while not self._has_reachable_primary():
+    async def _wait_until(self, req: Request, is_servable: Callable[[], bool]) -> None:
+        while not is_servable():
             left_s = req.left_s - MIN_SERVICE_S
             if left_s <= 0 or not may_hold(self._describe_outage()):
                 raise StatementFailed(Code.BUSY, "the group has no primary now")
--- a/src/wasabipitch/group/keeper.py
+++ b/src/wasabipitch/group/keeper.py
@@ -239,8 +239,7 @@
         except RecordConflict:
             # Another host was first; the watch brings its record.
             return
-        if revision > self._state.record_revision:
-            self._state.set_record(record, revision)
+        self._mirror.note_written(writes, revision)
 
     async def _carry_out(self, record: GroupRecord) -> None:
         replacement = Replacement(
--- a/src/wasabipitch/group/reads.py
+++ b/src/wasabipitch/group/reads.py
@@ -42,8 +42,7 @@
         """Return a read's answer; raises ``StatementFailed``."""
         self._hedges.earn()
         while True:
-            right = self._borrowing.judge(req)
-            loan = await self._borrowing.acquire_for_read(req, right)
+            loan, right = await self._borrowing.acquire_for_read(req, req.arrived_s)
             reply = await self._send_read(req, loan, right)
             if reply is not None:
                 return reply
--- a/src/wasabipitch/group/replacement.py
+++ b/src/wasabipitch/group/replacement.py
@@ -20,6 +20,9 @@
 STEP_S = 0.02
 # Replicas of a primary that leaves are given this long to receive all it has.
 CATCH_UP_S = 1.0
+# Once every acknowledged commit is held, the others are waited for only so long:
+# a commit reaches a replica within milliseconds, or its primary is cut off.
+UNACKNOWLEDGED_S = 0.15
 # A promotion takes some hundred ms; without effect for this long it is repeated.
 EFFECT_S = 2.5
 # Rights end by clocks that may tick a little apart.
@@ -130,30 +133,31 @@
         Returns:
             Whether a replica holds every acknowledged commit.
         """
-        until_s = now_s() + CATCH_UP_S
+        started_s = now_s()
+        covered_since_s: float | None = None
         while True:
             reports = await self._orders.status_of([old, *replicas])
             answered = self._roster.hosts_answered(self._state.name, revision)
             if answered and _has_caught_up(old, reports):
                 break
-            if now_s() >= until_s:
-                if not self._is_covered(old, reports, revision):
+            if answered and self._holds_acknowledged(old, reports, revision):
+                covered_since_s = covered_since_s or now_s()
+                if now_s() - covered_since_s >= UNACKNOWLEDGED_S:
+                    break
+            if now_s() - started_s >= CATCH_UP_S:
+                if not _has_caught_up(old, reports):
                     return False
                 break
             await asyncio.sleep(STEP_S)
         await self._orders.step_down(old, term)
         return True
 
-    def _is_covered(
+    def _holds_acknowledged(
         self, old: InstanceEntry, reports: dict[str, InstanceReport], revision: int
     ) -> bool:
-        if _has_caught_up(old, reports):
-            return True
-        name = self._state.name
-        acknowledged = self._roster.find_acknowledged(name, revision)
-        others = [r for n, r in reports.items() if n != old.name]
-        held = any(report.received >= acknowledged for report in others)
-        return held and self._roster.hosts_answered(name, revision)
+        acknowledged = self._roster.find_acknowledged(self._state.name, revision)
+        others = [r for name, r in reports.items() if name != old.name]
+        return any(report.received >= acknowledged for report in others)
 
     def _keep(self, record: GroupRecord, reports: dict[str, InstanceReport]) -> Choice:
         """Name the old primary again: no replica could take over from it."""
@@ -205,7 +209,13 @@
             if report is not None and report.is_primary:
                 await self._resume_others(leader)
                 self._log("primary settled", None, primary=leader, term=report.term)
-                return GroupRecord(Phase.STEADY, leader, entry.born_ms, report.term)
+                return GroupRecord(
+                    Phase.STEADY,
+                    leader,
+                    entry.born_ms,
+                    report.term,
+                    start=report.received,
+                )
             await asyncio.sleep(STEP_S)
         return None
 
--- a/src/wasabipitch/group/state.py
+++ b/src/wasabipitch/group/state.py
@@ -52,6 +52,8 @@
         self.read_only_at_s: float | None = None
         # Commits of records before this one count as unknown from now on.
         self.abandoned_revision = 0
+        # Until when the right to the primary went that is being replaced.
+        self._covered_before_change_s = 0.0
         self._commits_s: dict[object, float] = {}
         self._read_confirmed_at_s = read_confirmed_at_s
         self._decisions = decisions
@@ -80,9 +82,11 @@
 
     @property
     def covered_until_s(self) -> float:
-        """Until when no other instance than ``primary`` can have led."""
-        if self.record is None or self.record.phase is not Phase.STEADY:
+        """Until when no primary after the one of the record can have led."""
+        if self.record is None:
             return 0.0
+        if self.record.phase is Phase.CHANGING:
+            return self._covered_before_change_s
         return self._read_confirmed_at_s() + RIGHT_S
 
     def is_primary(self, name: str) -> bool:
@@ -154,13 +158,17 @@
 
     def set_record(self, record: GroupRecord | None, revision: int) -> None:
         """Take over a newer group record."""
-        old = self.record
+        old, at_s = self.record, now_s()
+        # A successor leads only after this host gave the old primary up, or its
+        # right to it has ended.
+        self._covered_before_change_s = min(at_s, self.covered_until_s)
         self.record, self.record_revision = record, revision
-        self.record_since_s = now_s()
+        self.record_since_s = at_s
         self.read_only_at_s = None
-        if record is None or old is None or record.primary != old.primary:
-            # Positions that the old primary alone held may have been rolled back.
+        if record is None or old is None:
             self.samples = PositionSamples()
+        elif record.primary != old.primary:
+            self._follow_successor(record)
         self._decisions.belief(
             "group record",
             group=self.name,
@@ -171,6 +179,12 @@
         )
         self.wake()
 
+    def _follow_successor(self, record: GroupRecord) -> None:
+        if record.start == ORIGIN:
+            self.samples = PositionSamples()
+        else:
+            self.samples.cap(record.start)
+
     def wake(self) -> None:
         """Wake those who wait for a change."""
         self._changed.set()
--- a/src/wasabipitch/group/transactions.py
+++ b/src/wasabipitch/group/transactions.py
@@ -12,7 +12,7 @@
 from wasabipitch.group.state import GroupState
 from wasabipitch.group.writes import WriteRunner
 from wasabipitch.instances.dispatcher import Loan
-from wasabipitch.policy.rights import ReadRight
+from wasabipitch.models import Position
 from wasabipitch.wire.codecs import InstanceCodec
 from wasabipitch.wire.messages import Code, Reply, SessionState, Verb
 
@@ -60,22 +60,20 @@
 
     async def _begin(self, req: Request, tx: Transaction) -> None:
         while True:
-            right = self._state.judge_read(req.route, tx.arrived_s, req.session.floor)
+            floor = None
             if tx.read_only:
-                loan = await self._borrowing.acquire_for_read(req, right)
+                loan, right = await self._borrowing.acquire_for_read(req, tx.arrived_s)
+                floor = right.floor
             else:
-                await self._borrowing.check_right(req, right)
-                loan = await self._borrowing.acquire(
-                    req, self._state.is_primary, needs_primary=True
-                )
-            if await self._begin_on(req, tx, loan, right):
+                self._borrowing.judge(req, tx.arrived_s)
+                loan = await self._borrowing.acquire_primary(req)
+            if await self._begin_on(req, tx, loan, floor):
                 return
             await self._exchange.pause(req)
 
     async def _begin_on(
-        self, req: Request, tx: Transaction, loan: Loan, right: ReadRight
+        self, req: Request, tx: Transaction, loan: Loan, floor: Position | None
     ) -> bool:
-        floor = right.floor if tx.read_only else None
         state, name = self._state, loan.pool.name
         try:
             synced = await self._exchange.sync(req, loan.conn)
--- a/src/wasabipitch/group/writes.py
+++ b/src/wasabipitch/group/writes.py
@@ -24,9 +24,7 @@
     async def run(self, req: Request) -> Reply:
         """Return a write's answer; raises ``StatementFailed``."""
         while True:
-            loan = await self._borrowing.acquire(
-                req, self._state.is_primary, needs_primary=True
-            )
+            loan = await self._borrowing.acquire_primary(req)
             reply = await self._send_write(req, loan)
             if reply is not None:
                 return reply
--- a/src/wasabipitch/policy/rights.py
+++ b/src/wasabipitch/policy/rights.py
@@ -55,6 +55,19 @@
                 return
         self._samples.append(Sample(at_s, position))
 
+    def cap(self, start: Position) -> None:
+        """Go on with a primary that leads from a position.
+
+        It holds every commit that was acknowledged before, so no greater position
+        is needed for them; what lies beyond may have been rolled back.
+
+        Args:
+            start: the end of the new primary's log when it began to lead.
+        """
+        self._samples = deque(
+            Sample(sample.at_s, min(sample.position, start)) for sample in self._samples
+        )
+
     def find(self, at_s: float) -> Position | None:
         """Return the lowest position that covers all commits before a time."""
         for sample in self._since(at_s):
--- a/tests/wasabipitch/coordination/test_mirror.py
+++ b/tests/wasabipitch/coordination/test_mirror.py
@@ -6,6 +6,7 @@
 from wasabipitch import tasks
 from wasabipitch.coordination.documents import HEAD_KEY
 from wasabipitch.coordination.mirror import StoreMirror
+from wasabipitch.coordination.store import Item, Listing
 from wasabipitch.operations.decisions import DecisionLog
 
 
@@ -54,6 +55,38 @@
         self.assertTrue(await self.mirror.check())
         self.assertEqual(self.mirror.items["wasabipitch/groups/g"].value, b"r")
 
+    async def test_a_head_read_later_than_the_records_confirms_none_of_them(self):
+        # Pages of a list are not a snapshot: the head came with a later one.
+        revision = self.store.revision
+        self.store.deaf = True
+        await self.store.commit({}, {HEAD_KEY: b"", "wasabipitch/groups/g": b"r"})
+        pages = Listing((self.store.items[HEAD_KEY],), revision)
+        with patch.object(self.store, "list", return_value=pages):
+            await self.mirror._load()
+            self.assertFalse(await self.mirror.check())
+        self.assertTrue(await self.mirror.check())
+        self.assertEqual(self.mirror.items["wasabipitch/groups/g"].value, b"r")
+
+    async def test_what_this_host_wrote_counts_before_the_watch_brings_it(self):
+        self.store.deaf = True
+        writes = {HEAD_KEY: b"", "wasabipitch/groups/g": b"r"}
+        revision = await self.store.commit({}, writes)
+        self.mirror.note_written(writes, revision)
+        self.assertEqual(self.mirror.head_revision, revision)
+        self.assertEqual(self.changes[-1][0], "wasabipitch/groups/g")
+
+    async def test_nor_do_the_hosts_confirm_it(self):
+        pages = Listing((Item(HEAD_KEY, b"", 99),), self.store.revision)
+        with patch.object(self.store, "list", return_value=pages):
+            await self.mirror._load()
+        self.store.down = True
+
+        async def confirm():
+            return 123.0
+
+        self.mirror.confirm_among_hosts = confirm
+        self.assertFalse(await self.mirror.check())
+
     async def test_an_outage_confirms_nothing(self):
         self.store.down = True
         self.assertFalse(await self.mirror.check())
--- a/tests/wasabipitch/policy/test_rights.py
+++ b/tests/wasabipitch/policy/test_rights.py
@@ -49,3 +49,13 @@
         for n in range(1000):
             samples.add(float(n), Position(1, n))
         self.assertEqual(samples.find(0.0), Position(1, 993))
+
+    def test_after_a_replacement_no_more_than_the_successor_holds_is_needed(self):
+        samples = PositionSamples()
+        samples.add(100.0, Position(1, 5))
+        samples.add(101.0, Position(1, 9))
+        samples.cap(Position(1, 7))
+        self.assertEqual(samples.find(99.0), Position(1, 5))
+        self.assertEqual(samples.find(100.5), Position(1, 7))
+        samples.add(102.0, Position(2, 8))
+        self.assertEqual(samples.find(101.5), Position(2, 8))
--- a/tests/wasabipitch/test_gateway.py
+++ b/tests/wasabipitch/test_gateway.py
@@ -1,6 +1,7 @@
 import asyncio
 import unittest
 from dataclasses import replace
+from unittest.mock import patch
 
 from tests.wasabipitch.gateway_fixture import (
     BOUNDED_DB,
@@ -205,6 +206,21 @@
         lines = await caller.ask("WRITE job after", "w9")
         self.assertTrue(lines[0].startswith("COMPLETE"), lines)
 
+    async def test_commits_that_reach_no_replica_hold_up_no_hand_over(self):
+        caller, _ = await self.fleet.connect(OWN_DB)
+        await self.write(caller, 3)
+        for name in ("i-1", "i-2"):
+            self.fleet.group.instances[name].deaf = True
+        stuck, _ = await self.fleet.connect(OWN_DB)
+        stuck.send("WRITE job stuck", "w7")
+        await asyncio.sleep(0.1)
+        with patch("wasabipitch.group.replacement.CATCH_UP_S", 60.0):
+            self.fleet.register("i-0", leaving=True)
+            await self.wait_primary("i-1", "i-2")
+        lines = await stuck.receive()
+        self.assertTrue(lines[0].startswith("ERROR UNKNOWN"), lines)
+        self.assertEqual((await caller.ask("READ job"))[0], "ROW v2")
+
     async def test_a_primary_that_came_back_empty_is_not_read(self):
         caller, _ = await self.fleet.connect(PRIMARY_DB)
         await self.write(caller, 3)
@@ -256,6 +272,23 @@
         lines = await blind.receive()
         self.assertTrue(lines[0].startswith("ERROR BUSY"), lines)
 
+    async def test_reads_that_may_be_old_go_on_while_the_primary_is_replaced(self):
+        callers = [
+            (await self.fleet.connect(database, "host-2"))[0]
+            for database in (BOUNDED_DB, OWN_DB)
+        ]
+        for caller in callers:
+            await self.write(caller, 3)
+        await self.cut_off("host-2")
+        state = self.fleet.state("host-2")
+        changing = replace(state.record, phase=Phase.CHANGING, holder="another")
+        state.set_record(changing, state.record_revision)
+        for caller in callers:
+            self.assertEqual((await caller.ask("READ job"))[0], "ROW v2")
+            await caller.ask("BEGIN READ")
+            self.assertEqual((await caller.ask("READ job"))[0], "ROW v2")
+            await caller.ask("COMMIT")
+
     async def test_a_new_host_waits_for_one_that_may_not_know_it(self):
         await self.cut_off("host-2")
         self.fleet.register("i-0", leaving=True)
