Never name a replaced primary again; judge hanging commits by their own primary; ctl explain

The second one was busy when it was asked for its report. The first one, cut off from its replicas and never told to step down, still called itself primary, of term 1, and was taken for a later leader than the record's of term 2. The record named it again. Now hanging commits count only against the primary they were sent to; a later leader must lead a greater term than the record says; the first record says a term, too; and who settles a primary tells any other that calls itself one to step down. Ruled out before: rights that last too long, positions compared without their terms.

A caller whose commit was under way at a primary that was given up is told UNKNOWN at once, and no longer at its deadline: nothing that comes later could change the answer.

wasabipitch-ctl explain REQUEST LOG... reads saved logs of all hosts and prints a request's steps, what the hosts believed before, and the first cause. Statements served after their latency objective are logged ('request late') with where their time went.

--- a/src/wasabipitch/ctl.py
+++ b/src/wasabipitch/ctl.py
@@ -5,10 +5,13 @@
 from collections.abc import Awaitable, Callable
 from types import UnionType
 
+from fire.decorators import SetParseFns
+
 from wasabipitch import changes, orders, outcomes
 from wasabipitch.exceptions import SettingsError
 from wasabipitch.messages import AskEvents
 from wasabipitch.models import Address
+from wasabipitch.operations import explanations, savedlogs
 from wasabipitch.outcomes import Outcome, Session, run_session
 
 DEFAULT_KEY = "wasabipitch/configuration"
@@ -52,6 +55,7 @@
     apply FILE: put it in force.
     status: show groups, instances and processes.
     timeline: show the events of all processes.
+    explain REQUEST LOG...: show from saved logs why a request failed.
     switchover GROUP: change a group's primary as planned.
     drain TARGET: give an instance no new work.
 
@@ -142,6 +146,21 @@
         ask = AskEvents(str(group), str(session), str(request), term, limit)
         return Command(self, lambda s: orders.timeline(s, ask), True)
 
+    @SetParseFns(str, request=str)
+    def explain(self, request: str, *logs: str) -> Command:
+        """Show a request's way through the hosts from saved logs, and its cause.
+
+        Args:
+            request: its id.
+            logs: log files of all hosts, or folders of them.
+        """
+        paths = tuple(map(str, logs))
+
+        async def work(_: Session) -> Outcome:
+            return _explain(str(request), paths)
+
+        return Command(self, work, False)
+
     def switchover(self, group: str, to: str = "") -> Command:
         """Change a group's primary as planned, and show what it waits for.
 
@@ -182,6 +201,16 @@
         )
 
 
+def _explain(request: str, paths: tuple[str, ...]) -> Outcome:
+    try:
+        files = savedlogs.find_files(paths)
+    except SettingsError as exc:
+        return outcomes.fail_usage(exc)
+    found = explanations.explain(savedlogs.read_lines(files), request)
+    exit_code = outcomes.EXIT_DONE if found.steps else outcomes.EXIT_FAILED
+    return Outcome(exit_code, explanations.render(found), found)
+
+
 def _read_addresses(processes: object) -> tuple[str, ...]:
     """Return the addresses in a flag, which ``fire`` may have split already."""
     parts = processes if isinstance(processes, tuple | list) else [processes]
--- a/src/wasabipitch/exceptions.py
+++ b/src/wasabipitch/exceptions.py
@@ -178,6 +178,10 @@
     """The connection to an instance broke before its whole answer came."""
 
 
+class PrimaryReplaced(TargetLost):
+    """A primary was given up before it answered a commit."""
+
+
 class InstanceSilent(InstanceLost):
     """An instance gave no answer in the time allowed for it."""
 
--- a/src/wasabipitch/group/borrowing.py
+++ b/src/wasabipitch/group/borrowing.py
@@ -113,10 +113,15 @@
             min(req.deadline_s, now_s() + longest_wait_s(req.route.objective_s)),
             set(req.avoid),
         )
+        started_s = now_s()
         try:
-            return await self._dispatcher.acquire(need)
+            loan = await self._dispatcher.acquire(need)
         except (NoTarget, Overloaded) as exc:
             raise StatementFailed(Code.BUSY, exc.message) from exc
+        finally:
+            req.in_line_s += now_s() - started_s
+        req.instance = loan.pool.name
+        return loan
 
     async def _wait_until(self, req: Request, is_servable: Callable[[], bool]) -> None:
         while not is_servable():
--- a/src/wasabipitch/group/exchange.py
+++ b/src/wasabipitch/group/exchange.py
@@ -3,7 +3,7 @@
 import asyncio
 
 from wasabipitch.clock import now_s
-from wasabipitch.exceptions import InstanceLost
+from wasabipitch.exceptions import InstanceLost, PrimaryReplaced
 from wasabipitch.group.request import Request, StatementFailed
 from wasabipitch.group.state import GroupState
 from wasabipitch.instances.connection import MAX_PREPARED, InstanceConnection
@@ -76,17 +76,34 @@
             return False
         return True
 
-    async def ask(self, req: Request, loan: Loan, message: bytes) -> Reply:
+    async def ask(
+        self,
+        req: Request,
+        loan: Loan,
+        message: bytes,
+        given_up: asyncio.Future[None] | None = None,
+    ) -> Reply:
         """Send a message and return its answer.
 
+        Args:
+            req: the request that it belongs to.
+            loan: the connection.
+            message: to send.
+            given_up: done when the answer no longer counts.
+
         Raises:
             InstanceLost: the connection ended first; it may have run.
+            PrimaryReplaced: its answer no longer counts; it may have run.
             TimeoutError: the request's time limit passed; it may yet run.
         """
         sent_at_s = now_s()
         fut = loan.conn.send(message)
+        awaited = {fut} if given_up is None else {fut, given_up}
         async with asyncio.timeout(max(0.0, req.left_s)):
-            reply = await asyncio.shield(fut)
+            await asyncio.wait(awaited, return_when=asyncio.FIRST_COMPLETED)
+        if not fut.done():
+            raise PrimaryReplaced(f"{loan.pool.name} was replaced meanwhile")
+        reply = fut.result()
         pool = loan.pool
         pool.note_answer()
         pool.failures.add(reply.code is Code.FAILED, now_s())
--- a/src/wasabipitch/group/keeper.py
+++ b/src/wasabipitch/group/keeper.py
@@ -10,6 +10,7 @@
     SEEN_PREFIX,
     DoubtRecord,
     GroupRecord,
+    InstanceEntry,
     Phase,
     SeenRecord,
     encode,
@@ -19,6 +20,7 @@
 from wasabipitch.coordination.roster import Roster
 from wasabipitch.coordination.store import CoordinationStore, Promoter
 from wasabipitch.exceptions import RecordConflict, StoreError
+from wasabipitch.group.orders import InstanceOrders
 from wasabipitch.group.replacement import Replacement
 from wasabipitch.group.state import GroupState
 from wasabipitch.instances.dispatcher import Dispatcher
@@ -31,6 +33,7 @@
     rank,
 )
 from wasabipitch.wire.codecs import InstanceCodec
+from wasabipitch.wire.messages import InstanceReport
 
 TICK_S = 0.1
 # A primary that can't be connected to, or answers nothing, for this long.
@@ -118,7 +121,7 @@
         revision = state.record_revision
         await self._settle()
         # From here on an answer of the old primary counts as unknown.
-        state.abandoned_revision = revision
+        state.abandon_commits(revision)
         acknowledged = state.acknowledged
         record = SeenRecord(revision, acknowledged.term, acknowledged.index)
         await self._write(self._seen_key, record)
@@ -173,8 +176,18 @@
         if len(leaders) != 1 or not self._is_my_turn(self._mirror.returned_at_s):
             return
         entry = leaders[0]
-        record = GroupRecord(Phase.STEADY, entry.name, entry.born_ms, 0)
-        await self._commit_record(record)
+        report = await self._ask_leader(entry)
+        if report is not None and report.is_primary:
+            term = report.term
+            record = GroupRecord(Phase.STEADY, entry.name, entry.born_ms, term)
+            await self._commit_record(record)
+
+    async def _ask_leader(self, entry: InstanceEntry) -> InstanceReport | None:
+        orders = InstanceOrders(self._codec)
+        try:
+            return await orders.status(entry)
+        finally:
+            orders.close()
 
     async def _watch_primary(self, record: GroupRecord) -> None:
         reason = find_reason(self._gather_evidence(record))
--- a/src/wasabipitch/group/replacement.py
+++ b/src/wasabipitch/group/replacement.py
@@ -1,6 +1,7 @@
 """Carries out the replacement of a group's primary."""
 
 import asyncio
+from collections.abc import Mapping
 
 from wasabipitch.clock import now_s
 from wasabipitch.coordination.documents import GroupRecord, InstanceEntry, Phase
@@ -72,7 +73,7 @@
 
     async def _attempt(self, record: GroupRecord, revision: int) -> GroupRecord | None:
         reports = await self._orders.status_of(self._state.entries.values())
-        leader = _find_later_leader(record, reports)
+        leader = find_later_leader(record, reports)
         if leader is None:
             choice = await self._choose(record, revision, reports)
             leader = choice.instance
@@ -207,7 +208,7 @@
                 return None
             report = await self._orders.status(entry)
             if report is not None and report.is_primary:
-                await self._resume_others(leader)
+                await self._follow(leader, report.term)
                 self._log("primary settled", None, primary=leader, term=report.term)
                 return GroupRecord(
                     Phase.STEADY,
@@ -219,9 +220,18 @@
             await asyncio.sleep(STEP_S)
         return None
 
-    async def _resume_others(self, leader: str) -> None:
+    async def _follow(self, leader: str, term: int) -> None:
+        """Let the others receive from a primary, also one that it replaced."""
         others = [e for n, e in self._state.entries.items() if n != leader]
         await asyncio.gather(*(self._orders.resume(entry) for entry in others))
+        reports = await self._orders.status_of(others)
+        await asyncio.gather(
+            *(
+                self._orders.step_down(entry, term)
+                for entry in others
+                if entry.name in reports and reports[entry.name].is_primary
+            )
+        )
 
     def _log(self, event: str, record: GroupRecord | None, **fields) -> None:
         self._decisions.belief(
@@ -233,17 +243,20 @@
         )
 
 
-def _find_later_leader(
-    record: GroupRecord, reports: dict[str, InstanceReport]
+def find_later_leader(
+    record: GroupRecord, reports: Mapping[str, InstanceReport]
 ) -> str | None:
+    """Return an instance that leads a later term than a record's primary, or None.
+
+    A primary that was replaced before may still call itself one, at a lower term.
+    """
+    old = reports.get(record.primary)
+    term = max(record.term, old.term if old is not None and old.is_primary else 0)
     leaders = {
         name: report.term
         for name, report in reports.items()
-        if report.is_primary and name != record.primary
+        if report.is_primary and name != record.primary and report.term > term
     }
-    old = reports.get(record.primary)
-    if old is not None and old.is_primary:
-        leaders = {name: term for name, term in leaders.items() if term > old.term}
     return max(leaders, key=leaders.get, default=None)
 
 
--- a/src/wasabipitch/group/request.py
+++ b/src/wasabipitch/group/request.py
@@ -29,6 +29,8 @@
     Args:
         writes: whether it changes data.
         deadline_s: when its time limit ends.
+        in_line_s: how long it waited for connections.
+        instance: that it was sent to last, or empty.
     """
 
     def __init__(
@@ -45,6 +47,8 @@
         self.deadline_s = arrived_s + route.timeout_s - REPLY_MARGIN_S
         self.avoid: set[str] = set()
         self.tries = 0
+        self.in_line_s = 0.0
+        self.instance = ""
 
     @property
     def shape(self) -> Shape | None:
--- a/src/wasabipitch/group/runner.py
+++ b/src/wasabipitch/group/runner.py
@@ -1,5 +1,7 @@
 """Runs callers' statements on a group's instances."""
 
+from typing import Any
+
 from wasabipitch.clock import now_s
 from wasabipitch.coordination.documents import Route
 from wasabipitch.group.borrowing import Borrowing
@@ -27,6 +29,7 @@
         decisions: DecisionLog,
     ) -> None:
         self._state = state
+        self._dispatcher = dispatcher
         self._decisions = decisions
         exchange = Exchange(state, dispatcher, codec)
         borrowing = Borrowing(state, dispatcher)
@@ -47,15 +50,44 @@
         req = Request(session, statement, route, arrived_s)
         in_transaction = session.transaction is not None
         try:
-            if in_transaction:
-                return await self._transactions.run(req, session.transaction)
-            if statement.verb is Verb.EXECUTE and req.shape is None:
-                raise StatementFailed(Code.NO_STATEMENT, "no such prepared statement")
-            if req.writes:
-                return await self._writes.run(req)
-            return await self._reads.run(req)
+            reply = await self._run(req)
         except StatementFailed as exc:
             return self._fail(req, exc, in_transaction)
+        if now_s() - arrived_s > route.objective_s:
+            self._log_late(req)
+        return reply
+
+    async def _run(self, req: Request) -> Reply:
+        transaction = req.session.transaction
+        if transaction is not None:
+            return await self._transactions.run(req, transaction)
+        if req.statement.verb is Verb.EXECUTE and req.shape is None:
+            raise StatementFailed(Code.NO_STATEMENT, "no such prepared statement")
+        if req.writes:
+            return await self._writes.run(req)
+        return await self._reads.run(req)
+
+    def _log_late(self, req: Request) -> None:
+        taken_s = now_s() - req.arrived_s
+        self._decisions.late(
+            "request late",
+            **self._describe(req),
+            ran_s=round(taken_s - req.in_line_s, 3),
+            lagging=self._dispatcher.find_lagging(),
+        )
+
+    def _describe(self, req: Request) -> dict[str, Any]:
+        """Return what a line on a request says of it."""
+        return {
+            "request": req.statement.request_id.decode("ascii", "replace"),
+            "session": req.session.session,
+            "group": self._state.name,
+            "verb": req.statement.verb.value,
+            "instance": req.instance,
+            "waited_s": round(now_s() - req.arrived_s, 3),
+            "in_line_s": round(req.in_line_s, 3),
+            "tries": req.tries,
+        }
 
     def _fail(self, req: Request, exc: StatementFailed, in_transaction: bool) -> Reply:
         session = req.session
@@ -64,14 +96,9 @@
             session.failed = req.statement.verb is not Verb.COMMIT
         self._decisions.request(
             "request failed",
-            request=req.statement.request_id.decode("ascii", "replace"),
-            session=session.session,
-            group=self._state.name,
-            verb=req.statement.verb.value,
+            **self._describe(req),
             code=exc.code.value,
             reason=exc.reason,
-            waited_s=round(now_s() - req.arrived_s, 3),
-            tries=req.tries,
             primary=self._state.primary,
             record=self._state.record_revision,
             confirmed_s=round(now_s() - self._state.covered_until_s, 3),
--- a/src/wasabipitch/group/state.py
+++ b/src/wasabipitch/group/state.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 from collections.abc import Callable, Iterator
+from dataclasses import dataclass
 
 from wasabipitch.clock import now_s
 from wasabipitch.coordination.documents import (
@@ -23,6 +24,18 @@
 )
 
 
+@dataclass(frozen=True, slots=True)
+class CommitUnderWay:
+    """A write that was sent to a primary and has no answer yet.
+
+    Args:
+        revision: of the group record when it was sent.
+    """
+
+    revision: int
+    sent_at_s: float
+
+
 class GroupState:
     """A group's instances, its primary, and the positions seen on it.
 
@@ -52,9 +65,9 @@
         self.read_only_at_s: float | None = None
         # Commits of records before this one count as unknown from now on.
         self.abandoned_revision = 0
+        self._commits: dict[asyncio.Future[None], CommitUnderWay] = {}
         # Until when the right to the primary went that is being replaced.
         self._covered_before_change_s = 0.0
-        self._commits_s: dict[object, float] = {}
         self._read_confirmed_at_s = read_confirmed_at_s
         self._decisions = decisions
         self._changed = asyncio.Event()
@@ -122,23 +135,40 @@
 
     @property
     def commits_under_way(self) -> int:
-        """How many writes were sent to the primary and have no answer yet."""
-        return len(self._commits_s)
+        """How many writes were sent to a primary and have no answer yet."""
+        return len(self._commits)
 
     @property
     def oldest_commit_s(self) -> float | None:
-        """When the oldest of those was sent, or None."""
-        return min(self._commits_s.values(), default=None)
+        """When the oldest of those was sent to the settled primary, or None."""
+        sent = [
+            commit.sent_at_s
+            for commit in self._commits.values()
+            if commit.revision == self.record_revision
+        ]
+        return min(sent, default=None)
 
     @contextlib.contextmanager
-    def commit_under_way(self) -> Iterator[None]:
-        """Count a write as under way while the block runs."""
-        token = object()
-        self._commits_s[token] = now_s()
+    def commit_under_way(self) -> Iterator[asyncio.Future[None]]:
+        """Count a write as under way while the block runs.
+
+        Yields:
+            A future that is done when the primary has been given up, so that the
+            answer to the write no longer counts.
+        """
+        given_up = asyncio.get_running_loop().create_future()
+        self._commits[given_up] = CommitUnderWay(self.record_revision, now_s())
         try:
-            yield
+            yield given_up
         finally:
-            del self._commits_s[token]
+            del self._commits[given_up]
+
+    def abandon_commits(self, revision: int) -> None:
+        """Count commits of records before a revision as unknown from now on."""
+        self.abandoned_revision = revision
+        for given_up, commit in self._commits.items():
+            if commit.revision < revision and not given_up.done():
+                given_up.set_result(None)
 
     def note_primary(self, usable: bool) -> None:
         """Note whether a request could reach a primary just now."""
--- a/src/wasabipitch/group/transactions.py
+++ b/src/wasabipitch/group/transactions.py
@@ -4,7 +4,7 @@
 from dataclasses import replace
 
 from wasabipitch.clock import now_s
-from wasabipitch.exceptions import InstanceLost
+from wasabipitch.exceptions import InstanceLost, PrimaryReplaced
 from wasabipitch.group.borrowing import Borrowing
 from wasabipitch.group.exchange import Exchange
 from wasabipitch.group.request import Request, StatementFailed
@@ -113,9 +113,9 @@
             message = self._exchange.encode(req, conn, None)
             if not (commits and tx.wrote):
                 return await self._exchange.ask(req, tx.loan, message)
-            with self._state.commit_under_way():
-                return await self._exchange.ask(req, tx.loan, message)
-        except (InstanceLost, TimeoutError) as exc:
+            with self._state.commit_under_way() as given_up:
+                return await self._exchange.ask(req, tx.loan, message, given_up)
+        except (InstanceLost, PrimaryReplaced, TimeoutError) as exc:
             self._end_broken(req, tx)
             unknown = commits and tx.wrote
             code = Code.UNKNOWN if unknown else Code.ABORTED
--- a/src/wasabipitch/group/writes.py
+++ b/src/wasabipitch/group/writes.py
@@ -2,7 +2,7 @@
 
 from dataclasses import replace
 
-from wasabipitch.exceptions import InstanceLost
+from wasabipitch.exceptions import InstanceLost, PrimaryReplaced
 from wasabipitch.group.borrowing import Borrowing
 from wasabipitch.group.exchange import Exchange
 from wasabipitch.group.request import Request, StatementFailed
@@ -39,10 +39,10 @@
             if not self._state.is_primary(loan.pool.name):
                 return None
             revision = self._state.record_revision
-            with self._state.commit_under_way():
+            with self._state.commit_under_way() as given_up:
                 message = self._exchange.encode(req, loan.conn, None)
-                reply = await self._exchange.ask(req, loan, message)
-        except InstanceLost as exc:
+                reply = await self._exchange.ask(req, loan, message, given_up)
+        except (InstanceLost, PrimaryReplaced) as exc:
             raise StatementFailed(Code.UNKNOWN, str(exc)) from exc
         except TimeoutError:
             raise StatementFailed(
--- a/src/wasabipitch/instances/dispatcher.py
+++ b/src/wasabipitch/instances/dispatcher.py
@@ -131,6 +131,11 @@
             ]
         return gauges
 
+    def find_lagging(self) -> list[str]:
+        """Return the instances that said lately that they lag."""
+        at_s = now_s()
+        return [name for name, p in self.pools.items() if p.lagging.is_off(at_s)]
+
     def keep_open(self) -> None:
         """Hold a few connections to each instance, and close what is idle."""
         for pool in self.pools.values():
--- a/src/wasabipitch/operations/decisions.py
+++ b/src/wasabipitch/operations/decisions.py
@@ -11,6 +11,9 @@
 
 # Of the routine decisions, one in this many is logged.
 ROUTINE_SAMPLE = 50
+# Lines of late requests in a second, so that they cost a full host little; all of
+# them are counted.
+LATE_LINES_PER_S = 20
 FORMAT = "%(asctime)s %(levelname)s %(message)s"
 
 
@@ -44,6 +47,8 @@
         self._measures = measures or Measures()
         self._logger = logging.Logger(f"wasabipitch.{host}", logging.DEBUG)
         self._routine_count = 0
+        self._late_count = 0
+        self._late_since_s = 0.0
         self._reported: dict[str, int] = {}
         self._writer = writer
         if writer is None:
@@ -75,6 +80,16 @@
         self._measures.count("decisions", event=event)
         self._log(logging.INFO, event, fields)
 
+    def late(self, event: str, **fields: Any) -> None:
+        """Log a request that was served late, unless many were in this second."""
+        self._measures.count("decisions", event=event)
+        at_s = now_s()
+        if at_s - self._late_since_s >= 1.0:
+            self._late_since_s, self._late_count = at_s, 0
+        self._late_count += 1
+        if self._late_count <= LATE_LINES_PER_S:
+            self._log(logging.INFO, event, fields)
+
     def routine(self, event: str, **fields: Any) -> None:
         """Log a sample of the decisions on requests that go well."""
         self._measures.count("decisions", event=event)
--- /dev/null
+++ b/src/wasabipitch/operations/explanations.py
@@ -0,0 +1,227 @@
+"""Explains a request from saved logs: its steps, what decided them, the first cause."""
+
+from collections.abc import Iterable, Sequence
+from dataclasses import dataclass
+from datetime import datetime, timedelta
+
+from wasabipitch.operations.savedlogs import LogLine
+
+# Beliefs older than this seldom decided a request, whose time limit is shorter.
+CONTEXT_S = 10.0
+TIME_FORMAT = "%Y-%m-%d %H:%M:%S,%f"
+
+REPLACEMENT_EVENTS = frozenset(
+    {
+        "group record",
+        "primary doubted",
+        "replacing the primary",
+        "no successor yet",
+        "successor chosen",
+        "promotion refused",
+        "promotion unanswered",
+        "primary settled",
+    }
+)
+INSTANCE_EVENTS = frozenset(
+    {
+        "instance registered",
+        "instance gone",
+        "instance unreachable",
+        "instance reachable",
+    }
+)
+STORE_EVENTS = frozenset(
+    {
+        "store reachable",
+        "store unreachable",
+        "store reached through peers",
+        "store reached itself",
+        "store history lost",
+        "records read",
+    }
+)
+LIFE_EVENTS = frozenset({"started", "stopping", "stopped"})
+
+
+@dataclass(frozen=True, slots=True)
+class Explanation:
+    """What the logs say of one request.
+
+    Args:
+        steps: the request's own lines, in order.
+        context: changes of belief before its last step that may have decided it.
+        cause: the first cause that can be named, in a sentence.
+    """
+
+    request: str
+    steps: tuple[LogLine, ...]
+    context: tuple[LogLine, ...]
+    cause: str
+
+
+def explain(lines: Iterable[LogLine], request: str) -> Explanation:
+    """Return what saved logs say of a request.
+
+    Args:
+        lines: of all hosts, in any order.
+        request: its id.
+    """
+    beliefs: list[LogLine] = []
+    steps: list[LogLine] = []
+    for line in lines:
+        if line.fields.get("request") == request:
+            steps.append(line)
+        elif line.level == "WARNING":
+            beliefs.append(line)
+    steps.sort(key=lambda line: line.time)
+    context = tuple(_select_context(beliefs, steps))
+    return Explanation(request, tuple(steps), context, _find_cause(steps, context))
+
+
+def _select_context(
+    beliefs: Sequence[LogLine], steps: Sequence[LogLine]
+) -> list[LogLine]:
+    if not steps:
+        return []
+    until = steps[-1].time
+    since = _shift(steps[0].time, -CONTEXT_S)
+    groups = {step.fields.get("group") for step in steps} - {None}
+    hosts = {step.host for step in steps}
+    found = [
+        line
+        for line in beliefs
+        if since <= line.time <= until and _concerns(line, groups, hosts)
+    ]
+    return sorted(found, key=lambda line: line.time)
+
+
+def _concerns(line: LogLine, groups: set, hosts: set[str]) -> bool:
+    if line.event in REPLACEMENT_EVENTS | INSTANCE_EVENTS:
+        return line.fields.get("group") in groups
+    return line.host in hosts or line.event in LIFE_EVENTS
+
+
+def _shift(time: str, seconds: float) -> str:
+    try:
+        moment = datetime.strptime(time, TIME_FORMAT)
+    except ValueError:
+        return ""
+    return (moment + timedelta(seconds=seconds)).strftime(TIME_FORMAT)[:-3]
+
+
+def _find_cause(steps: Sequence[LogLine], context: Sequence[LogLine]) -> str:
+    if not steps:
+        return "no line names it: it went well, or its host's log is missing"
+    last = steps[-1]
+    if last.event == "request late":
+        return _find_lag(last, context)
+    reason = str(last.fields.get("reason", ""))
+    for words, find in _FINDERS:
+        if words in reason:
+            return find(last, context) or reason
+    return _find_replacement(last, context) or reason or last.event
+
+
+def _find_replacement(last: LogLine, context: Sequence[LogLine]) -> str:
+    begun = _first(context, "replacing the primary")
+    if begun is None:
+        doubted = _first(context, "primary doubted")
+        if doubted is None:
+            return ""
+        return (
+            f"{doubted.host} found primary {doubted.fields.get('primary')} "
+            f"{doubted.fields.get('reason')}; nobody has replaced it yet"
+        )
+    text = (
+        f"{begun.host} began to replace primary {begun.fields.get('primary')}: "
+        f"{begun.fields.get('reason')}"
+    )
+    doubted = _first(context, "primary doubted")
+    if doubted is not None:
+        text += f" (first {doubted.host}: {doubted.fields.get('reason')})"
+    waiting = _first(context, "no successor yet")
+    if waiting is not None:
+        text += f"; it was held up: {waiting.fields.get('reason')}"
+    return text
+
+
+def _find_unconfirmed(last: LogLine, context: Sequence[LogLine]) -> str:
+    lost = _last(context, "store unreachable", last.host)
+    if lost is None:
+        return ""
+    relayed = _last(context, "store reached through peers", last.host)
+    by_peers = "" if relayed is None else f", its peers helped from {relayed.time} on"
+    return (
+        f"{last.host} had no answer of the store since {lost.time}"
+        f" ({lost.fields.get('reason')}){by_peers}"
+    )
+
+
+def _find_instance(last: LogLine, context: Sequence[LogLine]) -> str:
+    lost = _first(context, "instance unreachable")
+    replaced = _find_replacement(last, context)
+    if lost is None:
+        return replaced
+    text = f"instance {lost.fields.get('instance')}: {lost.fields.get('reason')}"
+    return f"{text}; {replaced}" if replaced else text
+
+
+def _find_lag(last: LogLine, context: Sequence[LogLine]) -> str:
+    lagging = last.fields.get("lagging")
+    if lagging:
+        found = _find_replacement(last, context)
+        text = f"instances {lagging} lagged behind, so that others served the reads"
+        return f"{text}; {found}" if found else text
+    line_s, run_s = last.fields.get("in_line_s"), last.fields.get("ran_s")
+    known = isinstance(line_s, int | float) and isinstance(run_s, int | float)
+    if known and line_s > run_s:
+        return _find_load(last, context)
+    return f"instance {last.fields.get('instance')} took {run_s} s to answer"
+
+
+def _find_load(last: LogLine, context: Sequence[LogLine]) -> str:
+    found = _find_instance(last, context)
+    load = "more work came than the group's instances can serve in time"
+    return f"{load}, while {found}" if found else load
+
+
+def _first(lines: Sequence[LogLine], event: str) -> LogLine | None:
+    return next((line for line in lines if line.event == event), None)
+
+
+def _last(lines: Sequence[LogLine], event: str, host: str) -> LogLine | None:
+    found = [line for line in lines if line.event == event and line.host == host]
+    return found[-1] if found else None
+
+
+# What a failure's reason says, and where its cause is looked for.
+_FINDERS = (
+    ("not confirmed in time", _find_unconfirmed),
+    ("has no primary", _find_replacement),
+    ("primary was replaced", _find_replacement),
+    ("connection", _find_instance),
+    ("no answer of", _find_instance),
+    ("expected wait", _find_load),
+    ("wait already", _find_load),
+    ("became free", _find_load),
+    ("no time is left", _find_load),
+    ("no instance may serve", _find_instance),
+)
+
+
+def render(explanation: Explanation) -> str:
+    """Return an explanation as text, one line a step."""
+    lines = [f"request {explanation.request}"]
+    lines += [f"  {_render_line(step)}" for step in explanation.steps]
+    if explanation.context:
+        lines.append("what the hosts believed before:")
+        lines += [f"  {_render_line(line)}" for line in explanation.context]
+    lines.append(f"first cause: {explanation.cause}")
+    return "\n".join(lines)
+
+
+def _render_line(line: LogLine) -> str:
+    fields = "  ".join(
+        f"{name}={value}" for name, value in line.fields.items() if name != "request"
+    )
+    return f"{line.time}  {line.host}  {line.event}  {fields}".rstrip()
--- a/tests/docs/test_operations.py
+++ b/tests/docs/test_operations.py
@@ -9,7 +9,7 @@
     for path in (ROOT / "src" / "wasabipitch").rglob("*.py")
 ]
 EVENT = re.compile(
-    r'(?:\.(?:belief|request|routine)|_log)\(\s*(?:logging\.\w+, )?"([a-z ]+)"'
+    r'(?:\.(?:belief|request|late|routine)|_log)\(\s*(?:logging\.\w+, )?"([a-z ]+)"'
 )
 CHOSEN = re.compile(r'"([a-z ]+)" if \w+ else "([a-z ]+)"')
 GAUGE = re.compile(r'Gauge\("(\w+)"')
--- /dev/null
+++ b/tests/wasabipitch/group/test_replacement.py
@@ -0,0 +1,30 @@
+import unittest
+
+from wasabipitch.coordination.documents import GroupRecord, Phase
+from wasabipitch.group.replacement import find_later_leader
+from wasabipitch.models import Position
+from wasabipitch.wire.messages import InstanceReport
+
+RECORD = GroupRecord(Phase.CHANGING, "second", 1, 2, "holder")
+
+
+def report(is_primary, term):
+    return InstanceReport(is_primary, term, Position(term, 9), 0, 0.0, 0, 1)
+
+
+class FindLaterLeaderTest(unittest.TestCase):
+    def test_one_that_was_replaced_before_is_no_later_leader(self):
+        # Wheelcraft trouble-1, seed 830042208225: the first primary was cut off
+        # from its replicas and never heard that the second one led, and the
+        # second was busy when it was asked.
+        reports = {"first": report(True, 1), "third": report(False, 2)}
+        self.assertIsNone(find_later_leader(RECORD, reports))
+
+    def test_one_that_was_promoted_since_is(self):
+        reports = {"second": report(True, 2), "third": report(True, 3)}
+        self.assertEqual(find_later_leader(RECORD, reports), "third")
+        del reports["second"]
+        self.assertEqual(find_later_leader(RECORD, reports), "third")
+
+    def test_the_primary_itself_is_no_other(self):
+        self.assertIsNone(find_later_leader(RECORD, {"second": report(True, 4)}))
--- a/tests/wasabipitch/group/test_state.py
+++ b/tests/wasabipitch/group/test_state.py
@@ -11,14 +11,38 @@
 CHANGING = GroupRecord(Phase.CHANGING, "old", 1, 1, "holder")
 
 
+def make_state(read_confirmed_at_s=lambda: 100.0):
+    settings = GroupSettings("ledger", 16, 1)
+    return GroupState(settings, read_confirmed_at_s, DecisionLog("host"))
+
+
+class CommitsTest(unittest.IsolatedAsyncioTestCase):
+    async def test_a_commit_that_hangs_at_the_old_primary_is_not_the_new_ones(self):
+        state = make_state()
+        state.set_record(STEADY, 5)
+        with state.commit_under_way():
+            self.assertIsNotNone(state.oldest_commit_s)
+            state.set_record(CHANGING, 6)
+            state.set_record(GroupRecord(Phase.STEADY, "new", 1, 2), 7)
+            self.assertIsNone(state.oldest_commit_s)
+            self.assertEqual(state.commits_under_way, 1)
+        self.assertEqual(state.commits_under_way, 0)
+
+    async def test_commits_of_a_primary_that_was_given_up_are_not_waited_for(self):
+        state = make_state()
+        state.set_record(STEADY, 5)
+        with state.commit_under_way() as old:
+            state.set_record(STEADY, 7)
+            with state.commit_under_way() as new:
+                state.abandon_commits(7)
+                self.assertTrue(old.done())
+                self.assertFalse(new.done())
+
+
 class CoverageTest(unittest.TestCase):
     def setUp(self):
         self.confirmed_s = 100.0
-        self.state = GroupState(
-            GroupSettings("ledger", 16, 1),
-            lambda: self.confirmed_s,
-            DecisionLog("host"),
-        )
+        self.state = make_state(lambda: self.confirmed_s)
 
     def set_record(self, record, revision, at_s):
         with patch("wasabipitch.group.state.now_s", return_value=at_s):
--- /dev/null
+++ b/tests/wasabipitch/operations/test_explanations.py
@@ -0,0 +1,153 @@
+import contextlib
+import io
+import json
+import tempfile
+import unittest
+from pathlib import Path
+from unittest import mock
+
+from wasabipitch.cli import ctl
+from wasabipitch.operations.explanations import explain, render
+from wasabipitch.operations.savedlogs import parse_line, read_lines
+
+DAY = "2026-12-04 10:00:"
+
+
+def line(second, host, event, level="WARNING", **fields):
+    """Return a line as a host writes it, ``second`` after the full minute."""
+    time = f"{DAY}{second:06.3f}".replace(".", ",")
+    return json.dumps(
+        {
+            "time": time,
+            "level": level,
+            "event": event,
+            "host": host,
+            "at_s": 1,
+            **fields,
+        }
+    )
+
+
+REPLACEMENT = [
+    line(1.0, "a", "primary doubted", group="g", primary="i-1", reason="commits hang"),
+    line(1.1, "b", "replacing the primary", group="g", primary="i-1", reason="2 of 3"),
+    line(1.2, "b", "no successor yet", group="g", reason="an instance is silent"),
+    line(1.3, "c", "group record", group="other", phase="changing"),
+]
+
+
+def failed(second, host, request, reason, **fields):
+    return line(
+        second,
+        host,
+        "request failed",
+        "INFO",
+        request=request,
+        group="g",
+        reason=reason,
+        **fields,
+    )
+
+
+def explain_lines(lines, request):
+    return explain(filter(None, map(parse_line, lines)), request)
+
+
+class ExplainTest(unittest.TestCase):
+    def test_a_write_that_a_replacement_left_unknown(self):
+        lines = [*REPLACEMENT, failed(1.5, "a", "r1", "the primary was replaced")]
+        found = explain_lines(reversed(lines), "r1")
+        self.assertEqual([step.host for step in found.steps], ["a"])
+        self.assertEqual(len(found.context), 3)
+        self.assertIn("b began to replace primary i-1", found.cause)
+        self.assertIn("first a: commits hang", found.cause)
+        self.assertIn("an instance is silent", found.cause)
+
+    def test_a_read_without_a_confirmed_primary(self):
+        lines = [
+            line(1.0, "b", "store unreachable", reason="status 503"),
+            line(1.0, "a", "store unreachable", reason="no answer"),
+            failed(4.0, "a", "r1", "the primary was not confirmed in time"),
+        ]
+        cause = explain_lines(lines, "r1").cause
+        self.assertIn("a had no answer of the store", cause)
+        self.assertIn("(no answer)", cause)
+
+    def test_a_read_that_was_late_because_replicas_lagged(self):
+        late = line(
+            2.0, "a", "request late", "INFO", request="r1", group="g", lagging=["i-2"]
+        )
+        self.assertIn("i-2", explain_lines([late], "r1").cause)
+
+    def test_a_read_that_was_late_at_its_instance_or_in_line(self):
+        fields = {"request": "r1", "group": "g", "instance": "i-2", "lagging": []}
+        ran = line(2.0, "a", "request late", "INFO", in_line_s=0.1, ran_s=0.5, **fields)
+        self.assertIn("i-2 took 0.5 s", explain_lines([ran], "r1").cause)
+        waited = line(
+            2.0, "a", "request late", "INFO", in_line_s=0.5, ran_s=0.1, **fields
+        )
+        self.assertIn("more work came", explain_lines([waited], "r1").cause)
+
+    def test_old_beliefs_are_left_out(self):
+        old = line(1.0, "a", "instance unreachable", group="g", reason="refused")
+        found = explain_lines([old, failed(30.0, "a", "r1", "no connection")], "r1")
+        self.assertEqual(found.context, ())
+
+    def test_an_unknown_request(self):
+        self.assertIn("no line names it", explain_lines(REPLACEMENT, "r9").cause)
+
+    def test_other_output_is_passed_over(self):
+        self.assertIsNone(parse_line("Traceback (most recent call last):"))
+        self.assertIsNone(parse_line("{broken"))
+        self.assertIsNone(parse_line('{"time": "no event"}'))
+        prefixed = "  1.5 host-a " + REPLACEMENT[0]
+        self.assertEqual(parse_line(prefixed).event, "primary doubted")
+
+    def test_the_text_has_a_line_for_each_step(self):
+        lines = [*REPLACEMENT, failed(1.5, "a", "r1", "the primary was replaced")]
+        text = render(explain_lines(lines, "r1")).splitlines()
+        self.assertEqual(text[0], "request r1")
+        self.assertIn("request failed", text[1])
+        self.assertTrue(text[-1].startswith("first cause: b began"))
+
+
+class CommandTest(unittest.TestCase):
+    def setUp(self):
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        self.folder = Path(folder.name)
+        for n, host in enumerate("ab"):
+            lines = [text for text in REPLACEMENT if f'"host": "{host}"' in text]
+            lines.append(failed(2.0 + n, host, "0012", "the primary was replaced"))
+            path = self.folder / f"{host}.log"
+            path.write_text("\n".join(lines), encoding="utf-8")
+
+    def run_line(self, *args):
+        out = io.StringIO()
+        with (
+            mock.patch("sys.argv", ["wasabipitch-ctl", "explain", *args]),
+            contextlib.redirect_stdout(out),
+            contextlib.redirect_stderr(out),
+            self.assertRaises(SystemExit) as caught,
+        ):
+            ctl.main()
+        return caught.exception.code, out.getvalue()
+
+    def test_it_reads_the_logs_of_all_hosts(self):
+        code, text = self.run_line("0012", str(self.folder))
+        self.assertEqual(code, 0, text)
+        self.assertIn("first cause: b began to replace", text)
+        self.assertEqual(text.count("request failed"), 2)
+
+    def test_a_request_that_no_line_names(self):
+        code, _ = self.run_line("0013", str(self.folder / "a.log"))
+        self.assertEqual(code, 1)
+
+    def test_a_folder_that_does_not_exist(self):
+        code, text = self.run_line("0012", str(self.folder / "nowhere"))
+        self.assertEqual(code, 2)
+        self.assertIn("nowhere", text)
+
+    def test_files_keep_their_own_order(self):
+        lines = list(read_lines(sorted(self.folder.iterdir())))
+        self.assertEqual([ln.host for ln in lines], ["a", "a", "b", "b", "b"])
--- a/tests/wasabipitch/test_gateway.py
+++ b/tests/wasabipitch/test_gateway.py
@@ -221,6 +221,22 @@
         self.assertTrue(lines[0].startswith("ERROR UNKNOWN"), lines)
         self.assertEqual((await caller.ask("READ job"))[0], "ROW v2")
 
+    async def test_a_primary_replaced_long_ago_is_never_named_again(self):
+        caller, _ = await self.fleet.connect(OWN_DB)
+        await self.write(caller, 2)
+        old = self.fleet.group.instances["i-0"]
+        await old.stop()
+        await self.wait_primary("i-1", "i-2")
+        # It comes back as it was, and its successor goes.
+        await old.start()
+        self.assertTrue(old.is_primary)
+        successor = self.fleet.group.primary
+        await caller.ask("WRITE job newer", "w9")
+        await successor.stop()
+        (third,) = {"i-1", "i-2"} - {successor.name}
+        await self.wait_primary(third)
+        self.assertEqual((await caller.ask("READ job"))[0], "ROW newer")
+
     async def test_a_primary_that_came_back_empty_is_not_read(self):
         caller, _ = await self.fleet.connect(PRIMARY_DB)
         await self.write(caller, 3)
