Judge a wait by the line, and the run by the statement

Admission added the mean time that a connection is held, pauses of transactions included (0.15 s and more), to the wait, and compared both with the time that may be spent in line; so nothing could wait at all, whatever the line. Now the expected wait is compared with the time that may be spent in line, and the wait with the statement's own mean service time against its time limit.

--- a/src/wasabipitch/group/borrowing.py
+++ b/src/wasabipitch/group/borrowing.py
@@ -128,6 +128,7 @@
             req.kind,
             req.route.priority,
             min(req.deadline_s, now_s() + longest_wait_s(req.route.objective_s)),
+            req.deadline_s,
             set(req.avoid),
         )
         started_s = now_s()
--- a/src/wasabipitch/group/reads.py
+++ b/src/wasabipitch/group/reads.py
@@ -82,7 +82,13 @@
     async def _hedge(
         self, req: Request, right: ReadRight, names: set[str]
     ) -> Reply | None:
-        need = Need(lambda: names, req.kind, req.route.priority, req.deadline_s)
+        need = Need(
+            lambda: names,
+            req.kind,
+            req.route.priority,
+            req.deadline_s,
+            req.deadline_s,
+        )
         try:
             loan = await self._dispatcher.acquire(need)
         except (NoTarget, Overloaded):
--- a/src/wasabipitch/instances/dispatcher.py
+++ b/src/wasabipitch/instances/dispatcher.py
@@ -46,13 +46,15 @@
         find_allowed: returns the names of the instances that may serve it now.
         kind: of statement, for its expected service time.
         priority: 0 is the highest.
-        deadline_s: until when it may wait.
+        wait_until_s: until when it may wait.
+        deadline_s: when its time limit ends.
         avoid: instances that have just failed it.
     """
 
     find_allowed: Callable[[], Collection[str]]
     kind: str
     priority: int
+    wait_until_s: float
     deadline_s: float
     avoid: set[str] = field(default_factory=set)
     arrival: int = field(default_factory=lambda: next(_arrivals))
@@ -174,7 +176,7 @@
         self._waiting.sort(key=lambda other: other.order)
         self.dispatch()
         try:
-            async with asyncio.timeout(max(0.0, need.deadline_s - now_s())):
+            async with asyncio.timeout(max(0.0, need.wait_until_s - now_s())):
                 return await need.granted
         except TimeoutError:
             self._forget(need)
@@ -233,9 +235,15 @@
         line = waiting.Line(
             ahead=sum(other.order < need.order for other in self._waiting),
             servers=sum(pool.open for pool in suited),
-            service_s=self._held_s,
+            held_s=self._held_s,
         )
-        refusal = waiting.admit(line, need.deadline_s - now_s())
+        at_s = now_s()
+        budget = waiting.Budget(
+            wait_s=need.wait_until_s - at_s,
+            left_s=need.deadline_s - at_s,
+            run_s=self.times.read(need.kind),
+        )
+        refusal = waiting.admit(line, budget)
         if refusal is not None:
             raise Overloaded(refusal.reason)
 
--- a/src/wasabipitch/policy/waiting.py
+++ b/src/wasabipitch/policy/waiting.py
@@ -10,7 +10,7 @@
 MAX_WAITING = 512
 # Of the response-time objective, what waiting may use up.
 WAIT_SHARE = 0.8
-# Of the time left, what the expected wait may use up: it is only a mean.
+# Of the time there is, what the expected wait may use up: it is only a mean.
 EXPECTATION_SHARE = 0.8
 # A connection that has to be opened takes some 20 ms.
 MIN_WAIT_S = 0.1
@@ -23,12 +23,27 @@
     Args:
         ahead: requests that go before it.
         servers: connections that may serve it, free or in use.
-        service_s: how long one request holds a connection, pauses included.
+        held_s: how long one request holds a connection, pauses included.
     """
 
     ahead: int
     servers: int
-    service_s: float
+    held_s: float
+
+
+@dataclass(frozen=True, slots=True)
+class Budget:
+    """The time that a request has.
+
+    Args:
+        wait_s: that it may spend in line.
+        left_s: until its time limit.
+        run_s: that it is expected to run, once it has a connection.
+    """
+
+    wait_s: float
+    left_s: float
+    run_s: float
 
 
 @dataclass(frozen=True, slots=True)
@@ -55,21 +70,26 @@
     """Return how long a new request is expected to wait."""
     if line.servers <= 0:
         return 0.0
-    return (line.ahead + 1) * line.service_s / line.servers
+    return (line.ahead + 1) * line.held_s / line.servers
 
 
-def admit(line: Line, left_s: float) -> Refusal | None:
+def admit(line: Line, budget: Budget) -> Refusal | None:
     """Return why a request is refused, or None if it may wait.
 
+    Others hold connections for as long as their transactions pause; the request
+    itself runs for less, so that only its wait depends on them.
+
     Args:
         line: of the requests that it would wait behind.
-        left_s: the time that it has.
+        budget: the time that it has.
     """
-    if left_s <= line.service_s:
+    if budget.left_s <= budget.run_s:
         return Refusal("no time is left to run it")
     if line.ahead >= MAX_WAITING:
         return Refusal(f"{MAX_WAITING} requests wait already")
     wait_s = expected_wait_s(line)
-    if wait_s + line.service_s > left_s * EXPECTATION_SHARE:
+    if wait_s > budget.wait_s * EXPECTATION_SHARE:
+        return Refusal(f"the expected wait of {wait_s:.3f} s is too long")
+    if wait_s + budget.run_s > budget.left_s * EXPECTATION_SHARE:
         return Refusal(f"the expected wait of {wait_s:.3f} s passes the time limit")
     return None
--- a/tests/wasabipitch/instances/test_pool.py
+++ b/tests/wasabipitch/instances/test_pool.py
@@ -48,7 +48,8 @@
 
     def need(self, *names, priority=1, timeout_s=2.0):
         allowed = names or tuple(self.group.instances)
-        return Need(lambda: allowed, "read", priority, now_s() + timeout_s)
+        until_s = now_s() + timeout_s
+        return Need(lambda: allowed, "read", priority, until_s, until_s)
 
     async def test_a_connection_is_lent_and_lent_again(self):
         loan = await self.dispatcher.acquire(self.need("i-0"))
--- a/tests/wasabipitch/policy/test_waiting_replay.py
+++ b/tests/wasabipitch/policy/test_waiting_replay.py
@@ -1,7 +1,7 @@
 import random
 import unittest
 
-from wasabipitch.policy.waiting import Line, admit, longest_wait_s
+from wasabipitch.policy.waiting import Budget, Line, admit, longest_wait_s
 
 SERVICE_S = 0.012
 SLOTS = 4
@@ -24,7 +24,8 @@
         if rng.random() < load * SLOTS / SERVICE_S * TICK_S:
             asked += 1
             left_s = longest_wait_s(OBJECTIVE_S) if limited else LIMIT_S
-            if admit(Line(len(line), SLOTS, SERVICE_S), left_s) is None:
+            budget = Budget(left_s, LIMIT_S, SERVICE_S)
+            if admit(Line(len(line), SLOTS, SERVICE_S), budget) is None:
                 line.append((at_s, at_s + left_s))
             else:
                 refused, refused_soon = refused + 1, refused_soon + 1
