Let only the hosts that serve a group be waited for when its primary is replaced

A host now names the groups that it serves in the store, in the change that registers it, and may use a primary only while it is named. Whoever replaces the primary waits for those hosts alone, and they take the first turns. A host that stops serving a group stays named for 10 s, while its last transactions end. That also closes a gap: a host that had not registered yet could write to the primary without being waited for.

Ruled out: restricting the wait by each host's own view of the owners, since two hosts may differ in that.

--- a/src/wasabipitch/coordination/documents.py
+++ b/src/wasabipitch/coordination/documents.py
@@ -12,6 +12,8 @@
 GROUPS_PREFIX = "wasabipitch/groups/"
 # The names of hosts that may still run, kept without a lease.
 NAMES_PREFIX = "wasabipitch/names/"
+# Which hosts serve a group, kept under their leases.
+SERVING_PREFIX = "wasabipitch/serving/"
 SEEN_PREFIX = "wasabipitch/seen/"
 DOUBTS_PREFIX = "wasabipitch/doubts/"
 # Written with every group record, so that one read confirms all of them.
--- a/src/wasabipitch/coordination/presence.py
+++ b/src/wasabipitch/coordination/presence.py
@@ -3,12 +3,14 @@
 import asyncio
 import logging
 import math
+from collections.abc import Iterable
 
 from wasabipitch.clock import now_s
 from wasabipitch.coordination.agreement import EXTENSION_S
 from wasabipitch.coordination.documents import (
     HOSTS_PREFIX,
     NAMES_PREFIX,
+    SERVING_PREFIX,
     HostRecord,
     encode,
 )
@@ -23,12 +25,17 @@
 # The host's own entry comes back with the next watch, some 10 ms later.
 SEEN_TIMEOUT_S = 0.5
 SEEN_STEP_S = 0.005
+# The last transactions of a group that is no longer served end within their idle
+# limit, which is some seconds.
+DROPPED_MEMORY_S = 10.0
+# The store takes 32 keys in one change.
+MAX_KEYS = 30
 
 logger = logging.getLogger(__name__)
 
 
 class Presence:
-    """Registers the host and keeps its lease.
+    """Registers the host, the groups that it serves, and keeps its lease.
 
     Args:
         record: says who the host is.
@@ -41,24 +48,29 @@
         self.key = HOSTS_PREFIX + record.incarnation
         # The lease that the host's other keys are kept under; 0 before the first.
         self.lease = 0
-        self._store = store
-        self._mirror = mirror
         # Since when the entry has been there, or back after a long absence.
         self.registered_since_s = math.inf
+        self._store = store
+        self._mirror = mirror
         self._name_key = NAMES_PREFIX + record.name
         self._registered_at_s = 0.0
-        self._gone = asyncio.Event()
+        # The groups that this host serves, and since when the store says so.
+        self._groups: frozenset[str] = frozenset()
+        self._serving_since_s: dict[str, float] = {}
+        # When groups were dropped that the store may still name.
+        self._dropped_at_s: dict[str, float] = {}
+        self._incomplete = asyncio.Event()
         self._leaving = False
         mirror.subscribe(self._note)
 
     async def run(self) -> None:
-        """Register, and register again whenever the entry has gone."""
+        """Register, and register again whenever a key is missing."""
         while True:
             try:
-                self._gone.clear()
+                self._incomplete.clear()
                 await self._register()
                 await self._confirm_soon()
-                await self._renew_while_present()
+                await self._renew_while_complete()
             except LeaseEnded as exc:
                 logger.warning("registering again: %s", exc)
             except StoreError as exc:
@@ -68,37 +80,98 @@
     async def leave(self) -> None:
         """Remove the entry and the name, so that the others know at once."""
         self._leaving = True
-        await self._store.commit({}, {}, [self.key, self._name_key])
+        keys = [self.key, self._name_key, *map(self._serving_key, self._held_groups())]
+        for start in range(0, len(keys), MAX_KEYS):
+            await self._store.commit({}, {}, keys[start : start + MAX_KEYS])
+
+    def serve(self, groups: Iterable[str]) -> None:
+        """Name the groups that this host serves from now on.
+
+        One that is dropped stays in the store while its last transactions end.
+        """
+        groups = frozenset(groups)
+        if groups == self._groups:
+            return
+        at_s = now_s()
+        for group in self._groups - groups:
+            self._dropped_at_s[group] = at_s
+        for group in groups:
+            self._dropped_at_s.pop(group, None)
+        self._groups = groups
+        self._incomplete.set()
+
+    def may_serve(self, group: str) -> bool:
+        """Return whether the others may count this host as one that serves a group."""
+        return group in self._groups or group in self._dropped_at_s
+
+    def is_serving(self, group: str) -> bool:
+        """Return whether the store names this host as one that serves a group.
+
+        Whoever replaces the group's primary waits for those hosts, and so only
+        they may use it.
+        """
+        return self._serving_key(group) in self._mirror.items
 
     @property
     def is_new(self) -> bool:
         """Whether a host that lost the store may not know this one yet."""
         return now_s() - self.registered_since_s < EXTENSION_S + RENEW_INTERVAL_S
 
-    def count_confirmation(self, at_s: float) -> float:
+    def count_confirmation(self, group: str, at_s: float) -> float:
         """Return a confirmation's time, or 0 if it gives this host no right.
 
-        Whoever replaces a primary waits for the hosts that have an entry, so a
-        confirmation counts only if it was asked for after the entry was written.
+        Whoever replaces a primary waits for the hosts that serve its group, so a
+        confirmation counts only if it was asked for after that was written.
         """
-        has_entry = self.key in self._mirror.items
-        return at_s if has_entry and at_s >= self.registered_since_s else 0.0
+        if self.key not in self._mirror.items or not self.is_serving(group):
+            return 0.0
+        serving_since_s = self._serving_since_s.get(group, math.inf)
+        return at_s if at_s >= max(self.registered_since_s, serving_since_s) else 0.0
+
+    def _serving_key(self, group: str) -> str:
+        return f"{SERVING_PREFIX}{group}/{self.record.incarnation}"
+
+    def _held_groups(self) -> set[str]:
+        return {*self._groups, *self._dropped_at_s}
 
     async def _register(self) -> None:
         if not self.lease:
             self.lease = await self._store.open_lease(LEASE_S)
-        await self._write()
-
-    async def _write(self) -> None:
-        if self._name_key not in self._mirror.items:
-            await self._store.commit({}, {self._name_key: encode(self.record.name)})
-        writes = {self.key: encode(self.record)}
         try:
-            await self._store.commit({}, writes, (), self.lease)
+            await self._write()
         except LeaseEnded:
             self.lease = 0
             raise
+
+    async def _write(self) -> None:
+        if self._name_key not in self._mirror.items:
+            await self._store.commit({}, {self._name_key: encode(self.record.name)})
+        missing = [group for group in self._groups if not self.is_serving(group)]
+        writes = {self._serving_key(group): encode(group) for group in missing}
+        # The entry comes last: a host that has one has named its groups.
+        writes[self.key] = encode(self.record)
+        pairs = list(writes.items())
+        for start in range(0, len(pairs), MAX_KEYS):
+            chunk = dict(pairs[start : start + MAX_KEYS])
+            await self._store.commit({}, chunk, (), self.lease)
         self._note_present()
+        at_s = now_s()
+        self._serving_since_s.update(dict.fromkeys(missing, at_s))
+
+    async def _remove_dropped(self) -> None:
+        at_s = now_s()
+        ended = [
+            group
+            for group, dropped_s in self._dropped_at_s.items()
+            if at_s - dropped_s > DROPPED_MEMORY_S
+        ]
+        if not ended:
+            return
+        keys = [self._serving_key(group) for group in ended]
+        await self._store.commit({}, {}, keys[:MAX_KEYS])
+        for group in ended[:MAX_KEYS]:
+            self._dropped_at_s.pop(group, None)
+            self._serving_since_s.pop(group, None)
 
     def _note_present(self) -> None:
         at_s = now_s()
@@ -107,32 +180,39 @@
         self._registered_at_s = at_s
 
     async def _confirm_soon(self) -> None:
-        """Ask for the first confirmation that counts, once the entry is seen."""
+        """Ask for the first confirmation that counts, once the keys are seen."""
         until_s = now_s() + SEEN_TIMEOUT_S
-        while self.key not in self._mirror.items and now_s() < until_s:
+        while not self._is_complete() and now_s() < until_s:
             await asyncio.sleep(SEEN_STEP_S)
         await self._mirror.check(shared=False)
 
+    def _is_complete(self) -> bool:
+        present = self.key in self._mirror.items
+        return present and all(map(self.is_serving, self._groups))
+
     def _note(self, key: str, item: Item | None) -> None:
-        if key == self.key and item is None and not self._leaving:
-            self._gone.set()
+        own = key.endswith(self.record.incarnation) and not self._leaving
+        if item is None and own and not self._is_complete():
+            self._incomplete.set()
 
-    async def _sleep_unless_gone(self) -> None:
+    async def _sleep_while_complete(self) -> None:
         try:
             async with asyncio.timeout(RENEW_INTERVAL_S):
-                await self._gone.wait()
+                await self._incomplete.wait()
         except TimeoutError:
             return
+        self._incomplete.clear()
 
-    async def _renew_while_present(self) -> None:
+    async def _renew_while_complete(self) -> None:
         while True:
-            await self._sleep_unless_gone()
+            await self._sleep_while_complete()
             try:
                 await self._store.renew_lease(self.lease)
             except LeaseEnded:
                 self.lease = 0
                 raise
             self._note_present()
-            if self.key not in self._mirror.items:
+            if not self._is_complete():
                 # The store may drop a key and keep its lease.
                 return
+            await self._remove_dropped()
--- a/src/wasabipitch/coordination/roster.py
+++ b/src/wasabipitch/coordination/roster.py
@@ -12,6 +12,7 @@
     HOSTS_PREFIX,
     NAMES_PREFIX,
     SEEN_PREFIX,
+    SERVING_PREFIX,
     DoubtRecord,
     HostRecord,
     SeenRecord,
@@ -36,6 +37,11 @@
     return Host(record.name, HOST_ROLE, record.links, record.data_centre)
 
 
+def _is_earlier(incarnation: str, record: HostRecord) -> bool:
+    same_host = incarnation.rpartition(".")[0] == record.name
+    return same_host and incarnation != record.incarnation
+
+
 class Roster:
     """The hosts that live, as the store's copy shows them.
 
@@ -51,6 +57,9 @@
         self._left_at_s: dict[str, float] = {}
         self._seen_at_s: dict[str, float] = {}
         self._known: dict[str, HostRecord] = {}
+        # The incarnations that serve each group, and when some have ceased to.
+        self._serving: dict[str, set[str]] = {}
+        self._ceased_at_s: dict[tuple[str, str], float] = {}
         mirror.subscribe(self._note)
 
     def find_data_centres(self) -> dict[str, str]:
@@ -88,20 +97,26 @@
             self._seen_at_s[record.name] = at_s
             self._known[record.name] = record
 
+    def list_serving(self, group: str) -> set[str]:
+        """Return the incarnations of the hosts that serve a group."""
+        return self._serving.get(group, set())
+
     def hosts_answered(self, group: str, revision: int) -> bool:
-        """Return whether every host gave up the primary of a group record.
+        """Return whether every host that serves a group gave up its primary.
 
-        Every host with a right had its entry before the record changed, so the copy
-        must have come so far. A host whose entry has gone may live, so it counts for
-        as long as it could go on without the store.
+        Every host with a right was named before the record changed, so the copy
+        must have come so far. A host whose keys have gone may live, so it counts
+        for as long as it could go on without the store.
         """
         if self._mirror.revision < revision:
             return False
         at_s = now_s()
         recent = {
-            host for host, left in self._left_at_s.items() if at_s - left < EXTENSION_S
+            host
+            for (name, host), ceased_s in self._ceased_at_s.items()
+            if name == group and at_s - ceased_s < EXTENSION_S
         }
-        awaited = set(self.hosts) | recent
+        awaited = self.list_serving(group) | recent
         seen = self._find_seen(group)
         return all(host in seen and seen[host].revision >= revision for host in awaited)
 
@@ -150,6 +165,9 @@
         return {host: record for host, record in records.items() if record is not None}
 
     def _note(self, key: str, item: Item | None) -> None:
+        if key.startswith(SERVING_PREFIX):
+            self._note_serving(key.removeprefix(SERVING_PREFIX), item)
+            return
         if not key.startswith(HOSTS_PREFIX):
             return
         incarnation = key.removeprefix(HOSTS_PREFIX)
@@ -163,14 +181,29 @@
             self._left_at_s.pop(incarnation, None)
         self._on_change()
 
+    def _note_serving(self, name: str, item: Item | None) -> None:
+        group, _, incarnation = name.rpartition("/")
+        serving = self._serving.setdefault(group, set())
+        if item is not None:
+            serving.add(incarnation)
+            self._ceased_at_s.pop((group, incarnation), None)
+        elif incarnation in serving:
+            serving.discard(incarnation)
+            self._ceased_at_s[group, incarnation] = now_s()
+
     def _supersede(self, record: HostRecord) -> None:
         """Forget earlier lives of a host: it can't run twice."""
         for incarnation, known in list(self.hosts.items()):
             if known.name == record.name and incarnation != record.incarnation:
                 del self.hosts[incarnation]
         for incarnation in list(self._left_at_s):
-            if incarnation.rpartition(".")[0] == record.name:
+            if _is_earlier(incarnation, record):
                 del self._left_at_s[incarnation]
+        for group, incarnation in list(self._ceased_at_s):
+            if _is_earlier(incarnation, record):
+                del self._ceased_at_s[group, incarnation]
+        for serving in self._serving.values():
+            serving -= {host for host in serving if _is_earlier(host, record)}
 
     def _decode(self, item: Item, kind: type):
         try:
--- a/src/wasabipitch/group/assembly.py
+++ b/src/wasabipitch/group/assembly.py
@@ -132,11 +132,17 @@
             self._groups[settings.name].state.settings = settings
             self.update_group(settings.name)
 
-    def _read_confirmed_at_s(self) -> float:
-        return self._presence.count_confirmation(self._mirror.confirmed_at_s)
+    def _make_state(self, settings: GroupSettings) -> GroupState:
+        presence, mirror, name = self._presence, self._mirror, settings.name
+        return GroupState(
+            settings,
+            lambda: presence.count_confirmation(name, mirror.confirmed_at_s),
+            self._decisions,
+            lambda: presence.is_serving(name),
+        )
 
     def _make_group(self, settings: GroupSettings) -> Group:
-        state = GroupState(settings, self._read_confirmed_at_s, self._decisions)
+        state = self._make_state(settings)
         peers = GroupPeers(
             state,
             self._links,
@@ -184,6 +190,11 @@
         part = count_part(limit, len(state.owners))
         is_owner = self._host.name in state.owners
         group.dispatcher.update(state.entries, part if is_owner else 0)
+        self._presence.serve(
+            found.state.name
+            for found in self._groups.values()
+            if self._host.name in found.state.owners
+        )
         state.wake()
 
     def resize(self) -> None:
--- a/src/wasabipitch/group/keeper.py
+++ b/src/wasabipitch/group/keeper.py
@@ -118,6 +118,8 @@
         state = self._state
         if not state.is_changing or self._seen_revision == state.record_revision:
             return
+        if not self._presence.may_serve(state.name):
+            return
         revision = state.record_revision
         await self._settle()
         # From here on an answer of the old primary counts as unknown.
@@ -209,8 +211,15 @@
         return not self._presence.is_new or self._roster.is_complete()
 
     def _is_my_turn(self, since_s: float) -> bool:
-        place = rank(self._state.name, self._host, self._roster.hosts)
-        return now_s() >= since_s + place * TURN_S
+        return now_s() >= since_s + self._find_place() * TURN_S
+
+    def _find_place(self) -> int:
+        """Return this host's turn; those that serve the group come first."""
+        name = self._state.name
+        serving = self._roster.list_serving(name)
+        if self._host in serving:
+            return rank(name, self._host, serving)
+        return len(serving) + rank(name, self._host, self._roster.hosts)
 
     def _gather_evidence(self, record: GroupRecord) -> Evidence:
         state = self._state
--- a/src/wasabipitch/group/state.py
+++ b/src/wasabipitch/group/state.py
@@ -41,6 +41,8 @@
 
     Args:
         read_confirmed_at_s: returns when the store last confirmed the records.
+        is_serving: returns whether the others know that this host serves the group;
+            without that it may use no primary.
     """
 
     def __init__(
@@ -48,6 +50,7 @@
         settings: GroupSettings,
         read_confirmed_at_s: Callable[[], float],
         decisions: DecisionLog,
+        is_serving: Callable[[], bool] = lambda: True,
     ) -> None:
         self.settings = settings
         self.entries: dict[str, InstanceEntry] = {}
@@ -69,6 +72,7 @@
         # Until when the right to the primary went that is being replaced.
         self._covered_before_change_s = 0.0
         self._read_confirmed_at_s = read_confirmed_at_s
+        self._is_serving = is_serving
         self._decisions = decisions
         self._changed = asyncio.Event()
 
@@ -84,10 +88,12 @@
 
     @property
     def primary(self) -> str | None:
-        """The instance that leads, or None while none is settled."""
+        """The instance that leads, or None while none may be used."""
         record = self.record
         if record is None or record.phase is not Phase.STEADY:
             return None
+        if not self._is_serving():
+            return None
         entry = self.entries.get(record.primary)
         if entry is None or entry.born_ms != record.primary_born_ms:
             return None
--- a/tests/wasabipitch/coordination/test_roster.py
+++ b/tests/wasabipitch/coordination/test_roster.py
@@ -7,6 +7,7 @@
     HOSTS_PREFIX,
     NAMES_PREFIX,
     SEEN_PREFIX,
+    SERVING_PREFIX,
     HostRecord,
     SeenRecord,
     encode,
@@ -43,6 +44,7 @@
         record = HostRecord(name, "rome", incarnation, "127.0.0.1:1")
         self.put(HOSTS_PREFIX + incarnation, encode(record))
         self.put(NAMES_PREFIX + name, b"")
+        self.put(f"{SERVING_PREFIX}g/{incarnation}", b"")
 
     def say_seen(self, incarnation, revision, number=0):
         record = SeenRecord(revision, 1, number)
@@ -57,6 +59,14 @@
         self.assertTrue(self.roster.hosts_answered("g", 9))
         self.assertEqual(self.roster.find_acknowledged("g", 9), Position(1, 41))
 
+    def test_hosts_that_do_not_serve_the_group_are_not_waited_for(self):
+        self.put(HOSTS_PREFIX + "c.1", encode(HostRecord("c", "rome", "c.1", "")))
+        self.put(f"{SERVING_PREFIX}other/c.1", b"")
+        self.assertEqual(self.roster.list_serving("g"), {"a.1", "b.1"})
+        for host in ("a.1", "b.1"):
+            self.say_seen(host, 9)
+        self.assertTrue(self.roster.hosts_answered("g", 9))
+
     def test_a_copy_that_lags_behind_the_record_knows_not_all_hosts(self):
         for host in ("a.1", "b.1"):
             self.say_seen(host, 9)
@@ -65,7 +75,7 @@
 
     def test_one_that_went_away_counts_while_it_could_go_on_alone(self):
         self.say_seen("a.1", 9)
-        self.remove(HOSTS_PREFIX + "b.1")
+        self.remove(f"{SERVING_PREFIX}g/b.1")
         self.assertFalse(self.roster.hosts_answered("g", 9))
         self.at_s += EXTENSION_S - 0.1
         self.assertFalse(self.roster.hosts_answered("g", 9))
--- a/tests/wasabipitch/gateway_fixture.py
+++ b/tests/wasabipitch/gateway_fixture.py
@@ -146,7 +146,7 @@
         for n in range(hosts):
             await self.add_host(f"host-{n}")
         for name in self.hosts:
-            await self.wait_for(lambda name=name: self.state(name).covered_until_s > 10)
+            await self.wait_for(lambda name=name: self.is_settled(name))
 
     async def add_host(self, name):
         listener = socket.create_server((HOST, 0))
@@ -195,6 +195,13 @@
         for gateway in self.hosts.values():
             gateway.presence.registered_since_s = -1000.0
 
+    def is_settled(self, host):
+        """Return whether a host serves the group, or leaves that to others."""
+        state = self.state(host)
+        if state is _NOTHING:
+            return False
+        return state.covered_until_s > 10 or host not in state.owners
+
     def state(self, host="host-0"):
         return self.hosts[host].groups.find_state(GROUP) or _NOTHING
 
