Follow the store's changes through one host a data centre; a fault soak of our own

Above 12 hosts one host a data centre now watches the store, and the others follow it over their links. A follower whose watcher is silent, late or does not know all changes watches the store itself for 5 s; the head that every host checks tells it within 1.3 s. Rights still rest on the head alone.

src/soak runs platform/main.py as processes before stand-ins of store and instances, behind proxies that delay, hold up and reset, and kills, stops and freezes hosts, in series and overlapping, by a seed. Callers' and the final log's view is judged: stale reads, lost and doubled writes, mixed transactions, untrue promises, recovery. The stand-in of a group no longer lets a replaced primary write into the logs of a later term.

--- /dev/null
+++ b/src/soak/callers.py
@@ -0,0 +1,179 @@
+"""Callers that write, read and judge what they hear."""
+
+import asyncio
+import itertools
+import random
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from soak.history import NOT_RUN, Acknowledged, History
+from wasabipitch.clock import now_s
+from wasabipitch.models import Address
+
+ANSWER_TIMEOUT_S = 4.0
+CONNECT_TIMEOUT_S = 1.0
+# Callers come back after a refusal or a lost connection.
+RETURN_S = 0.1
+THINK_S = 0.02
+_requests = itertools.count(1)
+
+
+@dataclass(frozen=True, slots=True)
+class Database:
+    """What reads of a database must see.
+
+    Args:
+        max_age_s: how old the data may be; 0 for not at all.
+        own_writes: whether a session sees its own writes in any case.
+    """
+
+    max_age_s: float
+    own_writes: bool
+
+
+class Disconnected(Exception):
+    """The connection to a host is gone, or silent for too long."""
+
+
+class Connection:
+    """One session with a host."""
+
+    def __init__(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        self._reader = reader
+        self._writer = writer
+
+    @classmethod
+    async def open(cls, address: Address, database: str) -> "Connection":
+        """Begin a session; raises ``Disconnected``."""
+        try:
+            async with asyncio.timeout(CONNECT_TIMEOUT_S):
+                streams = await asyncio.open_connection(address.ip, address.port)
+        except (OSError, TimeoutError) as exc:
+            raise Disconnected(str(exc)) from exc
+        conn = cls(*streams)
+        await conn._exchange(f"STARTUP {database} soak\r\n")
+        return conn
+
+    async def ask(self, text: str) -> tuple[str, str]:
+        """Send a statement; return ``ok`` or a code, and the first row or ``-``."""
+        lines = await self._exchange(f"QUERY {next(_requests):x} {text}\r\n")
+        row = next((ln[4:] for ln in lines if ln.startswith("ROW ")), "-")
+        failure = next((ln for ln in lines if ln.startswith("ERROR ")), None)
+        return ("ok" if failure is None else failure.split()[1]), row
+
+    async def _exchange(self, message: str) -> list[str]:
+        self._writer.write(message.encode())
+        lines: list[str] = []
+        try:
+            async with asyncio.timeout(ANSWER_TIMEOUT_S):
+                while not lines or not lines[-1].startswith("READY"):
+                    line = await self._reader.readline()
+                    if not line:
+                        raise Disconnected("closed")
+                    lines.append(line.decode().strip())
+        except (OSError, TimeoutError) as exc:
+            raise Disconnected(str(exc)) from exc
+        return lines
+
+    def close(self) -> None:
+        """End the session at once."""
+        self._writer.transport.abort()
+
+
+class Caller:
+    """One caller: the only writer of two items, and a reader of all.
+
+    Args:
+        name: also names its items.
+        databases: that it may connect to, by name.
+        read_addresses: returns where the hosts take callers.
+        all_items: of all callers.
+    """
+
+    def __init__(
+        self,
+        name: str,
+        databases: dict[str, Database],
+        read_addresses: Callable[[], list[Address]],
+        all_items: list[str],
+        history: History,
+        rng: random.Random,
+    ) -> None:
+        self.name = name
+        self.items = (f"{name}-a", f"{name}-b")
+        self._databases = databases
+        self._read_addresses = read_addresses
+        self._all_items = all_items
+        self._history = history
+        self._rng = rng
+        self._version = 0
+
+    async def run(self) -> None:
+        """Work until cancelled."""
+        while True:
+            database = self._rng.choice(list(self._databases))
+            address = self._rng.choice(self._read_addresses())
+            try:
+                conn = await Connection.open(address, database)
+            except Disconnected:
+                self._history.outcomes["no session"] += 1
+                await asyncio.sleep(RETURN_S)
+                continue
+            try:
+                await self._run_session(conn, database)
+            except Disconnected:
+                self._history.outcomes["disconnected"] += 1
+            finally:
+                conn.close()
+
+    async def _run_session(self, conn: Connection, database: str) -> None:
+        # A session's own writes are those that it made itself.
+        session = f"{self.name}/{next(_requests)}"
+        for _ in range(self._rng.randint(1, 30)):
+            work = self._rng.random()
+            if work < 0.2:
+                await self._write(conn, session)
+            elif work < 0.35:
+                await self._transact(conn, session)
+            else:
+                await self._read(conn, session, self._databases[database])
+            await asyncio.sleep(self._rng.expovariate(1 / THINK_S))
+
+    async def _write(self, conn: Connection, session: str) -> None:
+        item, data = self.items[0], self._next_data()
+        code, _ = await conn.ask(f"WRITE {item} {data}")
+        self._note(session, (item,), data, code)
+
+    async def _transact(self, conn: Connection, session: str) -> None:
+        data = self._next_data()
+        texts = ["BEGIN", *(f"WRITE {item} {data}" for item in self.items), "COMMIT"]
+        for text in texts:
+            code, _ = await conn.ask(text)
+            if code != "ok":
+                self._note(session, self.items, data, code)
+                await conn.ask("ROLLBACK")
+                return
+            await asyncio.sleep(self._rng.expovariate(1 / THINK_S))
+        self._note(session, self.items, data, "ok")
+
+    async def _read(self, conn: Connection, session: str, database: Database) -> None:
+        item, started_s = self._rng.choice(self._all_items), now_s()
+        code, data = await conn.ask(f"READ {item}")
+        self._history.outcomes[f"read {code}"] += 1
+        if code == "ok":
+            reader = session if database.own_writes else ""
+            self._history.check_read(item, data, started_s, database.max_age_s, reader)
+
+    def _next_data(self) -> str:
+        self._version += 1
+        return f"{self._version}.{self.name}"
+
+    def _note(self, session: str, items: tuple[str, ...], data: str, code: str) -> None:
+        self._history.outcomes[f"write {code}"] += 1
+        if code == "ok":
+            write = Acknowledged(now_s(), self._version, session)
+            self._history.note_kept(items, write, data)
+        elif code in NOT_RUN:
+            self._history.note_promised(data, code)
--- /dev/null
+++ b/src/soak/fleet.py
@@ -0,0 +1,141 @@
+"""What a run is made of: hosts as processes, stand-ins, and proxies between them."""
+
+import asyncio
+import contextlib
+from pathlib import Path
+
+from soak.hosts import HostProcess
+from soak.proxy import FaultyProxy
+from standins.http_store import PlatformService
+from standins.line_group import HOST, LineGroup, LineInstance
+from wasabipitch.models import Address
+
+GROUP = "ledger"
+MAX_CONNECTIONS = 24
+# Instances write their entries, and hear of a later primary, about this often.
+HEARTBEAT_S = 0.3
+# An entry goes after so many heartbeats of silence.
+SILENT_HEARTBEATS = 4
+ROUTES = (
+    {"Host": "payments", "Type": "primary"},
+    {"Host": "status", "Type": "bounded_stale", "MaxStalenessMs": 1500},
+    {"Host": "bookings", "Type": "read_your_writes", "MaxStalenessMs": 2500},
+)
+ROUTE_DEFAULTS = {"Backend": GROUP, "TimeoutMs": 1500, "GoalMs": 300, "Priority": 1}
+
+
+class SoakFleet:
+    """Starts everything, and keeps the instances registered.
+
+    Args:
+        folder: where the hosts' settings and logs go.
+        count: of hosts.
+    """
+
+    def __init__(self, folder: Path, count: int) -> None:
+        self.group = LineGroup(GROUP)
+        self.platform = PlatformService({GROUP: self.group})
+        self.hosts: list[HostProcess] = []
+        self.store_proxies: list[FaultyProxy] = []
+        self.instance_proxies: dict[str, FaultyProxy] = {}
+        # The names of instances that announce their end.
+        self.leaving: set[str] = set()
+        self._folder = folder
+        self._count = count
+        self._silent: dict[str, int] = {}
+        self._stack = contextlib.AsyncExitStack()
+
+    @property
+    def proxies(self) -> list[FaultyProxy]:
+        """All proxies."""
+        return [*self.store_proxies, *self.instance_proxies.values()]
+
+    async def __aenter__(self) -> "SoakFleet":
+        await self.group.start()
+        self._stack.push_async_callback(self.group.stop)
+        await self.platform.start()
+        self._stack.push_async_callback(self.platform.close)
+        for name, instance in self.group.instances.items():
+            instance.max_connections = MAX_CONNECTIONS
+            target = Address(HOST, instance.port)
+            self.instance_proxies[name] = await self._start_proxy(target)
+        self.platform.configure(1, self._make_configuration())
+        for number in range(1, self._count + 1):
+            proxy = await self._start_proxy(Address(HOST, self.platform.port))
+            self.store_proxies.append(proxy)
+            host = HostProcess(number, proxy.address, self._folder)
+            self._stack.push_async_callback(host.kill)
+            self.hosts.append(host)
+        task = asyncio.ensure_future(self._run_heartbeats())
+        self._stack.callback(task.cancel)
+        for host in self.hosts:
+            host.write_settings([other.links for other in self.hosts])
+            await host.start()
+        return self
+
+    async def __aexit__(self, *exc_info: object) -> None:
+        await self._stack.aclose()
+
+    async def heal(self) -> None:
+        """End every fault, and start what has ended."""
+        for proxy in self.proxies:
+            proxy.heal()
+        self.platform.delay_s = 0.0
+        self.platform.store.down = False
+        self.platform.store.lost_answers = 0
+        self.leaving.clear()
+        for instance in self.group.instances.values():
+            instance.deaf, instance.lag_s, instance.lost_answers = False, 0.0, 0
+            if not instance.is_running:
+                await instance.start()
+        for host in self.hosts:
+            host.resume()
+            await host.start()
+
+    async def _start_proxy(self, target: Address) -> FaultyProxy:
+        proxy = FaultyProxy(target)
+        await proxy.start()
+        self._stack.push_async_callback(proxy.close)
+        return proxy
+
+    def _make_configuration(self) -> dict:
+        return {
+            "Routes": [{**ROUTE_DEFAULTS, **route} for route in ROUTES],
+            "Backends": [
+                {"Name": GROUP, "MaxConns": MAX_CONNECTIONS, "SyncReplicas": 1}
+            ],
+            "Limits": {"TxIdleMs": 1000},
+        }
+
+    async def _run_heartbeats(self) -> None:
+        while True:
+            if any(i.is_primary and i.is_running for i in self._instances()):
+                self.group.demote_replaced()
+            for instance in self._instances():
+                self._write_entry(instance)
+            await asyncio.sleep(HEARTBEAT_S)
+
+    def _instances(self) -> list[LineInstance]:
+        return list(self.group.instances.values())
+
+    def _write_entry(self, instance: LineInstance) -> None:
+        name = instance.name
+        if not instance.is_running:
+            self._silent[name] = self._silent.get(name, 0) + 1
+            if self._silent[name] >= SILENT_HEARTBEATS:
+                self.platform.register(name, None)
+            return
+        self._silent[name] = 0
+        entry = {
+            "Backend": GROUP,
+            "Addr": str(self.instance_proxies[name].address),
+            "Zone": f"dc-{name[-1]}",
+            "Version": "1",
+            "Slots": 4,
+            "State": "draining" if name in self.leaving else "ready",
+            "DbRole": "primary" if instance.is_primary else "replica",
+            "ColdMs": 0,
+            "Seq": 0,
+            "born": 1,
+        }
+        self.platform.register(name, entry)
--- /dev/null
+++ b/src/soak/run.py
@@ -0,0 +1,157 @@
+"""The program ``wasabipitch-soak``: one seeded run, or several."""
+
+import asyncio
+import contextlib
+import random
+import secrets
+import sys
+import tempfile
+import time
+from dataclasses import dataclass
+from pathlib import Path
+
+import fire
+
+from soak.callers import Caller, Connection, Database, Disconnected
+from soak.faults import run_faults
+from soak.fleet import SoakFleet
+from soak.history import History, Violation
+
+DATABASES = {
+    "payments": Database(0.0, True),
+    "status": Database(1.5, False),
+    "bookings": Database(2.5, True),
+}
+CALLERS = 16
+HOSTS = 3
+# Hosts start within a second or two; after the faults, agreement needs no longer
+# than a replacement and the time for which new hosts wait for others.
+START_S = 15.0
+RECOVERY_S = 30.0
+EXIT_VIOLATION = 1
+
+
+@dataclass(frozen=True, slots=True)
+class Report:
+    """How a run ended.
+
+    Args:
+        folder: with the hosts' logs.
+    """
+
+    seed: int
+    violations: tuple[Violation, ...]
+    outcomes: dict[str, int]
+    folder: Path
+
+
+async def run_seed(seed: int, seconds: float, folder: Path) -> Report:
+    """Run the fleet under the faults of a seed, and judge it."""
+    rng = random.Random(seed)
+    history = History()
+    started_s = time.monotonic()
+
+    def say(text: str) -> None:
+        line = f"{time.monotonic() - started_s:7.2f}  {text}\n"
+        with (folder / "faults.log").open("a", encoding="utf-8") as file:
+            file.write(line)
+
+    async with SoakFleet(folder, HOSTS) as fleet:
+        await _wait_writable(fleet, history, START_S)
+        callers = _start_callers(fleet, history, rng)
+        faults = asyncio.ensure_future(run_faults(fleet, rng, say))
+        await asyncio.sleep(seconds)
+        await _cancel([faults])
+        await fleet.heal()
+        say("all faults ended")
+        await _wait_writable(fleet, history, RECOVERY_S)
+        await _cancel(callers)
+        history.check_log(fleet.group.primary.log)
+    return Report(seed, tuple(history.violations), dict(history.outcomes), folder)
+
+
+def _start_callers(
+    fleet: SoakFleet, history: History, rng: random.Random
+) -> list[asyncio.Task]:
+    names = [f"c{n}" for n in range(CALLERS)]
+    items = [f"{name}-{part}" for name in names for part in "ab"]
+    return [
+        asyncio.ensure_future(
+            Caller(
+                name,
+                DATABASES,
+                lambda: [host.front for host in fleet.hosts],
+                items,
+                history,
+                random.Random(rng.random()),
+            ).run()
+        )
+        for name in names
+    ]
+
+
+async def _wait_writable(fleet: SoakFleet, history: History, limit_s: float) -> None:
+    """Wait until every host serves writes; else that is a violation, too."""
+    missing = {host.name: host for host in fleet.hosts}
+    with contextlib.suppress(TimeoutError):
+        async with asyncio.timeout(limit_s):
+            while missing:
+                for host in list(missing.values()):
+                    if await _is_writable(host.front):
+                        del missing[host.name]
+                await asyncio.sleep(0.1)
+    if missing:
+        detail = f"{sorted(missing)} serve no writes after {limit_s:.0f} s"
+        history.violations.append(Violation("no recovery", detail))
+
+
+async def _is_writable(address) -> bool:
+    try:
+        conn = await Connection.open(address, "payments")
+    except Disconnected:
+        return False
+    try:
+        data = f"0.probe-{secrets.token_hex(4)}"
+        return (await conn.ask(f"WRITE probe {data}"))[0] == "ok"
+    except Disconnected:
+        return False
+    finally:
+        conn.close()
+
+
+async def _cancel(tasks: list[asyncio.Task]) -> None:
+    for task in tasks:
+        task.cancel()
+    await asyncio.gather(*tasks, return_exceptions=True)
+
+
+def main(seed: int = -1, seconds: float = 20.0, runs: int = 1, keep: str = "") -> None:
+    """Run the soak; exit with 1 if a promise was broken.
+
+    Args:
+        seed: of the first run; by default a fresh one. The same seed injects the
+            same faults in the same order.
+        seconds: how long faults are injected.
+        runs: how many runs, each with the next seed.
+        keep: where logs go; by default a new temporary folder.
+    """
+    first = secrets.randbelow(1_000_000) if seed < 0 else seed
+    base = Path(keep) if keep else Path(tempfile.mkdtemp(prefix="soak-"))
+    broken = False
+    for number in range(first, first + runs):
+        folder = base / str(number)
+        folder.mkdir(parents=True, exist_ok=True)
+        report = asyncio.run(run_seed(number, seconds, folder))
+        served = sum(n for name, n in report.outcomes.items() if name.endswith(" ok"))
+        total = sum(report.outcomes.values())
+        print(f"seed {number}: {served} of {total} served", flush=True)
+        for violation in report.violations[:5]:
+            print(f"  {violation.promise}: {violation.detail}")
+        if report.violations:
+            broken = True
+            print(f"  logs: {folder}; again: --seed {number} --seconds {seconds}")
+    sys.exit(EXIT_VIOLATION if broken else 0)
+
+
+if __name__ == "__main__":
+    fire.Fire(main)
--- /dev/null
+++ b/src/standins/http_store.py
@@ -0,0 +1,202 @@
+"""The platform's store and its promotions over HTTP, around the store in memory."""
+
+import asyncio
+import base64
+import contextlib
+import json
+from typing import Any
+
+from aiohttp import web
+
+from standins.line_group import LineGroup
+from standins.memory_store import MemoryStore
+from wasabipitch.clock import now_s
+from wasabipitch.coordination.store import Item, Removal
+from wasabipitch.exceptions import (
+    HistoryLost,
+    LeaseEnded,
+    PromotionRefused,
+    RecordConflict,
+    StoreUnavailable,
+)
+from wasabipitch.verdict import Verdict
+
+HOST = "127.0.0.1"
+# Small, so that a list takes several pages.
+PAGE_ITEMS = 20
+LEASE_STEP_S = 0.1
+PROMOTION_S = 0.3
+MS_PER_S = 1000
+CONFIGURATION_KEY = "op/config"
+INSTANCES_PREFIX = "servers/"
+
+
+def _encode(event: Item | Removal) -> dict[str, Any]:
+    if isinstance(event, Removal):
+        return {"Key": event.key, "Revision": event.revision, "Deleted": True}
+    return {
+        "Key": event.key,
+        "Value": base64.b64encode(event.value).decode(),
+        "Revision": event.revision,
+        "Lease": event.lease,
+    }
+
+
+class PlatformService:
+    """Serves the store and the promotions of some groups.
+
+    Args:
+        groups: by name.
+    """
+
+    def __init__(self, groups: dict[str, LineGroup]) -> None:
+        self.store = MemoryStore()
+        # How much later each call is answered.
+        self.delay_s = 0.0
+        self.port = 0
+        self._groups = groups
+        self._ttls_s: dict[int, float] = {}
+        self._ends_s: dict[int, float] = {}
+        self._runner: web.AppRunner | None = None
+        self._stack = contextlib.AsyncExitStack()
+
+    async def start(self) -> None:
+        """Listen at a free port."""
+        app = web.Application(middlewares=[self._answer])
+        app.add_routes(
+            [
+                web.get("/kv-key", self._get),
+                web.get("/kv-range", self._list),
+                web.get("/kv-watch", self._watch),
+                web.post("/kv-txn", self._commit),
+                web.post("/kv-lease", self._open_lease),
+                web.post("/kv-keep/{lease}", self._renew_lease),
+                web.delete("/kv-lease-end/{lease}", self._end_lease),
+                web.post("/promote", self._promote),
+            ]
+        )
+        runner = web.AppRunner(app, handler_cancellation=True)
+        await runner.setup()
+        self._stack.push_async_callback(runner.cleanup)
+        site = web.TCPSite(runner, HOST, 0, shutdown_timeout=0.1)
+        await site.start()
+        self.port = runner.addresses[0][1]
+        task = asyncio.ensure_future(self._expire_leases())
+        self._stack.callback(task.cancel)
+
+    async def close(self) -> None:
+        """Stop listening."""
+        await self._stack.aclose()
+
+    def configure(self, version: int, document: dict[str, Any]) -> None:
+        """Write the operators' configuration."""
+        value = json.dumps({"Version": version, **document}).encode()
+        self.store.put(CONFIGURATION_KEY, value)
+
+    def register(self, name: str, entry: dict[str, Any] | None) -> None:
+        """Write an instance's entry, or remove it; an unchanged one is left."""
+        key = INSTANCES_PREFIX + name
+        known = self.store.items.get(key)
+        if entry is None:
+            if known is not None:
+                self.store.remove(key)
+            return
+        value = json.dumps(entry).encode()
+        if known is None or known.value != value:
+            self.store.put(key, value)
+
+    @web.middleware
+    async def _answer(self, request: web.Request, handler) -> web.StreamResponse:
+        await asyncio.sleep(self.delay_s)
+        try:
+            return web.json_response(await handler(request))
+        except StoreUnavailable as exc:
+            if exc.verdict is Verdict.NOT_RUN:
+                return web.json_response({}, status=503)
+            # It was done, and the answer is lost with its connection.
+            request.transport.abort()
+            return web.Response()
+        except HistoryLost:
+            return web.json_response({}, status=410)
+        except RecordConflict:
+            return web.json_response({"items": []}, status=412)
+        except LeaseEnded:
+            return web.json_response({}, status=404)
+        except PromotionRefused:
+            return web.json_response({}, status=409)
+
+    async def _get(self, request: web.Request) -> dict[str, Any]:
+        item = await self.store.get(request.query["Key"])
+        if item is None:
+            revision = {"StoreRevision": self.store.revision}
+            raise web.HTTPNotFound(
+                text=json.dumps(revision), content_type="application/json"
+            )
+        return {**_encode(item), "StoreRevision": self.store.revision}
+
+    async def _list(self, request: web.Request) -> dict[str, Any]:
+        listing = await self.store.list(request.query.get("Prefix", ""))
+        after = request.query.get("after", "")
+        items = sorted(listing.items, key=lambda item: item.key)
+        items = [item for item in items if item.key > after]
+        return {
+            "items": [_encode(item) for item in items[:PAGE_ITEMS]],
+            "HasMore": len(items) > PAGE_ITEMS,
+            "StoreRevision": listing.revision,
+        }
+
+    async def _watch(self, request: web.Request) -> dict[str, Any]:
+        changes = await self.store.watch(
+            request.query.get("Prefix", ""),
+            int(request.query["after"]),
+            int(request.query["WaitMs"]) / MS_PER_S,
+        )
+        events = [_encode(event) for event in changes.events]
+        return {"events": events, "StoreRevision": changes.revision}
+
+    async def _commit(self, request: web.Request) -> dict[str, Any]:
+        body = await request.json()
+        writes = body.get("Writes") or []
+        revision = await self.store.commit(
+            {row["Key"]: row["Revision"] for row in body.get("Expected") or []},
+            {row["Key"]: base64.b64decode(row["Value"]) for row in writes},
+            body.get("Remove") or [],
+            next((row.get("Lease") or 0 for row in writes), 0),
+        )
+        return {"Revision": revision}
+
+    async def _open_lease(self, request: web.Request) -> dict[str, Any]:
+        ttl_ms = (await request.json())["TtlMs"]
+        lease = await self.store.open_lease(ttl_ms / MS_PER_S)
+        self._ttls_s[lease] = ttl_ms / MS_PER_S
+        self._ends_s[lease] = now_s() + self._ttls_s[lease]
+        return {"Lease": lease, "TtlMs": ttl_ms}
+
+    async def _renew_lease(self, request: web.Request) -> dict[str, Any]:
+        lease = int(request.match_info["lease"])
+        await self.store.renew_lease(lease)
+        self._ends_s[lease] = now_s() + self._ttls_s[lease]
+        return {}
+
+    async def _end_lease(self, request: web.Request) -> dict[str, Any]:
+        await self.store.end_lease(int(request.match_info["lease"]))
+        return {}
+
+    async def _promote(self, request: web.Request) -> dict[str, Any]:
+        body = await request.json()
+        await asyncio.sleep(PROMOTION_S)
+        await self._groups[body["Backend"]].promote(
+            body["Backend"],
+            body["Id"],
+            request.headers["Wasabipitch-Duty-Holder"],
+            int(request.headers["Wasabipitch-Fence-Token"]),
+        )
+        return {}
+
+    async def _expire_leases(self) -> None:
+        while True:
+            await asyncio.sleep(LEASE_STEP_S)
+            at_s = now_s()
+            for lease in [n for n, end_s in self._ends_s.items() if end_s < at_s]:
+                del self._ends_s[lease]
+                await self.store.end_lease(lease)
--- a/src/standins/line_group.py
+++ b/src/standins/line_group.py
@@ -73,6 +73,11 @@
         self._server: asyncio.Server | None = None
         self._writers: set[asyncio.StreamWriter] = set()
 
+    @property
+    def is_running(self) -> bool:
+        """Whether it listens."""
+        return self._server is not None
+
     @property
     def received(self) -> tuple[int, int]:
         """The last position in its log."""
@@ -130,7 +135,8 @@
         self._writers.add(writer)
         try:
             await self._run_session(reader, writer)
-        except (OSError, asyncio.IncompleteReadError):
+        except (OSError, asyncio.IncompleteReadError, asyncio.CancelledError):
+            # The caller left, or the instance stops.
             pass
         finally:
             self._writers.discard(writer)
@@ -323,6 +329,15 @@
         if not replica.is_primary:
             self._send_missing(self.primary, replica)
 
+    def demote_replaced(self) -> None:
+        """Make primaries that can hear of a later one its replicas."""
+        latest = self.primary
+        for instance in self.instances.values():
+            if instance.is_primary and instance.term < latest.term:
+                instance.is_primary = False
+                instance.term = latest.term
+                self.catch_up(instance)
+
     async def promote(self, group: str, instance: str, holder: str, fence: int) -> None:
         """Make an instance lead the next term with what it has received."""
         self.promotions.append((instance, holder, fence))
@@ -336,7 +351,7 @@
             chosen.applied = len(chosen.log)
 
     def _send_missing(self, primary: LineInstance, replica: LineInstance) -> None:
-        if replica.is_primary:
+        if replica.is_primary or not primary.is_primary or replica.term > primary.term:
             return
         common = 0
         for own, other in zip(primary.log, replica.log, strict=False):
--- a/src/wasabipitch/coordination/mirror.py
+++ b/src/wasabipitch/coordination/mirror.py
@@ -6,6 +6,7 @@
 
 from wasabipitch.clock import now_s
 from wasabipitch.coordination.documents import HEAD_KEY, OWN_PREFIX
+from wasabipitch.coordination.following import ChangeFollower, ChangeHistory
 from wasabipitch.coordination.store import CoordinationStore, Item, Removal
 from wasabipitch.exceptions import HistoryLost, StoreError, StoreUnavailable
 from wasabipitch.operations.decisions import DecisionLog
@@ -52,6 +53,10 @@
         # The time at which the store last gave any answer, and came back.
         self.answered_at_s = 0.0
         self.returned_at_s = 0.0
+        # What followers ask for.
+        self.history = ChangeHistory()
+        # Follows the changes at a peer; set once peers can be asked.
+        self.follower: ChangeFollower | None = None
         self._store = store
         self._decisions = decisions
         self._listeners: list[Callable[[str, Item | None], None]] = []
@@ -188,17 +193,22 @@
             known = self.items.get(item.key)
             if known is None or known.revision < item.revision:
                 self._apply(item)
+        self.history.begin(listing.revision)
         self._note_revision(listing.revision)
         self.loaded.set()
 
     async def _follow(self) -> None:
         while True:
-            call = self._store.watch(ALL_KEYS, self.revision, WATCH_S)
+            watch = self._store.watch if self.follower is None else self.follower.watch
+            call = watch(ALL_KEYS, self.revision, WATCH_S)
             self._watch = asyncio.ensure_future(call)
             try:
                 # It may also be cancelled by a check that finds it silent.
                 await asyncio.wait([self._watch])
                 if self._watch.cancelled():
+                    if self.follower is not None and self.follower.is_following:
+                        self.follower.avoid_watcher()
+                        continue
                     raise HistoryLost(f"watch silent at {self.revision}")
                 changes = self._watch.result()
             except StoreUnavailable as exc:
@@ -216,6 +226,7 @@
     def _note_revision(self, revision: int) -> None:
         self.revision = max(self.revision, revision)
         self._records_revision = max(self._records_revision, revision)
+        self.history.advance(self.revision)
 
     def _apply(self, event: Item | Removal) -> None:
         if isinstance(event, Removal):
@@ -223,12 +234,14 @@
             if known is None or known.revision > event.revision:
                 return
             del self.items[event.key]
+            self.history.add(event)
             self._publish(event.key, None)
             return
         known = self.items.get(event.key)
         if known is not None and known.revision >= event.revision:
             return
         self.items[event.key] = event
+        self.history.add(event)
         self._publish(event.key, event)
 
     def _publish(self, key: str, item: Item | None) -> None:
--- a/src/wasabipitch/coordination/relay.py
+++ b/src/wasabipitch/coordination/relay.py
@@ -6,19 +6,19 @@
 
 from wasabipitch import exceptions
 from wasabipitch.clock import now_s
+from wasabipitch.coordination.following import pack, unpack
 from wasabipitch.coordination.store import (
     Changes,
     CoordinationStore,
     Item,
     Listing,
-    Removal,
 )
 from wasabipitch.exceptions import LinkError, StoreError, StoreUnavailable
 from wasabipitch.linkbook import LinkBook
 from wasabipitch.links import RemoteError
 from wasabipitch.models import Host
 from wasabipitch.operations.decisions import DecisionLog
-from wasabipitch.peer_messages import StoreAnswer, StoreCall, StoredItem
+from wasabipitch.peer_messages import StoreAnswer, StoreCall
 from wasabipitch.verdict import Verdict
 
 # After a call without an answer the store itself is tried again this much later;
@@ -33,18 +33,6 @@
 REPEATABLE = frozenset({"get", "read_revision", "list", "watch", "renew_lease"})
 
 
-def _pack(event: Item | Removal) -> StoredItem:
-    if isinstance(event, Removal):
-        return StoredItem(event.key, None, event.revision)
-    return StoredItem(event.key, event.value, event.revision, event.lease)
-
-
-def _unpack(item: StoredItem) -> Item | Removal:
-    if item.value is None:
-        return Removal(item.key, item.revision)
-    return Item(item.key, item.value, item.revision, item.lease)
-
-
 async def answer(store: CoordinationStore, call: StoreCall) -> StoreAnswer:
     """Make a peer's call and return what the store answered."""
     try:
@@ -57,17 +45,17 @@
     match call.name:
         case "get":
             item = await store.get(call.key)
-            return StoreAnswer(() if item is None else (_pack(item),))
+            return StoreAnswer(() if item is None else (pack(item),))
         case "read_revision":
             revision, store_revision = await store.read_revision(call.key)
             return StoreAnswer((), revision, store_revision)
         case "list":
             listing = await store.list(call.key)
-            items = tuple(map(_pack, listing.items))
+            items = tuple(map(pack, listing.items))
             return StoreAnswer(items, 0, listing.revision)
         case "watch":
             changes = await store.watch(call.key, call.revision, call.seconds)
-            events = tuple(map(_pack, changes.events))
+            events = tuple(map(pack, changes.events))
             return StoreAnswer(events, 0, changes.revision)
         case "commit":
             revision = await store.commit(
@@ -112,7 +100,7 @@
     async def get(self, key: str) -> Item | None:
         """Return a key's item, or None if the key is absent."""
         reply = await self._call(StoreCall("get", key))
-        return _unpack(reply.items[0]) if reply.items else None
+        return unpack(reply.items[0]) if reply.items else None
 
     async def read_revision(self, key: str) -> tuple[int, int]:
         """Return a key's revision and the store's."""
@@ -122,13 +110,13 @@
     async def list(self, prefix: str) -> Listing:
         """Return the items under a prefix."""
         reply = await self._call(StoreCall("list", prefix))
-        return Listing(tuple(map(_unpack, reply.items)), reply.store_revision)
+        return Listing(tuple(map(unpack, reply.items)), reply.store_revision)
 
     async def watch(self, prefix: str, after: int, wait_s: float) -> Changes:
         """Wait for changes under a prefix after a revision."""
         call = StoreCall("watch", prefix, after, wait_s)
         reply = await self._call(call, wait_s)
-        return Changes(tuple(map(_unpack, reply.items)), reply.store_revision)
+        return Changes(tuple(map(unpack, reply.items)), reply.store_revision)
 
     async def commit(
         self,
--- a/src/wasabipitch/gateway.py
+++ b/src/wasabipitch/gateway.py
@@ -17,6 +17,7 @@
     DocumentDecoder,
     HostRecord,
 )
+from wasabipitch.coordination.following import ChangeFollower
 from wasabipitch.coordination.mirror import StoreMirror
 from wasabipitch.coordination.presence import Presence
 from wasabipitch.coordination.relay import RelayedStore, answer
@@ -37,6 +38,7 @@
 from wasabipitch.operations.statusserver import make_metrics_server, make_status_server
 from wasabipitch.peer_messages import (
     AskAgreement,
+    AskChanges,
     AskConnections,
     AskHead,
     AskPosition,
@@ -48,8 +50,8 @@
 
 # Up to so many hosts changes are rare, and each is taken at once.
 FEW_HOSTS = 12
-WATCH_PAUSE_PER_HOST_S = 0.003
-MAX_WATCH_PAUSE_S = 0.5
+# Changes of a large fleet are gathered for this long, since each watch is a call.
+WATCH_PAUSE_S = 0.1
 # A host whose records were not confirmed for this long takes no new callers: two
 # checks have failed, and soon it may not read primaries.
 READY_CONFIRMED_S = 1.6
@@ -147,6 +149,17 @@
         self._mirror.read_head_shared = self._checks_shared.read
         self._mirror.read_pause_s = self._find_watch_pause_s
         self._mirror.confirm_among_hosts = self._agreement.confirm
+        self._follower = ChangeFollower(
+            host,
+            self._store,
+            self._mirror.history,
+            self.links,
+            self._roster.find_data_centres,
+            self._roster.find_host,
+            FEW_HOSTS,
+            self.decisions,
+        )
+        self._mirror.follower = self._follower
         self._directory = Directory(
             self._mirror,
             adapters.documents,
@@ -289,6 +302,8 @@
                 return await self._agreement.answer(ask)
             case AskStoreHead():
                 return await self._checks_shared.answer()
+            case AskChanges() as ask:
+                return await self._follower.answer(ask)
             case AskPosition(group):
                 return self.groups.report_position(group)
             case AskConnections(group, instance):
@@ -318,7 +333,5 @@
         return self.groups.are_settled and heard
 
     def _find_watch_pause_s(self) -> float:
-        hosts = len(self._roster.hosts)
-        if hosts <= FEW_HOSTS:
-            return 0.0
-        return min(MAX_WATCH_PAUSE_S, hosts * WATCH_PAUSE_PER_HOST_S)
+        few = len(self._roster.hosts) <= FEW_HOSTS
+        return 0.0 if few or self._follower.is_following else WATCH_PAUSE_S
--- a/src/wasabipitch/messages.py
+++ b/src/wasabipitch/messages.py
@@ -8,10 +8,12 @@
 from wasabipitch.peer_messages import (
     Agreement,
     AskAgreement,
+    AskChanges,
     AskConnections,
     AskHead,
     AskPosition,
     AskStoreHead,
+    ChangesReport,
     HeadReport,
     PositionReport,
     RunStatement,
@@ -319,6 +321,8 @@
     | Agreement
     | AskStoreHead
     | StoreHead
+    | AskChanges
+    | ChangesReport
     | AskPosition
     | AskConnections
     | PositionReport
--- a/src/wasabipitch/peer_messages.py
+++ b/src/wasabipitch/peer_messages.py
@@ -106,6 +106,25 @@
     age_s: float = 0.0
 
 
+class AskChanges(msgspec.Struct, frozen=True):
+    """Asks a host that watches the store for its changes after a revision."""
+
+    after: int
+    wait_s: float
+
+
+class ChangesReport(msgspec.Struct, frozen=True):
+    """The store's changes up to a revision.
+
+    Args:
+        known: whether the host knows all of them.
+    """
+
+    known: bool
+    items: tuple[StoredItem, ...] = ()
+    revision: int = 0
+
+
 class AskPosition(msgspec.Struct, frozen=True):
     """Asks for a position of a group's primary that a host has seen lately."""
 
--- /dev/null
+++ b/tests/soak/test_history.py
@@ -0,0 +1,78 @@
+import unittest
+
+from soak.history import Acknowledged, History
+from standins.line_group import Entry
+
+
+class HistoryCase(unittest.TestCase):
+    def setUp(self):
+        self.history = History()
+
+    def acknowledge(self, at_s, version, caller="w/1", item="x"):
+        write = Acknowledged(at_s, version, caller)
+        self.history.note_kept([item], write, f"{version}.w")
+
+    def promises(self):
+        return [violation.promise for violation in self.history.violations]
+
+
+class StaleReadTest(HistoryCase):
+    def test_a_fresh_read_must_see_what_was_acknowledged_before_it(self):
+        self.acknowledge(10.0, 2)
+        self.history.check_read("x", "1.w", 10.5, 0.0, "r/1")
+        self.assertEqual(self.promises(), ["stale read"])
+
+    def test_an_aged_read_may_miss_what_is_younger(self):
+        self.acknowledge(10.0, 2)
+        self.history.check_read("x", "1.w", 11.0, 1.5, "r/1")
+        self.assertEqual(self.promises(), [])
+        self.history.check_read("x", "1.w", 11.6, 1.5, "r/1")
+        self.assertEqual(self.promises(), ["stale read"])
+
+    def test_but_not_its_sessions_own_writes(self):
+        self.acknowledge(10.0, 2)
+        self.history.check_read("x", "1.w", 10.1, 2.5, "w/1")
+        self.assertEqual(self.promises(), ["stale read"])
+
+    def test_nothing_at_all_is_older_than_any_version(self):
+        self.acknowledge(10.0, 1)
+        self.history.check_read("x", "-", 10.5, 0.0, "r/1")
+        self.assertEqual(self.promises(), ["stale read"])
+
+    def test_a_later_version_than_the_acknowledged_one_is_well(self):
+        self.acknowledge(10.0, 2)
+        self.history.check_read("x", "3.w", 10.5, 0.0, "r/1")
+        self.assertEqual(self.promises(), [])
+
+    def test_an_acknowledgement_after_the_read_began_binds_nobody(self):
+        self.acknowledge(10.0, 2)
+        self.history.check_read("x", "1.w", 9.9, 0.0, "r/1")
+        self.assertEqual(self.promises(), [])
+
+
+class LogTest(HistoryCase):
+    def check(self, *commits):
+        log = [
+            Entry(1, n, tuple(writes), "") for n, writes in enumerate(commits, start=1)
+        ]
+        self.history.check_log(log)
+        return self.promises()
+
+    def test_a_sound_log(self):
+        self.acknowledge(10.0, 1)
+        self.assertEqual(self.check([("x", "1.w"), ("y", "1.w")], [("x", "2.w")]), [])
+
+    def test_a_lost_write(self):
+        self.acknowledge(10.0, 1)
+        self.assertEqual(self.check(), ["lost write"])
+
+    def test_a_doubled_write(self):
+        self.assertEqual(self.check([("x", "1.w")], [("x", "1.w")]), ["doubled write"])
+
+    def test_an_untrue_promise(self):
+        self.history.note_promised("1.w", "BUSY")
+        self.assertEqual(self.check([("x", "1.w")]), ["untrue promise"])
+
+    def test_a_mixed_transaction(self):
+        commits = [("x", "1.w"), ("y", "4.v")]
+        self.assertEqual(self.check(commits), ["mixed transaction"])
--- /dev/null
+++ b/tests/soak/test_run.py
@@ -0,0 +1,32 @@
+import asyncio
+import secrets
+import tempfile
+import unittest
+from pathlib import Path
+
+from soak.run import run_seed
+
+SECONDS = 8.0
+# Seeds that found something once, each with its cause.
+REGRESSION_SEEDS = ()
+
+
+class ShortRunTest(unittest.TestCase):
+    def run_once(self, seed):
+        with tempfile.TemporaryDirectory() as folder:
+            report = asyncio.run(run_seed(seed, SECONDS, Path(folder)))
+            log = (Path(folder) / "faults.log").read_text(encoding="utf-8")
+        self.assertEqual(report.violations, (), f"seed {seed}\n{log}")
+        self.assertGreater(report.outcomes.get("write ok", 0), 0)
+        self.assertGreater(report.outcomes.get("read ok", 0), 0)
+
+    def test_the_promises_hold_under_the_faults_of_a_fixed_seed(self):
+        self.run_once(17)
+
+    def test_and_of_a_fresh_one(self):
+        self.run_once(secrets.randbelow(1_000_000))
+
+    def test_and_of_seeds_that_found_something(self):
+        for seed in REGRESSION_SEEDS:
+            with self.subTest(seed=seed):
+                self.run_once(seed)
--- a/tests/wasabipitch/test_gateway.py
+++ b/tests/wasabipitch/test_gateway.py
@@ -400,6 +400,51 @@
         )
 
 
+class FollowersTest(FleetCase):
+    hosts = 3
+
+    async def asyncSetUp(self):
+        # All in one data centre: one of them watches the store.
+        self.enterContext(patch("wasabipitch.gateway.FEW_HOSTS", 1))
+        await super().asyncSetUp()
+        await self.fleet.wait_for(lambda: len(self.followers()) == 2)
+
+    def followers(self):
+        hosts = self.fleet.hosts.items()
+        return [name for name, host in hosts if host._follower.is_following]
+
+    async def wait_version(self, version, hosts):
+        await self.fleet.wait_for(
+            lambda: all(
+                self.fleet.hosts[host].configuration.version == version
+                for host in hosts
+            )
+        )
+
+    async def test_changes_reach_all_through_the_one_that_watches(self):
+        self.fleet.store.calls.clear()
+        for version in range(2, 12):
+            self.fleet.configure(version)
+            await self.wait_version(version, self.fleet.hosts)
+        watches = self.fleet.store.calls.count("watch")
+        self.assertLess(watches, 2 * 10)
+
+    async def test_when_it_ends_the_others_watch_themselves(self):
+        followers = self.followers()
+        (watcher,) = set(self.fleet.hosts) - set(followers)
+        await self.fleet.hosts[watcher].close()
+        self.fleet.configure(7)
+        await self.wait_version(7, followers)
+
+    async def test_one_that_hears_nothing_itself_is_noticed(self):
+        followers = self.followers()
+        (watcher,) = set(self.fleet.hosts) - set(followers)
+        mirror = self.fleet.hosts[watcher]._mirror
+        with patch.object(mirror, "_note_revision"):
+            self.fleet.configure(7)
+            await self.wait_version(7, followers)
+
+
 class OwnersTest(FleetCase):
     hosts = 3
 
