--- a/src/soak/hosts.py
+++ b/src/soak/hosts.py
@@ -43,6 +43,7 @@
         self._settings = folder / f"{self.name}.json"
         self._log = folder / f"{self.name}.log"
         self._process: asyncio.subprocess.Process | None = None
+        self._starting = asyncio.Lock()
         self.paused = False
 
     @property
@@ -70,19 +71,21 @@
 
     async def start(self) -> None:
         """Start its process, unless it runs."""
-        if self.is_running:
-            return
-        self.paused = False
-        with self._log.open("ab") as log:
-            self._process = await asyncio.create_subprocess_exec(
-                sys.executable,
-                str(PROGRAM),
-                stdin=asyncio.subprocess.DEVNULL,
-                stdout=log,
-                stderr=log,
-                env={"WASABIPITCH_SETTINGS": str(self._settings)},
-                cwd=ROOT,
-            )
+        # Faults that overlap may both want to start it.
+        async with self._starting:
+            if self.is_running:
+                return
+            self.paused = False
+            with self._log.open("ab") as log:
+                self._process = await asyncio.create_subprocess_exec(
+                    sys.executable,
+                    str(PROGRAM),
+                    stdin=asyncio.subprocess.DEVNULL,
+                    stdout=log,
+                    stderr=log,
+                    env={"WASABIPITCH_SETTINGS": str(self._settings)},
+                    cwd=ROOT,
+                )
 
     def send(self, number: signal.Signals) -> None:
         """Send a signal to its process, if that runs."""
--- a/src/soak/run.py
+++ b/src/soak/run.py
@@ -153,5 +153,10 @@
     sys.exit(EXIT_VIOLATION if broken else 0)
 
 
-if __name__ == "__main__":
+def cli() -> None:
+    """Run the program."""
     fire.Fire(main)
+
+
+if __name__ == "__main__":
+    cli()
