Keep the platform's names in the stand-in; build a gateway in two steps; a group without a leader

The soak's fleet named fields of the platform; the stand-in takes typed routes and instances now. In the stand-in a group whose primary stepped down has no leader, which broke the end of a fault.

--- a/src/soak/fleet.py
+++ b/src/soak/fleet.py
@@ -6,7 +6,7 @@
 
 from soak.hosts import HostProcess
 from soak.proxy import FaultyProxy
-from standins.http_store import PlatformService
+from standins.http_store import PlatformService, RouteSpec
 from standins.line_group import HOST, LineGroup, LineInstance
 from wasabipitch.models import Address
 
@@ -17,11 +17,10 @@
 # An entry goes after so many heartbeats of silence.
 SILENT_HEARTBEATS = 4
 ROUTES = (
-    {"Host": "payments", "Type": "primary"},
-    {"Host": "status", "Type": "bounded_stale", "MaxStalenessMs": 1500},
-    {"Host": "bookings", "Type": "read_your_writes", "MaxStalenessMs": 2500},
+    RouteSpec("payments", "primary"),
+    RouteSpec("status", "bounded_stale", 1500),
+    RouteSpec("bookings", "read_your_writes", 2500),
 )
-ROUTE_DEFAULTS = {"Backend": GROUP, "TimeoutMs": 1500, "GoalMs": 300, "Priority": 1}
 
 
 class SoakFleet:
@@ -59,7 +58,7 @@
             instance.max_connections = MAX_CONNECTIONS
             target = Address(HOST, instance.port)
             self.instance_proxies[name] = await self._start_proxy(target)
-        self.platform.configure(1, self._make_configuration())
+        self.platform.configure(1, GROUP, ROUTES, MAX_CONNECTIONS)
         for number in range(1, self._count + 1):
             proxy = await self._start_proxy(Address(HOST, self.platform.port))
             self.store_proxies.append(proxy)
@@ -98,15 +97,6 @@
         self._stack.push_async_callback(proxy.close)
         return proxy
 
-    def _make_configuration(self) -> dict:
-        return {
-            "Routes": [{**ROUTE_DEFAULTS, **route} for route in ROUTES],
-            "Backends": [
-                {"Name": GROUP, "MaxConns": MAX_CONNECTIONS, "SyncReplicas": 1}
-            ],
-            "Limits": {"TxIdleMs": 1000},
-        }
-
     async def _run_heartbeats(self) -> None:
         while True:
             if any(i.is_primary and i.is_running for i in self._instances()):
@@ -123,19 +113,8 @@
         if not instance.is_running:
             self._silent[name] = self._silent.get(name, 0) + 1
             if self._silent[name] >= SILENT_HEARTBEATS:
-                self.platform.register(name, None)
+                self.platform.deregister(name)
             return
         self._silent[name] = 0
-        entry = {
-            "Backend": GROUP,
-            "Addr": str(self.instance_proxies[name].address),
-            "Zone": f"dc-{name[-1]}",
-            "Version": "1",
-            "Slots": 4,
-            "State": "draining" if name in self.leaving else "ready",
-            "DbRole": "primary" if instance.is_primary else "replica",
-            "ColdMs": 0,
-            "Seq": 0,
-            "born": 1,
-        }
-        self.platform.register(name, entry)
+        address = self.instance_proxies[name].address
+        self.platform.register(instance, address, name in self.leaving)
--- a/src/standins/http_store.py
+++ b/src/standins/http_store.py
@@ -4,11 +4,13 @@
 import base64
 import contextlib
 import json
+from collections.abc import Iterable
+from dataclasses import dataclass
 from typing import Any
 
 from aiohttp import web
 
-from standins.line_group import LineGroup
+from standins.line_group import LineGroup, LineInstance
 from standins.memory_store import MemoryStore
 from wasabipitch.clock import now_s
 from wasabipitch.coordination.store import Item, Removal
@@ -19,6 +21,7 @@
     RecordConflict,
     StoreUnavailable,
 )
+from wasabipitch.models import Address
 from wasabipitch.verdict import Verdict
 
 HOST = "127.0.0.1"
@@ -31,6 +34,20 @@
 INSTANCES_PREFIX = "servers/"
 
 
+@dataclass(frozen=True, slots=True)
+class RouteSpec:
+    """A route as an operator declares it.
+
+    Args:
+        kind: of its reads, in the platform's words.
+        max_age_ms: how old the data of a read may be.
+    """
+
+    database: str
+    kind: str
+    max_age_ms: int = 0
+
+
 def _encode(event: Item | Removal) -> dict[str, Any]:
     if isinstance(event, Removal):
         return {"Key": event.key, "Revision": event.revision, "Deleted": True}
@@ -88,23 +105,53 @@
         """Stop listening."""
         await self._stack.aclose()
 
-    def configure(self, version: int, document: dict[str, Any]) -> None:
-        """Write the operators' configuration."""
-        value = json.dumps({"Version": version, **document}).encode()
-        self.store.put(CONFIGURATION_KEY, value)
-
-    def register(self, name: str, entry: dict[str, Any] | None) -> None:
-        """Write an instance's entry, or remove it; an unchanged one is left."""
-        key = INSTANCES_PREFIX + name
+    def configure(
+        self, version: int, group: str, routes: Iterable[RouteSpec], connections: int
+    ) -> None:
+        """Write the operators' configuration: one group and its routes."""
+        document = {
+            "Version": version,
+            "Routes": [
+                {
+                    "Host": route.database,
+                    "Type": route.kind,
+                    "Backend": group,
+                    "TimeoutMs": 1500,
+                    "GoalMs": 300,
+                    "Priority": 1,
+                    "MaxStalenessMs": route.max_age_ms,
+                }
+                for route in routes
+            ],
+            "Backends": [{"Name": group, "MaxConns": connections, "SyncReplicas": 1}],
+            "Limits": {"TxIdleMs": 1000},
+        }
+        self.store.put(CONFIGURATION_KEY, json.dumps(document).encode())
+
+    def register(self, instance: LineInstance, address: Address, leaving: bool) -> None:
+        """Write an instance's entry; an unchanged one is left."""
+        entry = {
+            "Backend": instance.group.name,
+            "Addr": str(address),
+            "Zone": f"dc-{instance.name[-1]}",
+            "Version": "1",
+            "Slots": 4,
+            "State": "draining" if leaving else "ready",
+            "DbRole": "primary" if instance.is_primary else "replica",
+            "ColdMs": 0,
+            "Seq": 0,
+            "born": 1,
+        }
+        key, value = INSTANCES_PREFIX + instance.name, json.dumps(entry).encode()
         known = self.store.items.get(key)
-        if entry is None:
-            if known is not None:
-                self.store.remove(key)
-            return
-        value = json.dumps(entry).encode()
         if known is None or known.value != value:
             self.store.put(key, value)
 
+    def deregister(self, name: str) -> None:
+        """Remove an instance's entry."""
+        if INSTANCES_PREFIX + name in self.store.items:
+            self.store.remove(INSTANCES_PREFIX + name)
+
     @web.middleware
     async def _answer(self, request: web.Request, handler) -> web.StreamResponse:
         await asyncio.sleep(self.delay_s)
--- a/src/standins/line_group.py
+++ b/src/standins/line_group.py
@@ -313,9 +313,10 @@
 
     @property
     def primary(self) -> LineInstance:
-        """The instance that leads the latest term."""
-        leaders = [i for i in self.instances.values() if i.is_primary]
-        return max(leaders, key=lambda instance: instance.term)
+        """The instance that leads the latest term, or the furthest if none leads."""
+        instances = list(self.instances.values())
+        leaders = [instance for instance in instances if instance.is_primary]
+        return max(leaders or instances, key=lambda i: (i.term, i.received))
 
     def replicate(self, primary: LineInstance, entry: Entry) -> bool:
         """Send a commit to the replicas; return whether one of them has it."""
--- a/src/wasabipitch/gateway.py
+++ b/src/wasabipitch/gateway.py
@@ -127,8 +127,16 @@
         self._link_server = LinkServer(
             self._answer_peer, clock, on_peer_lost=self._service.end_all
         )
+        self._build_coordination(host, record)
+        self._build_service(host)
+        self._loop_delay_s = 0.0
+        self._stopping = False
+        self._stack = contextlib.AsyncExitStack()
+
+    def _build_coordination(self, host: Host, record: HostRecord) -> None:
+        """Make what is shared with the other hosts, by the store and by links."""
         self._store = RelayedStore(
-            adapters.store, self.links, self._list_peers, self.decisions
+            self._adapters.store, self.links, self._list_peers, self.decisions
         )
         self._mirror = StoreMirror(self._store, self.decisions)
         self.presence = Presence(self._store, self._mirror, record)
@@ -136,7 +144,7 @@
         self._agreement = RecordAgreement(
             host,
             self.links,
-            lambda: self._roster.list_peers(cfg.host),
+            lambda: self._roster.list_peers(self._cfg.host),
             lambda: self._mirror.head_revision,
             lambda: self._mirror.store_confirmed_at_s,
         )
@@ -144,7 +152,7 @@
             host,
             self._store,
             self.links,
-            lambda: self._roster.list_peers(cfg.host),
+            lambda: self._roster.list_peers(self._cfg.host),
         )
         self._mirror.read_head_shared = self._checks_shared.read
         self._mirror.read_pause_s = self._find_watch_pause_s
@@ -162,16 +170,19 @@
         self._mirror.follower = self._follower
         self._directory = Directory(
             self._mirror,
-            adapters.documents,
+            self._adapters.documents,
             self.decisions,
             lambda configuration: self.groups.apply_configuration(configuration),
             lambda name: self.groups.update_group(name),
         )
+
+    def _build_service(self, host: Host) -> None:
+        """Make what serves callers, and who asks after this host."""
         self.groups = HostGroups(
             host,
-            adapters.instances,
+            self._adapters.instances,
             self._store,
-            adapters.promoter,
+            self._adapters.promoter,
             self._mirror,
             self.presence,
             self._roster,
@@ -180,7 +191,7 @@
             self._directory.instances_of,
         )
         self._server = CallerServer(
-            adapters.callers,
+            self._adapters.callers,
             self.decisions,
             lambda: self._directory.configuration,
             self.groups.find_runner,
@@ -188,9 +199,6 @@
         )
         self._checks = make_status_server(self._is_ready)
         self._metrics = make_metrics_server(self.measures.render)
-        self._loop_delay_s = 0.0
-        self._stopping = False
-        self._stack = contextlib.AsyncExitStack()
 
     async def start(self, callers: socket.socket) -> None:
         """Start serving; callers are answered once the store has been read.
