Keep few statements at an instance over all hosts that serve it

All hosts together now keep three statements a slot there; the rest waits in each host's own line, the most urgent first, or is refused soon.

--- a/src/wasabipitch/group/assembly.py
+++ b/src/wasabipitch/group/assembly.py
@@ -189,7 +189,8 @@
         state.owners = choose_owners(name, centres, count_owners(limit, len(centres)))
         part = count_part(limit, len(state.owners))
         is_owner = self._host.name in state.owners
-        group.dispatcher.update(state.entries, part if is_owner else 0)
+        owners = len(state.owners)
+        group.dispatcher.update(state.entries, part if is_owner else 0, owners)
         self._presence.serve(
             found.state.name
             for found in self._groups.values()
--- a/src/wasabipitch/instances/dispatcher.py
+++ b/src/wasabipitch/instances/dispatcher.py
@@ -14,6 +14,7 @@
 from wasabipitch.operations.measures import Gauge
 from wasabipitch.policy import placement, waiting
 from wasabipitch.policy.placement import ServiceTimes
+from wasabipitch.policy.window import window_limit
 from wasabipitch.wire.codecs import InstanceCodec
 
 # Beyond its own part a host may borrow this many while others leave them unused.
@@ -95,12 +96,15 @@
         # How long a loan lasts, pauses of transactions included.
         self._held_s = FIRST_HELD_S
 
-    def update(self, entries: dict[str, InstanceEntry], part: int) -> None:
+    def update(
+        self, entries: dict[str, InstanceEntry], part: int, hosts: int = 1
+    ) -> None:
         """Follow the registered instances and the host's part of connections.
 
         Args:
             entries: the instances, by name.
             part: connections that this host may hold to each; 0 for none.
+            hosts: how many hosts hold connections to them.
         """
         for name in set(self.pools) - set(entries):
             self.pools.pop(name).close()
@@ -121,7 +125,7 @@
             pool.entry = entry
             pool.limit = part
             pool.borrow_limit = part + BORROWED if part else 0
-            pool.window.resize(pool.borrow_limit)
+            pool.window.resize(window_limit(pool.borrow_limit, entry.slots, hosts))
         self.dispatch()
 
     @property
--- a/src/wasabipitch/policy/window.py
+++ b/src/wasabipitch/policy/window.py
@@ -5,6 +5,8 @@
 wait in its own line, where the most urgent goes first.
 """
 
+import math
+
 # Each refusal for want of a place takes this share, at most once in a while.
 DECREASE = 0.7
 DECREASE_PAUSE_S = 0.05
@@ -12,6 +14,25 @@
 INCREASE = 0.1
 MIN_WINDOW = 1.0
 
+# All hosts together keep so many statements a slot at an instance: one runs, and
+# the others bridge the way of an answer and of the next statement. More would wait
+# there in order of arrival, the least urgent among them.
+STATEMENTS_PER_SLOT = 3
+# A host with one could not use a second slot that stands idle.
+MIN_LIMIT = 2
+
+
+def window_limit(connections: int, slots: int, hosts: int) -> int:
+    """Return how many statements one host may keep at an instance at most.
+
+    Args:
+        connections: that it may hold to the instance.
+        slots: that the instance runs at once.
+        hosts: that send statements to it.
+    """
+    share = math.ceil(STATEMENTS_PER_SLOT * slots / max(1, hosts))
+    return min(connections, max(MIN_LIMIT, share))
+
 
 class ConcurrencyWindow:
     """Grows with answers, and shrinks when the instance is busy.
--- a/tests/wasabipitch/policy/test_window.py
+++ b/tests/wasabipitch/policy/test_window.py
@@ -2,7 +2,12 @@
 import unittest
 
 from wasabipitch.group.exchange import RETRY_PAUSE_S
-from wasabipitch.policy.window import ConcurrencyWindow
+from wasabipitch.policy.window import (
+    MIN_LIMIT,
+    STATEMENTS_PER_SLOT,
+    ConcurrencyWindow,
+    window_limit,
+)
 
 SERVICE_S = 0.012
 SLOTS, QUEUE = 4, 16
@@ -65,3 +70,19 @@
         for _ in range(10):
             window.note_busy(8, 1.0)
         self.assertEqual(window.size, 5)
+
+
+class LimitTest(unittest.TestCase):
+    def test_all_hosts_together_keep_a_few_statements_a_slot(self):
+        for slots, hosts, connections in ((4, 7, 8), (4, 3, 8), (2, 1, 16), (8, 4, 9)):
+            with self.subTest(slots=slots, hosts=hosts):
+                limit = window_limit(connections, slots, hosts)
+                self.assertGreaterEqual(limit * hosts, slots)
+                at_most = max(STATEMENTS_PER_SLOT * slots + hosts, MIN_LIMIT * hosts)
+                self.assertLessEqual(limit * hosts, at_most)
+
+    def test_a_host_uses_two_slots_however_many_share_them(self):
+        self.assertEqual(window_limit(8, 4, 60), MIN_LIMIT)
+
+    def test_never_more_than_its_connections(self):
+        self.assertEqual(window_limit(1, 4, 2), 1)
