Send the callers of a host that is cut off to the others

After 4 s without confirmation, when new callers go elsewhere, such a host now closes its idle sessions, once; callers that come all the same are kept.

--- a/src/wasabipitch/gateway.py
+++ b/src/wasabipitch/gateway.py
@@ -131,6 +131,8 @@
         self._build_service(host)
         self._loop_delay_s = 0.0
         self._stopping = False
+        # Whether the sessions of before were closed since the host was cut off.
+        self._sent_away = False
         self._stack = contextlib.AsyncExitStack()
 
     def _build_coordination(self, host: Host, record: HostRecord) -> None:
@@ -276,11 +278,29 @@
     async def _run_housekeeping(self) -> None:
         while True:
             self._directory.drop_missing()
+            self._send_callers_away()
             await self._prune_names()
             started_s = now_s()
             await asyncio.sleep(HOUSEKEEPING_S)
             self._loop_delay_s = max(0.0, now_s() - started_s - HOUSEKEEPING_S)
 
+    def _send_callers_away(self) -> None:
+        """Close idle sessions of a host that is cut off, once others get its callers.
+
+        It can serve next to nothing, and an open session stays with its host. Those
+        that come all the same are kept: no other host takes them.
+        """
+        silent_s = now_s() - self._mirror.confirmed_at_s
+        if silent_s < READY_CONFIRMED_S + OUT_OF_ROTATION_S or self._stopping:
+            self._sent_away = False
+            return
+        if not self._sent_away:
+            self._sent_away = True
+            self.decisions.belief(
+                "callers sent away", sessions=len(self._server.sessions)
+            )
+            self._server.close_idle()
+
     async def _prune_names(self) -> None:
         keys = self._roster.find_gone_names()
         if not keys:
--- a/tests/wasabipitch/test_gateway.py
+++ b/tests/wasabipitch/test_gateway.py
@@ -327,6 +327,18 @@
             caller, _ = await self.fleet.connect(database, "host-2")
             self.assertEqual((await caller.ask("READ job"))[0], "ROW v2")
 
+    async def test_a_host_that_is_cut_off_sends_its_idle_callers_away_once(self):
+        caller, _ = await self.fleet.connect(OWN_DB, "host-2")
+        await caller.ask("READ job")
+        far, _ = await self.fleet.connect(OWN_DB, "host-0")
+        await self.cut_off("host-2")
+        with patch("wasabipitch.gateway.OUT_OF_ROTATION_S", 0.5):
+            self.assertTrue(await _is_gone(caller))
+            again, _ = await self.fleet.connect(BOUNDED_DB, "host-2")
+            await asyncio.sleep(0.6)
+            self.assertTrue(await again.ask("READ job"))
+        self.assertEqual((await far.ask("READ job"))[0], "ROW -")
+
     async def test_a_host_that_cannot_reach_the_primary_asks_a_peer(self):
         # Each host has a way of its own to the instances; this one's is cut.
         pool = self.fleet.dispatcher("host-2").pools["i-0"]
