--- a/src/wasabipitch/gateway.py
+++ b/src/wasabipitch/gateway.py
@@ -290,11 +290,12 @@
         It can serve next to nothing, and an open session stays with its host. Those
         that come all the same are kept: no other host takes them.
         """
-        silent_s = now_s() - self._mirror.confirmed_at_s
-        if silent_s < READY_CONFIRMED_S + OUT_OF_ROTATION_S or self._stopping:
+        confirmed_s = self._mirror.confirmed_at_s
+        heard = now_s() - confirmed_s < READY_CONFIRMED_S + OUT_OF_ROTATION_S
+        if heard or not confirmed_s or self._stopping:
+            # It can serve, has just started, or sends its callers away anyhow.
             self._sent_away = False
-            return
-        if not self._sent_away:
+        elif not self._sent_away:
             self._sent_away = True
             self.decisions.belief(
                 "callers sent away", sessions=len(self._server.sessions)
--- a/tests/wasabipitch/test_gateway.py
+++ b/tests/wasabipitch/test_gateway.py
@@ -339,6 +339,14 @@
             self.assertTrue(await again.ask("READ job"))
         self.assertEqual((await far.ask("READ job"))[0], "ROW -")
 
+    async def test_a_host_that_has_just_started_keeps_its_callers(self):
+        self.fleet.store.down = True
+        await self.fleet.add_host("host-9")
+        gateway = self.fleet.hosts["host-9"]
+        with patch.object(gateway._server, "close_idle") as close_idle:
+            await asyncio.sleep(0.6)
+        close_idle.assert_not_called()
+
     async def test_a_host_that_cannot_reach_the_primary_asks_a_peer(self):
         # Each host has a way of its own to the instances; this one's is cut.
         pool = self.fleet.dispatcher("host-2").pools["i-0"]
