--- a/src/wasabipitch/writes.py
+++ b/src/wasabipitch/writes.py
@@ -4,11 +4,9 @@
 import contextlib
 import time
 from collections.abc import Awaitable, Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from typing import Generic, TypeVar
 
-from msgspec import structs
-
 from wasabipitch import requests
 from wasabipitch.deployment import RequestClass
 from wasabipitch.exceptions import GivenUp, InDoubt, WasabipitchError
@@ -193,7 +191,7 @@
             requests.check_ran(req.request_id, outcome.record)
             self._record("request.repeated", req, done.term)
         # The answer came before the commit, and told of the open transaction.
-        answer = structs.replace(outcome.answer, in_transaction=False)
+        answer = replace(outcome.answer, in_transaction=False)
         return make_result(answer, done.position, done.instance, repeated=repeated)
 
     async def _run_once(
