--- a/src/wasabipitch/coordination/mirror.py
+++ b/src/wasabipitch/coordination/mirror.py
@@ -19,8 +19,8 @@
 ALL_KEYS = ""
 # A long timeout saves billed calls; the checks detect a watch that returns nothing.
 WATCH_TIMEOUT_S = 20.0
-# The hosts agree among themselves if a read of the head takes longer than this, which
-# leaves time for it before a read lease ends.
+# The hosts agree among themselves if a read of the head takes longer than this. A
+# store that stays silent would otherwise use up the time of a read lease.
 CHECK_PATIENCE_S = 0.2
 # The time between reads of the head, each of which renews this host's read leases.
 CHECK_INTERVAL_S = 0.45
@@ -70,8 +70,6 @@
         self._listeners: list[Callable[[str, Item | None], None]] = []
         self._confirm_listeners: list[Callable[[], None]] = []
         self._watch: asyncio.Task | None = None
-        # A read of the head that took longer than ``CHECK_PATIENCE_S``, or None.
-        self._late_read: asyncio.Task | None = None
         self._behind_since_s: float | None = None
         self._reachable = False
 
@@ -103,9 +101,13 @@
     async def run_checks(self) -> None:
         """Confirm the copy every ``CHECK_INTERVAL_S`` until cancelled."""
         await self.loaded.wait()
+        late_read: asyncio.Task | None = None
         while True:
             started_s = now_s()
-            await self.check()
+            read = late_read or asyncio.ensure_future(self._read_head(shared=True))
+            await self._confirm(read)
+            # A late read goes on, since its answer shows that the store is reachable.
+            late_read = None if read.done() else read
             await asyncio.sleep(max(RETRY_S, CHECK_INTERVAL_S - (now_s() - started_s)))
 
     async def check(self, shared: bool = True) -> bool:
@@ -114,15 +116,34 @@
         Args:
             shared: Whether the read may be another host's, which may be older.
         """
-        read = self._late_read or asyncio.ensure_future(self._read_head(shared))
-        self._late_read = None
-        done, _ = await _wait_cancelling(read, CHECK_PATIENCE_S)
-        if not done:
-            self._late_read = read
-            read.add_done_callback(tasks.ignore_failure)
-            return await self._check_without_store()
+        read = asyncio.ensure_future(self._read_head(shared))
+        try:
+            return await self._confirm(read)
+        finally:
+            read.cancel()
+
+    async def _confirm(self, read: asyncio.Task) -> bool:
+        """Confirm the copy by a read of the head, or by agreement if that is late."""
+        if not await _ends_within(read, CHECK_PATIENCE_S) and (
+            await self._agree_unless_read(read)
+        ):
+            return True
+        return await self._apply_read(read)
+
+    async def _agree_unless_read(self, read: asyncio.Task) -> bool:
+        """Agree among the hosts, unless a late read of the head ends first."""
+        read.add_done_callback(tasks.ignore_failure)
+        agreement = asyncio.ensure_future(self._check_without_store())
+        try:
+            await asyncio.wait({read, agreement}, return_when=asyncio.FIRST_COMPLETED)
+            return agreement.done() and agreement.result()
+        finally:
+            agreement.cancel()
+
+    async def _apply_read(self, read: asyncio.Task) -> bool:
+        """Wait for a read of the head; return whether it confirms the copy."""
         try:
-            sent_at_s, head, store_revision = read.result()
+            sent_at_s, head, store_revision = await read
         except StoreError as exc:
             self._record_failure(exc)
             return await self._check_without_store()
@@ -279,10 +300,11 @@
             self._decisions.belief("store unreachable", reason=str(exc))
 
 
-async def _wait_cancelling(task: asyncio.Task, timeout_s: float):
+async def _ends_within(task: asyncio.Task, timeout_s: float) -> bool:
     """Wait for a task, and cancel it if the wait is cancelled."""
     try:
-        return await asyncio.wait([task], timeout=timeout_s)
+        done, _ = await asyncio.wait([task], timeout=timeout_s)
     except asyncio.CancelledError:
         task.cancel()
         raise
+    return bool(done)
--- a/src/wasabipitch/coordination/relay.py
+++ b/src/wasabipitch/coordination/relay.py
@@ -4,7 +4,7 @@
 import random
 from collections.abc import Callable, Iterable, Mapping, Sequence
 
-from wasabipitch import exceptions
+from wasabipitch import exceptions, tasks
 from wasabipitch.clock import now_s
 from wasabipitch.coordination.following import pack, unpack
 from wasabipitch.coordination.store import (
@@ -31,6 +31,11 @@
 MAX_PEER_ATTEMPTS = 2
 # Calls that may be repeated when the outcome of the first attempt is unknown.
 IDEMPOTENT_CALLS = frozenset({"get", "read_revision", "list", "watch", "renew_lease"})
+# Calls that are repeated while the first attempt goes on. A lease that is opened twice
+# ends by itself. A write could take effect late, after a newer one.
+RACED_CALLS = frozenset({"get", "read_revision", "list", "renew_lease", "open_lease"})
+# Longer than a call at a store that is sixty times slower than usual.
+REPEAT_AFTER_S = 0.3
 
 
 async def answer(store: CoordinationStore, call: StoreCall) -> StoreAnswer:
@@ -38,7 +43,11 @@
     try:
         return await _perform(store, call)
     except StoreError as exc:
-        return StoreAnswer(error=type(exc).__name__, reason=exc.message)
+        return StoreAnswer(
+            error=type(exc).__name__,
+            reason=exc.message,
+            may_have_run=exc.verdict is not Verdict.NOT_RUN,
+        )
 
 
 async def _perform(store: CoordinationStore, call: StoreCall) -> StoreAnswer:
@@ -156,16 +165,15 @@
     async def _call(
         self, call: StoreCall, wait_s: float = 0.0, idempotent: bool = False
     ) -> StoreAnswer:
+        if call.name in RACED_CALLS:
+            return await self._race(call)
         if now_s() < self._direct_backoff_until_s:
             reply = await self._call_peers(call, wait_s)
             if reply is not None:
                 return reply
-        started_s = now_s()
         try:
-            reply = await _perform(self._direct, call)
+            return await self._call_direct(call)
         except StoreUnavailable as exc:
-            if now_s() - started_s > SLOW_CALL_S:
-                self._direct_backoff_until_s = now_s() + DIRECT_BACKOFF_S
             may_repeat = idempotent or call.name in IDEMPOTENT_CALLS
             if not may_repeat and exc.verdict is not Verdict.NOT_RUN:
                 raise
@@ -173,6 +181,37 @@
             if reply is None:
                 raise
             return reply
+
+    async def _race(self, call: StoreCall) -> StoreAnswer:
+        """Make a call that may be repeated, again and elsewhere while none answers.
+
+        A store that was silent answers the calls of its return, not those before. A
+        host that waited for the timeout of its first call would return late.
+        """
+
+        async def call_peers() -> StoreAnswer:
+            reply = await self._call_peers(call, 0.0)
+            if reply is None:
+                raise StoreUnavailable("no peer could relay the call")
+            self._direct_backoff_until_s = now_s() + DIRECT_BACKOFF_S
+            return reply
+
+        async def call_direct() -> StoreAnswer:
+            return await self._call_direct(call)
+
+        attempts = [call_direct, call_peers, call_direct]
+        if now_s() < self._direct_backoff_until_s:
+            attempts = [call_peers, call_direct]
+        return await tasks.race(attempts, REPEAT_AFTER_S, StoreUnavailable)
+
+    async def _call_direct(self, call: StoreCall) -> StoreAnswer:
+        started_s = now_s()
+        try:
+            reply = await _perform(self._direct, call)
+        except StoreUnavailable:
+            if now_s() - started_s > SLOW_CALL_S:
+                self._direct_backoff_until_s = now_s() + DIRECT_BACKOFF_S
+            raise
         self._update_relaying(False)
         self._direct_backoff_until_s = 0.0
         return reply
@@ -188,7 +227,8 @@
             reply = await self._ask(peer, call, wait_s)
             if reply is None or reply.error == StoreUnavailable.__name__:
                 self._peer_backoff_until_s[peer.name] = now_s() + PEER_BACKOFF_S
-                if call.name == "commit" and call.expected and reply is None:
+                unknown = reply is None or reply.may_have_run
+                if call.name == "commit" and call.expected and unknown:
                     message = f"{peer.name} did not answer a conditional write"
                     raise StoreUnavailable(message)
                 continue
--- a/src/wasabipitch/group/replacement.py
+++ b/src/wasabipitch/group/replacement.py
@@ -220,8 +220,10 @@
     async def _promote(self, instance: str, revision: int) -> bool:
         while self._is_holder(revision):
             # A process that was suspended may no longer be the holder, and must not
-            # promote after another host has.
-            if not await self._mirror.check() or not self._is_holder(revision):
+            # promote after another host has. A read that the hosts share may be older
+            # than the other host's claim.
+            confirmed = await self._mirror.check(shared=False)
+            if not confirmed or not self._is_holder(revision):
                 await asyncio.sleep(RETRY_S)
                 continue
             try:
--- a/src/wasabipitch/group/state.py
+++ b/src/wasabipitch/group/state.py
@@ -24,6 +24,11 @@
     decide_read,
 )
 
+# A commit that its request abandons sooner says nothing about the primary.
+MIN_HANG_S = 0.3
+# An abandoned commit counts against the primary for this long.
+UNANSWERED_EVIDENCE_S = 2.0
+
 
 class PendingCommit(msgspec.Struct, frozen=True):
     """A write or commit that was sent to a primary and has not been answered.
@@ -83,6 +88,10 @@
         # this one is reported as unknown.
         self.abandoned_revision = 0
         self._commits: dict[asyncio.Future[None], PendingCommit] = {}
+        # The last commit whose request ended before an answer, unless the primary has
+        # answered a later one since, and until when it counts as evidence.
+        self._unanswered: PendingCommit | None = None
+        self._unanswered_until_s = 0.0
         # End of the read lease on the primary that is being replaced.
         self._old_read_lease_until_s = 0.0
         self._read_confirmed_at_s = read_confirmed_at_s
@@ -176,9 +185,12 @@
     @property
     def oldest_commit_s(self) -> float | None:
         """The send time of the oldest unanswered commit of this record, or None."""
+        commits = [*self._commits.values()]
+        if self._unanswered is not None and now_s() < self._unanswered_until_s:
+            commits.append(self._unanswered)
         sent = [
             commit.sent_at_s
-            for commit in self._commits.values()
+            for commit in commits
             if commit.revision == self.record_revision
         ]
         return min(sent, default=None)
@@ -192,9 +204,18 @@
             answer to the commit must then be reported as unknown.
         """
         relinquished = asyncio.get_running_loop().create_future()
-        self._commits[relinquished] = PendingCommit(self.record_revision, now_s())
+        commit = PendingCommit(self.record_revision, now_s())
+        self._commits[relinquished] = commit
         try:
             yield relinquished
+            if self._unanswered and self._unanswered.sent_at_s <= commit.sent_at_s:
+                self._unanswered = None
+        except (TimeoutError, asyncio.CancelledError):
+            # The time limit was reached, or the caller gave up.
+            if now_s() - commit.sent_at_s >= MIN_HANG_S:
+                self._unanswered = commit
+                self._unanswered_until_s = now_s() + UNANSWERED_EVIDENCE_S
+            raise
         finally:
             del self._commits[relinquished]
 
--- a/src/wasabipitch/peer_messages.py
+++ b/src/wasabipitch/peer_messages.py
@@ -61,6 +61,7 @@
         store_revision: The revision of the whole store.
         error: The class name of the error that the call raised, or an empty string.
         reason: The message of the error.
+        may_have_run: Whether the call may have taken effect in spite of the error.
     """
 
     items: tuple[StoredItem, ...] = ()
@@ -68,6 +69,7 @@
     store_revision: int = 0
     error: str = ""
     reason: str = ""
+    may_have_run: bool = False
 
 
 class AskHead(msgspec.Struct, frozen=True):
--- a/src/wasabipitch/tasks.py
+++ b/src/wasabipitch/tasks.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import logging
-from collections.abc import Callable, Coroutine
+from collections.abc import Callable, Coroutine, Sequence
 
 # Keeps a task that fails at once on each start from filling the log and using all
 # of a CPU.
@@ -44,6 +44,48 @@
             await asyncio.sleep(RESTART_DELAY_S)
 
 
+async def race(
+    attempts: Sequence[Callable[[], Coroutine]],
+    stagger_s: float,
+    retry_on: type[Exception],
+):
+    """Return the result of the first attempt that succeeds.
+
+    The next attempt starts when one fails, or when none has ended for ``stagger_s``
+    seconds. Those that are running go on, since a slow answer is an answer, too.
+
+    Args:
+        attempts: Start the attempts, in the order in which they are made.
+        stagger_s: The time in seconds from one attempt to the next.
+        retry_on: The exception after which the others count. Any other one ends the
+            race.
+
+    Raises:
+        Exception: The first failure, if every attempt failed.
+    """
+    waiting = list(attempts)
+    running: set[asyncio.Task] = set()
+    failure: Exception | None = None
+    try:
+        while waiting or running:
+            if waiting:
+                running.add(asyncio.ensure_future(waiting.pop(0)()))
+            done, running = await asyncio.wait(
+                running,
+                timeout=stagger_s if waiting else None,
+                return_when=asyncio.FIRST_COMPLETED,
+            )
+            for task in done:
+                try:
+                    return task.result()
+                except retry_on as exc:
+                    failure = failure or exc
+    finally:
+        for task in running:
+            task.cancel()
+    raise failure
+
+
 async def cancel(task: asyncio.Task) -> None:
     """Cancel a task and wait until it has ended; its outcome is ignored."""
     task.cancel()
