--- a/src/wasabipitch/coordination/registration.py
+++ b/src/wasabipitch/coordination/registration.py
@@ -21,7 +21,9 @@
 # The registration lapses after three failed renewals.
 HOST_LEASE_S = 6.0
 RENEW_INTERVAL_S = 2.0
-RETRY_S = 0.3
+RETRY_S = 0.1
+RETRY_POLL_S = 0.05
+MAX_RETRY_S = 1.5
 # The local copy shows a new registration with the next watch, some 10 ms later.
 MIRROR_TIMEOUT_S = 0.5
 MIRROR_POLL_S = 0.005
@@ -78,7 +80,18 @@
                 logger.warning("registering the host again: %s", exc)
             except StoreError as exc:
                 logger.warning("host registration failed: %s", exc)
-                await asyncio.sleep(RETRY_S)
+                await self._wait_for_store()
+
+    async def _wait_for_store(self) -> None:
+        """Wait until the store answers other calls, at most ``MAX_RETRY_S``.
+
+        Refused calls are billed, and the checks of the local copy find out when the
+        store is back.
+        """
+        await asyncio.sleep(RETRY_S)
+        until_s = now_s() + MAX_RETRY_S
+        while not self._mirror.is_reachable and now_s() < until_s:
+            await asyncio.sleep(RETRY_POLL_S)
 
     async def leave(self) -> None:
         """Remove all keys of this host, so that no host waits for its lease to end."""
--- a/src/wasabipitch/coordination/relay.py
+++ b/src/wasabipitch/coordination/relay.py
@@ -38,8 +38,21 @@
 REPEAT_AFTER_S = 0.3
 
 
-async def answer(store: CoordinationStore, call: StoreCall) -> StoreAnswer:
-    """Make a store call for a peer and return the store's answer or error."""
+async def answer(
+    store: CoordinationStore, call: StoreCall, is_reachable: bool = True
+) -> StoreAnswer:
+    """Make a store call for a peer and return the store's answer or error.
+
+    Args:
+        store: The store.
+        call: The call.
+        is_reachable: Whether the store answered this host's last call. If not, the
+            peer's call is not made: in an outage, each host's calls would be repeated
+            and billed by several others.
+    """
+    if not is_reachable:
+        name = StoreUnavailable.__name__
+        return StoreAnswer(error=name, reason="the store does not answer here either")
     try:
         return await _perform(store, call)
     except StoreError as exc:
--- a/src/wasabipitch/gateway.py
+++ b/src/wasabipitch/gateway.py
@@ -351,7 +351,9 @@
     async def _answer_peer(self, exchange: Exchange) -> Message:
         match exchange.message:
             case StoreCall() as call:
-                return await answer(self._adapters.store, call)
+                return await answer(
+                    self._adapters.store, call, self._mirror.is_reachable
+                )
             case AskHead():
                 return self._agreement.answer_head()
             case AskAgreement() as ask:
--- a/tests/wasabipitch/coordination/test_mirror.py
+++ b/tests/wasabipitch/coordination/test_mirror.py
@@ -104,6 +104,37 @@
         self.assertEqual(self.mirror.confirmed_at_s, 123.0)
         self.assertEqual(self.mirror.store_confirmed_at_s, 0.0)
 
+    async def test_hosts_agree_while_the_store_stays_silent(self):
+        async def read_silently(key):
+            await asyncio.Event().wait()
+
+        async def confirm():
+            return 123.0
+
+        self.mirror.confirm_among_hosts = confirm
+        with patch.object(self.store, "read_revision", read_silently):
+            async with asyncio.timeout(5):
+                self.assertTrue(await self.mirror.check())
+        self.assertEqual(self.mirror.confirmed_at_s, 123.0)
+
+    async def test_a_late_answer_of_the_store_ends_a_vain_agreement(self):
+        answered = asyncio.Event()
+        read_revision = self.store.read_revision
+
+        async def read_late(key):
+            await answered.wait()
+            return await read_revision(key)
+
+        async def confirm_never():
+            answered.set()
+            await asyncio.Event().wait()
+
+        self.mirror.confirm_among_hosts = confirm_never
+        with patch.object(self.store, "read_revision", read_late):
+            async with asyncio.timeout(5):
+                self.assertTrue(await self.mirror.check())
+        self.assertGreater(self.mirror.store_confirmed_at_s, 0.0)
+
     async def test_a_cancelled_mirror_ends(self):
         mirror = StoreMirror(self.store, DecisionLog("host"))
         task = tasks.spawn(mirror.run(), "mirror")
--- a/tests/wasabipitch/coordination/test_relay.py
+++ b/tests/wasabipitch/coordination/test_relay.py
@@ -1,11 +1,15 @@
+import asyncio
 import unittest
+from types import SimpleNamespace
+from unittest.mock import patch
 
 from standins.memory_store import MemoryStore
-from tests.wasabipitch.coordination.peers_fixture import run_peers
+from tests.wasabipitch.coordination.peers_fixture import Peer, run_peers
 from tests.wasabipitch.gateway_fixture import HostStore
 from wasabipitch.coordination.relay import RelayedStore, answer
 from wasabipitch.exceptions import LeaseEnded, RecordConflict, StoreUnavailable
 from wasabipitch.operations.decisions import DecisionLog
+from wasabipitch.peer_messages import StoreCall
 from wasabipitch.verdict import Verdict
 
 
@@ -58,3 +62,43 @@
             await self.store.commit({"a": 2}, {"a": b"2"})
         self.assertEqual(caught.exception.verdict, Verdict.MAY_HAVE_RUN)
         self.assertEqual(self.shared.calls.count("commit"), 1)
+
+    async def test_a_store_that_returns_is_asked_again_before_the_first_timeout(self):
+        # A silent store answers no call that it received before its return.
+        calls = []
+
+        async def list_silently_once(prefix):
+            calls.append(prefix)
+            if len(calls) == 1:
+                await asyncio.Event().wait()
+            return await self.shared.list(prefix)
+
+        with (
+            patch.object(self.store, "_read_peers", lambda: []),
+            patch.object(
+                self.store, "_direct", SimpleNamespace(list=list_silently_once)
+            ),
+        ):
+            async with asyncio.timeout(5):
+                listing = await self.store.list("a")
+        self.assertEqual(listing.items[0].value, b"1")
+
+    async def test_a_peer_without_the_store_makes_no_call_for_others(self):
+        reply = await answer(self.shared, StoreCall("get", "a"), is_reachable=False)
+        self.assertEqual(reply.error, StoreUnavailable.__name__)
+        self.assertEqual(self.shared.calls, [])
+
+    async def test_a_conditional_write_that_a_peer_may_have_made_is_not_repeated(self):
+        self.host_stores["own"].cut = True
+        third = Peer("third", self.make_handler("peer"))
+        await third.start()
+        self.addAsyncCleanup(third.server.close)
+        peers = [self.peers["peer"].host, third.host]
+        self.shared.lost_answers = 1
+        with (
+            patch.object(self.store, "_read_peers", lambda: peers),
+            self.assertRaises(StoreUnavailable) as caught,
+        ):
+            await self.store.commit({"a": 2}, {"a": b"2"})
+        self.assertEqual(caught.exception.verdict, Verdict.MAY_HAVE_RUN)
+        self.assertEqual(self.shared.items["a"].value, b"2")
--- a/tests/wasabipitch/gateway_fixture.py
+++ b/tests/wasabipitch/gateway_fixture.py
@@ -230,6 +230,7 @@
 
 class _NoState:
     primary = None
+    record = None
     read_lease_until_s = 0.0
     is_changing = False
 
--- a/tests/wasabipitch/group/test_replacement.py
+++ b/tests/wasabipitch/group/test_replacement.py
@@ -1,8 +1,12 @@
+import asyncio
 import unittest
+from types import SimpleNamespace
 
-from wasabipitch.coordination.documents import GroupRecord, Phase
-from wasabipitch.group.replacement import find_later_leader
+from wasabipitch.coordination.documents import GroupRecord, GroupSettings, Phase
+from wasabipitch.group.replacement import Replacement, find_later_leader
+from wasabipitch.group.state import GroupState
 from wasabipitch.models import Position
+from wasabipitch.operations.decisions import DecisionLog
 from wasabipitch.wire.messages import InstanceReport
 
 RECORD = GroupRecord(Phase.CHANGING, "second", 1, 2, "holder")
@@ -29,3 +33,36 @@
 
     def test_primary_of_the_record_is_no_later_leader(self):
         self.assertIsNone(find_later_leader(RECORD, {"second": report(True, 4)}))
+
+
+class PromoteTest(unittest.IsolatedAsyncioTestCase):
+    async def test_a_promotion_follows_a_read_of_the_store_by_this_host(self):
+        # A read that hosts share may be older than another host's claim. A holder that
+        # had been suspended then promoted after it, under a lower token.
+        checks, orders = [], []
+
+        async def check(shared=True):
+            checks.append(shared)
+            return not shared
+
+        async def promote(*order):
+            orders.append(order)
+
+        state = GroupState(
+            GroupSettings("ledger", 16, 1), lambda: 0.0, DecisionLog("host")
+        )
+        state.set_record(RECORD, 9)
+        replacement = Replacement(
+            state,
+            None,
+            SimpleNamespace(promote=promote),
+            SimpleNamespace(check=check),
+            None,
+            DecisionLog("host"),
+            "holder",
+            None,
+        )
+        async with asyncio.timeout(2):
+            self.assertTrue(await replacement._promote("third", 9))
+        self.assertEqual(checks, [False])
+        self.assertEqual(orders, [("ledger", "third", "holder", 9)])
--- a/tests/wasabipitch/group/test_state.py
+++ b/tests/wasabipitch/group/test_state.py
@@ -1,3 +1,4 @@
+import asyncio
 import unittest
 from unittest.mock import patch
 
@@ -28,6 +29,28 @@
             self.assertEqual(state.commits_under_way, 1)
         self.assertEqual(state.commits_under_way, 0)
 
+    async def test_a_commit_that_its_caller_gave_up_stays_evidence(self):
+        # Callers give up after their own time limit. Without this, a primary whose
+        # commits hang is trusted again between two of them.
+        state = make_state()
+        state.set_record(STEADY, 5)
+        with patch("wasabipitch.group.state.now_s") as clock:
+            clock.return_value = 200.0
+            with self.assertRaises(asyncio.CancelledError), state.track_commit():
+                clock.return_value = 200.5
+                raise asyncio.CancelledError
+            self.assertEqual(state.oldest_commit_s, 200.0)
+            with state.track_commit():
+                pass
+            self.assertIsNone(state.oldest_commit_s)
+
+    async def test_a_commit_abandoned_at_once_is_no_evidence(self):
+        state = make_state()
+        state.set_record(STEADY, 5)
+        with self.assertRaises(TimeoutError), state.track_commit():
+            raise TimeoutError
+        self.assertIsNone(state.oldest_commit_s)
+
     async def test_abandon_commits_ends_the_wait_for_older_commits_only(self):
         state = make_state()
         state.set_record(STEADY, 5)
--- a/tests/wasabipitch/test_gateway.py
+++ b/tests/wasabipitch/test_gateway.py
@@ -169,6 +169,18 @@
         lines = await caller.ask("COMMIT", "c1")
         self.assertTrue(lines[0].startswith("ERROR UNKNOWN"), lines)
 
+    async def test_a_read_is_asked_of_a_third_instance_when_two_are_silent(self):
+        caller, _ = await self.fleet.connect(BOUNDED_DB)
+        await caller.ask("WRITE job a", "w1")
+        await caller.ask("READ job")
+        for name in ("i-1", "i-2"):
+            self.fleet.group.instances[name].silent = True
+        for _ in range(4):
+            started_s = now_s()
+            self.assertEqual((await caller.ask("READ job"))[0], "ROW a")
+            # The time limit is 2 s, and each hedge waits some 0.1 s.
+            self.assertLess(now_s() - started_s, 1.0)
+
     async def test_a_read_that_failed_runs_again(self):
         caller, _ = await self.fleet.connect(PRIMARY_DB)
         self.fleet.group.primary.refusals = ["FAILED"]
@@ -206,6 +218,35 @@
         fences = [fence for _, _, fence in self.fleet.group.promotions]
         self.assertEqual(fences, sorted(set(fences)))
 
+    async def test_a_silent_instance_does_not_delay_a_replacement(self):
+        self.enterContext(
+            patch("wasabipitch.group.instance_control.COMMAND_TIMEOUT_S", 60.0)
+        )
+        caller, _ = await self.fleet.connect(OWN_DB)
+        await self.write(caller, 2)
+        silenced = self.fleet.group.instances["i-2"]
+        silenced.replication_blocked = True
+        await caller.ask("WRITE job newer", "w9")
+        promote = self.fleet.group.promote
+
+        async def promote_and_silence(*args):
+            # It is fenced now, and will not be told to follow.
+            silenced.silent = True
+            await promote(*args)
+
+        with patch.object(self.fleet.group, "promote", promote_and_silence):
+            await self.fleet.group.instances["i-0"].stop()
+            await self.wait_primary("i-1")
+
+    async def test_a_replica_that_was_silent_is_repaired_later(self):
+        replica = self.fleet.group.instances["i-2"]
+        replica.silent = True
+        await self.fleet.group.instances["i-0"].stop()
+        await self.wait_primary("i-1")
+        replica.fenced_term = 99
+        replica.silent = False
+        await self.fleet.wait_for(lambda: replica.fenced_term == 0)
+
     async def test_a_leaving_primary_is_switched_over(self):
         caller, _ = await self.fleet.connect(OWN_DB)
         await self.write(caller, 3)
@@ -339,6 +380,30 @@
             self.assertTrue(await again.ask("READ job"))
         self.assertEqual((await far.ask("READ job"))[0], "ROW -")
 
+    async def test_callers_of_a_host_that_registers_wait_for_it(self):
+        # The lease of this host can't be opened for a while after the store was read.
+        release = asyncio.Event()
+        open_lease = self.fleet.store.open_lease
+
+        async def open_late(ttl_s):
+            await release.wait()
+            return await open_lease(ttl_s)
+
+        with patch.object(self.fleet.store, "open_lease", open_late):
+            await self.fleet.add_host("host-9")
+            await self.fleet.wait_for(
+                lambda: self.fleet.state("host-9").record is not None
+            )
+            read, _ = await self.fleet.connect(PRIMARY_DB, "host-9")
+            read.send("READ job")
+            write, _ = await self.fleet.connect(PRIMARY_DB, "host-9")
+            await write.ask("BEGIN")
+            write.send("WRITE job a", "w1")
+            await asyncio.sleep(0.2)
+            release.set()
+            self.assertEqual((await read.receive())[0], "ROW -")
+            self.assertEqual((await write.receive())[0], "COMPLETE i-0.w1")
+
     async def test_a_host_that_has_just_started_keeps_its_callers(self):
         self.fleet.store.down = True
         await self.fleet.add_host("host-9")
--- a/tests/wasabipitch/test_tasks.py
+++ b/tests/wasabipitch/test_tasks.py
@@ -30,3 +30,41 @@
 
         with self.assertLogs("wasabipitch.tasks", "ERROR"):
             await asyncio.wait([tasks.spawn(work(), "work")])
+
+
+class RaceTest(unittest.IsolatedAsyncioTestCase):
+    async def test_a_second_attempt_answers_while_the_first_hangs(self):
+        cancelled = []
+
+        async def hang():
+            try:
+                await asyncio.Event().wait()
+            finally:
+                cancelled.append(True)
+
+        async def succeed():
+            return "second"
+
+        result = await tasks.race([hang, succeed], 0.01, KeyError)
+        self.assertEqual(result, "second")
+        await asyncio.sleep(0)
+        self.assertEqual(cancelled, [True])
+
+    async def test_the_first_failure_counts_if_all_attempts_fail(self):
+        failures = iter([KeyError("first"), KeyError("second")])
+
+        async def fail():
+            raise next(failures)
+
+        with self.assertRaisesRegex(KeyError, "first"):
+            await tasks.race([fail, fail], 60.0, KeyError)
+
+    async def test_another_exception_ends_the_race(self):
+        async def fail():
+            raise ValueError
+
+        async def succeed():
+            return "second"
+
+        with self.assertRaises(ValueError):
+            await tasks.race([fail, succeed], 60.0, KeyError)
