--- a/src/wasabipitch/coordination/agreement.py
+++ b/src/wasabipitch/coordination/agreement.py
@@ -7,12 +7,15 @@
 newer record, the records are confirmed as of the time of the question. One host, the
 collector, asks all of them, and the other hosts ask the collector.
 
+In a small fleet a majority of the named hosts is enough, see ``policy/quorum``.
+
 The collector might not know a host that registered recently. Therefore a new host
 replaces no primary for ``MAX_STORE_OUTAGE_S``, and a collector uses the list of hosts
 that it has from the store for no longer than that.
 """
 
 import asyncio
+import enum
 from collections.abc import Callable, Iterable
 
 from wasabipitch.clock import now_s
@@ -21,9 +24,8 @@
 from wasabipitch.models import Host
 from wasabipitch.peer_links import PeerLinks
 from wasabipitch.peer_messages import Agreement, AskAgreement, AskHead, HeadReport
+from wasabipitch.policy.quorum import MAX_STORE_OUTAGE_S, is_quorum
 
-# Longer than the store's usual outages; hosts can't agree once this time has passed.
-MAX_STORE_OUTAGE_S = 12.0
 # The result of one round of questions is reused for this long.
 ROUND_REUSE_S = 0.25
 HEAD_TIMEOUT_S = 0.3
@@ -32,6 +34,17 @@
 COLLECTORS = 2
 
 
+class _Opinion(enum.Enum):
+    """What a peer says of the collector's head."""
+
+    SAME = "it knows no newer record"
+    OTHER = "it knows a newer record"
+    NONE = "it did not answer"
+    # Or it has not read the store since its start. It is new then, and replaces no
+    # primary for ``MAX_STORE_OUTAGE_S``.
+    STOPPED = "it does not run"
+
+
 class RecordAgreement:
     """Confirms this host's group records with the other hosts.
 
@@ -41,7 +54,8 @@
         read_peers: Returns all other hosts that were registered recently.
         read_head: Returns the revision of the newest group record known here.
         read_store_confirmed_s: Returns the time at which the store itself last
-            confirmed that revision.
+            confirmed that revision, or 0 while this host has not read it.
+        count_names: Returns the number of hosts that may run.
     """
 
     def __init__(
@@ -51,12 +65,14 @@
         read_peers: Callable[[], Iterable[Host]],
         read_head: Callable[[], int],
         read_store_confirmed_s: Callable[[], float],
+        count_names: Callable[[], int],
     ) -> None:
         self._own = own
         self._links = links
         self._read_peers = read_peers
         self._read_head = read_head
         self._read_store_confirmed_s = read_store_confirmed_s
+        self._count_names = count_names
         self._round: asyncio.Task[bool] | None = None
         self._round_at_s = 0.0
         self._round_head = 0
@@ -78,8 +94,12 @@
         return None
 
     def answer_head(self) -> HeadReport:
-        """Return the head known here, for a collector."""
-        return HeadReport(self._read_head())
+        """Return the head known here, for a collector.
+
+        A host that has not read the store since its start knows of no record, and may
+        have known a newer one before.
+        """
+        return HeadReport(self._read_head(), self._read_store_confirmed_s() > 0)
 
     async def answer(self, ask: AskAgreement) -> Agreement:
         """Return whether all hosts agree on a head; this host is the collector."""
@@ -104,17 +124,24 @@
         if now_s() - self._read_store_confirmed_s() > MAX_STORE_OUTAGE_S:
             return False
         peers = list(self._read_peers())
-        answers = await asyncio.gather(*(self._agrees(peer, head) for peer in peers))
-        return all(answers) and self._read_head() == head
+        opinions = await asyncio.gather(*(self._ask_head(p, head) for p in peers))
+        if _Opinion.OTHER in opinions or self._read_head() != head:
+            return False
+        if _Opinion.NONE not in opinions:
+            return True
+        agreeing = 1 + opinions.count(_Opinion.SAME)
+        return is_quorum(agreeing, self._count_names())
 
-    async def _agrees(self, peer: Host, head: int) -> bool:
+    async def _ask_head(self, peer: Host, head: int) -> "_Opinion":
         try:
             report = await self._ask(peer, AskHead(), HEAD_TIMEOUT_S)
         except ConnectionRefusedError:
-            # The host doesn't run. After a restart it is new, and replaces no primary
-            # for ``MAX_STORE_OUTAGE_S``.
-            return True
-        return report is not None and report.revision <= head
+            return _Opinion.STOPPED
+        if report is None:
+            return _Opinion.NONE
+        if not report.known:
+            return _Opinion.STOPPED
+        return _Opinion.SAME if report.revision <= head else _Opinion.OTHER
 
     async def _ask(self, peer: Host, message, timeout_s: float):
         try:
--- a/src/wasabipitch/coordination/live_hosts.py
+++ b/src/wasabipitch/coordination/live_hosts.py
@@ -1,13 +1,13 @@
 """The live hosts, those that left recently, and their records about groups."""
 
 import logging
+from collections import deque
 from collections.abc import Callable
 from typing import Any
 
 import msgspec
 
 from wasabipitch.clock import now_s
-from wasabipitch.coordination.agreement import MAX_STORE_OUTAGE_S
 from wasabipitch.coordination.documents import (
     HOSTS_PREFIX,
     NAMES_PREFIX,
@@ -22,6 +22,13 @@
 from wasabipitch.coordination.mirror import StoreMirror
 from wasabipitch.coordination.store import Item
 from wasabipitch.models import ORIGIN, Host, Position
+from wasabipitch.policy.quorum import (
+    MAX_STORE_OUTAGE_S,
+    READ_LEASE_MARGIN_S,
+    UNADOPTED_CLAIM_S,
+    excludes_quorum,
+)
+from wasabipitch.policy.read_leases import READ_LEASE_S
 
 HOST_ROLE = "gateway"
 # A host that left keeps its share of the connections for this long.
@@ -67,6 +74,10 @@
         self._relinquished: dict[str, dict[str, RelinquishedRecord]] = {}
         self._suspicions: dict[str, dict[str, SuspicionRecord]] = {}
         self._names: set[str] = set()
+        # Earlier versions of the names, with the time at which each was replaced.
+        self._earlier_names: deque[tuple[float, frozenset[str]]] = deque()
+        # When this host saw that another one had relinquished a group's primary.
+        self._relinquished_at_s: dict[tuple[str, str], float] = {}
         mirror.subscribe(self._update)
 
     def find_data_centres(self) -> dict[str, str]:
@@ -138,6 +149,32 @@
         """Return whether every host that may still run is registered."""
         return self._names <= {record.name for record in self.hosts.values()}
 
+    def count_names(self) -> int:
+        """Return the number of hosts that may run."""
+        return len(self._names)
+
+    def is_adopted(self, group: str, revision: int) -> bool:
+        """Return whether no host can be confirmed any more by those unaware of a claim.
+
+        Other hosts may count by an earlier version of the names.
+
+        Args:
+            group: The group whose primary is replaced.
+            revision: The revision of the group record that began the replacement.
+        """
+        at_s = now_s()
+        self._drop_old_names(at_s)
+        lease_ended_s = at_s - READ_LEASE_S - READ_LEASE_MARGIN_S
+        adopted = frozenset(
+            incarnation.rpartition(".")[0]
+            for incarnation, record in self._relinquished.get(group, {}).items()
+            if record.revision >= revision
+            and self._relinquished_at_s[group, incarnation] <= lease_ended_s
+        )
+        is_complete = at_s - self._mirror.loaded_at_s > UNADOPTED_CLAIM_S
+        versions = [frozenset(self._names), *(v for _, v in self._earlier_names)]
+        return all(excludes_quorum(v, adopted, is_complete) for v in versions)
+
     def find_stale_names(self) -> list[str]:
         """Return the keys of the names of hosts that have long not been registered."""
         self._update_last_seen()
@@ -168,15 +205,30 @@
         elif key.startswith(SERVING_PREFIX):
             self._update_serving(key.removeprefix(SERVING_PREFIX), item)
         elif key.startswith(NAMES_PREFIX):
-            change = self._names.add if item is not None else self._names.discard
-            change(key.removeprefix(NAMES_PREFIX))
+            self._update_name(key.removeprefix(NAMES_PREFIX), item is not None)
         elif key.startswith(RELINQUISHED_PREFIX):
             name = key.removeprefix(RELINQUISHED_PREFIX)
             self._update_record(self._relinquished, name, item, RelinquishedRecord)
+            group, _, incarnation = name.rpartition("/")
+            self._relinquished_at_s[group, incarnation] = now_s()
         elif key.startswith(SUSPICIONS_PREFIX):
             name = key.removeprefix(SUSPICIONS_PREFIX)
             self._update_record(self._suspicions, name, item, SuspicionRecord)
 
+    def _update_name(self, name: str, present: bool) -> None:
+        if present == (name in self._names):
+            return
+        if self._mirror.loaded.is_set():
+            self._drop_old_names(now_s())
+            self._earlier_names.append((now_s(), frozenset(self._names)))
+        change = self._names.add if present else self._names.discard
+        change(name)
+
+    def _drop_old_names(self, at_s: float) -> None:
+        earlier = self._earlier_names
+        while earlier and earlier[0][0] < at_s - UNADOPTED_CLAIM_S:
+            earlier.popleft()
+
     def _update_record(
         self,
         records: dict[str, dict[str, Any]],
--- a/src/wasabipitch/coordination/mirror.py
+++ b/src/wasabipitch/coordination/mirror.py
@@ -46,6 +46,8 @@
         # may be newer: pages of a listing are read at different times.
         self._group_records_revision = 0
         self.loaded = asyncio.Event()
+        # The time of the last load; changes before it may have been missed.
+        self.loaded_at_s = 0.0
         # The time of the last confirmation, or 0.
         self.confirmed_at_s = 0.0
         # The time of the last confirmation by the store itself, or 0.
@@ -232,6 +234,7 @@
                 self._apply(item)
         self.history.begin(listing.revision)
         self._advance_revision(listing.revision)
+        self.loaded_at_s = now_s()
         self.loaded.set()
 
     async def _follow(self) -> None:
--- a/src/wasabipitch/coordination/registration.py
+++ b/src/wasabipitch/coordination/registration.py
@@ -6,7 +6,6 @@
 from collections.abc import Iterable
 
 from wasabipitch.clock import now_s
-from wasabipitch.coordination.agreement import MAX_STORE_OUTAGE_S
 from wasabipitch.coordination.documents import (
     HOSTS_PREFIX,
     NAMES_PREFIX,
@@ -17,6 +16,7 @@
 from wasabipitch.coordination.mirror import StoreMirror
 from wasabipitch.coordination.store import CoordinationStore, Item
 from wasabipitch.exceptions import LeaseEnded, StoreError
+from wasabipitch.policy.quorum import MAX_STORE_OUTAGE_S
 
 # The registration lapses after three failed renewals.
 HOST_LEASE_S = 6.0
--- a/src/wasabipitch/gateway.py
+++ b/src/wasabipitch/gateway.py
@@ -170,6 +170,7 @@
             lambda: self._live_hosts.list_peers(self._cfg.host),
             lambda: self._mirror.head_revision,
             lambda: self._mirror.store_confirmed_at_s,
+            self._live_hosts.count_names,
         )
         self._shared_checks = SharedChecks(
             host,
--- a/src/wasabipitch/group/replacement.py
+++ b/src/wasabipitch/group/replacement.py
@@ -17,6 +17,7 @@
 from wasabipitch.group.instance_control import InstanceControl
 from wasabipitch.group.state import GroupState
 from wasabipitch.operations.decisions import DecisionLog
+from wasabipitch.policy.quorum import READ_LEASE_MARGIN_S, UNADOPTED_CLAIM_S
 from wasabipitch.policy.read_leases import READ_LEASE_S
 from wasabipitch.policy.succession import Candidate, Choice, choose_successor
 from wasabipitch.wire.codecs import InstanceCodec
@@ -35,8 +36,6 @@
 REPORT_PATIENCE_S = 0.2
 # A command takes some 15 ms, unless the instance can't be reached.
 RESUME_PATIENCE_S = 0.1
-# Allowance for hosts' clocks that run at slightly different rates.
-READ_LEASE_MARGIN_S = 0.1
 RETRY_S = 0.1
 
 
@@ -208,15 +207,25 @@
         Returns:
             Whether that came true before another host took over the replacement.
         """
-        ends_s = self._state.record_since_s + READ_LEASE_S + READ_LEASE_MARGIN_S
         while self._is_holder(revision):
             if self._live_hosts.all_relinquished(self._state.name, revision):
                 return True
-            if now_s() >= ends_s and not self._registration.is_new:
+            if self._have_leases_ended(revision):
                 return True
             await asyncio.sleep(POLL_INTERVAL_S)
         return False
 
+    def _have_leases_ended(self, revision: int) -> bool:
+        """Return whether hosts that are silent can't read the old primary any more."""
+        claimed_for_s = now_s() - self._state.record_since_s
+        if self._registration.is_new:
+            return False
+        if claimed_for_s < READ_LEASE_S + READ_LEASE_MARGIN_S:
+            return False
+        if claimed_for_s >= UNADOPTED_CLAIM_S:
+            return True
+        return self._live_hosts.is_adopted(self._state.name, revision)
+
     async def _promote(self, instance: str, revision: int) -> bool:
         while self._is_holder(revision):
             # A process that was suspended may no longer be the holder, and must not
--- a/src/wasabipitch/group/supervisor.py
+++ b/src/wasabipitch/group/supervisor.py
@@ -31,6 +31,7 @@
 from wasabipitch.group.state import GroupState
 from wasabipitch.instances.dispatcher import Dispatcher
 from wasabipitch.operations.decisions import DecisionLog
+from wasabipitch.policy.quorum import MAX_QUORUM_HOSTS
 from wasabipitch.policy.succession import (
     RANK_DELAY_S,
     TAKEOVER_S,
@@ -38,15 +39,11 @@
     find_replacement_reason,
     rank,
 )
+from wasabipitch.policy.suspicion import PrimaryEvidence, find_doubt
 from wasabipitch.wire.codecs import InstanceCodec
 from wasabipitch.wire.messages import InstanceReport
 
 STEP_INTERVAL_S = 0.1
-# A primary is suspected after this long without a connection, or without an answer.
-UNREACHABLE_S = 0.25
-SILENT_S = 0.4
-# A primary that answers other statements is suspected if a commit takes this long.
-COMMIT_HANG_S = 0.5
 # Work for a suspected primary is forwarded to peers for this long and then sent to it
 # again, since only answers to work can end the suspicion.
 AVOID_PRIMARY_S = 2.0
@@ -137,7 +134,10 @@
             or self._relinquished_revision == state.record_revision
         ):
             return
-        if not self._registration.may_serve(state.name):
+        # In a small fleet the hosts that don't serve the group count, too: by their
+        # reports the replacing host knows who has adopted its claim.
+        is_small = self._live_hosts.count_names() <= MAX_QUORUM_HOSTS
+        if not self._registration.may_serve(state.name) and not is_small:
             return
         revision = state.record_revision
         await self._wait_for_commits()
@@ -177,19 +177,19 @@
         pool = self._dispatcher.pools.get(state.primary or "")
         if pool is None:
             return None
-        if not pool.open and pool.refused_at_s is not None:
-            return SuspicionRecord(state.record_revision, True, "connection refused")
-        if _is_older(pool.failing_since_s, at_s, UNREACHABLE_S):
-            return SuspicionRecord(state.record_revision, False, "unreachable")
-        if _is_older(pool.silent_since_s, at_s, SILENT_S):
-            return SuspicionRecord(state.record_revision, False, "silent")
-        if pool.failures.is_high(at_s):
-            return SuspicionRecord(
-                state.record_revision, False, "fails part of its work"
+        doubt = find_doubt(
+            PrimaryEvidence(
+                refused=not pool.open and pool.refused_at_s is not None,
+                unreachable_for_s=_age(pool.failing_since_s, at_s),
+                silent_for_s=_age(pool.silent_since_s, at_s),
+                commit_for_s=_age(state.oldest_commit_s, at_s),
+                fails_work=pool.failures.is_high(at_s),
+                established_for_s=at_s - state.record_since_s,
             )
-        if _is_older(state.oldest_commit_s, at_s, COMMIT_HANG_S):
-            return SuspicionRecord(state.record_revision, False, "commits hang")
-        return None
+        )
+        if doubt is None:
+            return None
+        return SuspicionRecord(state.record_revision, doubt.certain, doubt.reason)
 
     async def _write(self, key: str, record: object) -> None:
         lease = self._registration.lease
@@ -325,5 +325,5 @@
             )
 
 
-def _is_older(since_s: float | None, at_s: float, limit_s: float) -> bool:
-    return since_s is not None and at_s - since_s > limit_s
+def _age(since_s: float | None, at_s: float) -> float | None:
+    return None if since_s is None else at_s - since_s
--- a/src/wasabipitch/peer_messages.py
+++ b/src/wasabipitch/peer_messages.py
@@ -77,9 +77,15 @@
 
 
 class HeadReport(msgspec.Struct, frozen=True):
-    """The answer to ``AskHead``."""
+    """The answer to ``AskHead``.
+
+    Args:
+        revision: The revision of the newest group record that the host knows.
+        known: Whether the host has read the store since its start.
+    """
 
     revision: int
+    known: bool = True
 
 
 class AskAgreement(msgspec.Struct, frozen=True):
--- a/tests/wasabipitch/coordination/test_live_hosts.py
+++ b/tests/wasabipitch/coordination/test_live_hosts.py
@@ -2,7 +2,6 @@
 from unittest.mock import patch
 
 from standins.memory_store import MemoryStore
-from wasabipitch.coordination.agreement import MAX_STORE_OUTAGE_S
 from wasabipitch.coordination.documents import (
     HOSTS_PREFIX,
     NAMES_PREFIX,
@@ -17,6 +16,12 @@
 from wasabipitch.coordination.store import Item, Removal
 from wasabipitch.models import Position
 from wasabipitch.operations.decisions import DecisionLog
+from wasabipitch.policy.quorum import (
+    MAX_STORE_OUTAGE_S,
+    READ_LEASE_MARGIN_S,
+    UNADOPTED_CLAIM_S,
+)
+from wasabipitch.policy.read_leases import READ_LEASE_S
 
 
 class LiveHostsTest(unittest.TestCase):
@@ -106,3 +111,40 @@
         self.put(HOSTS_PREFIX + "x", b"\xff")
         self.put(f"{RELINQUISHED_PREFIX}g/x", b"[]")
         self.assertEqual(set(self.live_hosts.hosts), {"a.1", "b.1"})
+
+    def add_names(self, *names):
+        for name in names:
+            self.add(name, "1")
+        self.mirror.loaded.set()
+        self.mirror.loaded_at_s = self.at_s
+        self.at_s += UNADOPTED_CLAIM_S + 0.1
+
+    def test_a_claim_is_adopted_a_lease_after_half_of_the_hosts_saw_it(self):
+        self.add_names("c", "d")
+        self.put_relinquished("a.1", 9)
+        self.at_s += READ_LEASE_S
+        self.put_relinquished("b.1", 9)
+        self.assertFalse(self.live_hosts.is_adopted("g", 9))
+        self.at_s += READ_LEASE_S
+        self.assertFalse(self.live_hosts.is_adopted("g", 9))
+        self.at_s += 2 * READ_LEASE_MARGIN_S
+        self.assertTrue(self.live_hosts.is_adopted("g", 9))
+        self.assertFalse(self.live_hosts.is_adopted("g", 10))
+
+    def test_a_host_that_left_lately_may_still_count_for_others(self):
+        self.add_names("c", "d", "e")
+        self.remove(NAMES_PREFIX + "e")
+        for name in ("a.1", "b.1"):
+            self.put_relinquished(name, 9)
+        self.at_s += READ_LEASE_S + 2 * READ_LEASE_MARGIN_S
+        self.assertFalse(self.live_hosts.is_adopted("g", 9))
+        self.at_s += UNADOPTED_CLAIM_S
+        self.assertTrue(self.live_hosts.is_adopted("g", 9))
+
+    def test_half_of_the_hosts_are_too_few_after_changes_were_missed(self):
+        self.add_names("c", "d")
+        for name in ("a.1", "b.1"):
+            self.put_relinquished(name, 9)
+        self.at_s += READ_LEASE_S + 2 * READ_LEASE_MARGIN_S
+        self.mirror.loaded_at_s = self.at_s - 1.0
+        self.assertFalse(self.live_hosts.is_adopted("g", 9))
