--- a/src/standins/memory_store.py
+++ b/src/standins/memory_store.py
@@ -83,6 +83,7 @@
         writes: Mapping[str, bytes],
         removes: Sequence[str] = (),
         lease: int = 0,
+        lasting: Mapping[str, bytes] | None = None,
     ) -> int:
         """Apply writes and removals atomically and return the new revision.
 
@@ -91,6 +92,7 @@
             writes: The new values by key.
             removes: The keys to remove.
             lease: The lease that the written items belong to; 0 for none.
+            lasting: More values by key, written without the lease.
 
         Raises:
             LeaseEnded: The lease does not exist.
@@ -108,6 +110,8 @@
         self.revision += 1
         for key, value in writes.items():
             self._record(Item(key, bytes(value), self.revision, lease))
+        for key, value in (lasting or {}).items():
+            self._record(Item(key, bytes(value), self.revision))
         for key in removes:
             if key in self.items:
                 self._record(Removal(key, self.revision))
--- a/src/wasabipitch/coordination/checks.py
+++ b/src/wasabipitch/coordination/checks.py
@@ -19,7 +19,7 @@
 from wasabipitch.peer_messages import AskStoreHead, StoreHead
 
 # The result of one read is reused for this long.
-READ_REUSE_S = 0.3
+READ_REUSE_S = 0.45
 ASK_TIMEOUT_S = 0.2
 # A checker that did not answer is not asked again for this long.
 CHECKER_BACKOFF_S = 2.0
--- a/src/wasabipitch/coordination/documents.py
+++ b/src/wasabipitch/coordination/documents.py
@@ -16,6 +16,9 @@
 GROUPS_PREFIX = "wasabipitch/groups/"
 # Names of hosts that may still run; without a lease, so they stay when leases end.
 NAMES_PREFIX = "wasabipitch/names/"
+# Written with every change of the names, so that a host that has missed changes finds
+# out whether the names were among them.
+NAMED_KEY = "wasabipitch/named"
 # The hosts that serve each group, under their leases.
 SERVING_PREFIX = "wasabipitch/serving/"
 # The hosts that have stopped using a primary that is being replaced.
--- a/src/wasabipitch/coordination/following.py
+++ b/src/wasabipitch/coordination/following.py
@@ -3,7 +3,9 @@
 Every change ends every pending watch, and each watch is a billed call. If all hosts
 of a large fleet watched, the calls would grow with the square of the number of hosts
 that join and leave. So one host per data centre, the watcher, watches the store, and
-the others, its followers, get the changes from it over their links.
+the others, its followers, get the changes from it over their links. The watchers of
+the data centres follow the first of them in the same way, so that one host alone calls
+the store.
 """
 
 import asyncio
@@ -139,6 +141,8 @@
         self._decisions = decisions
         self._backoff_until_s: dict[str, float] = {}
         self._followed: str | None = None
+        # Whether this host passes changes on to others although it follows a host.
+        self._is_watcher = False
 
     @property
     def is_following(self) -> bool:
@@ -164,8 +168,8 @@
 
     async def answer(self, ask: AskChanges) -> ChangesReport:
         """Return changes to a host that follows this one."""
-        if self._followed is not None:
-            # A chain of followers would add the delay of each of them.
+        if self._followed is not None and not self._is_watcher:
+            # A longer chain of followers would add the delay of each of them.
             return ChangesReport(False)
         changes = await self._history.wait(ask.after, ask.wait_s)
         if changes is None:
@@ -177,15 +181,19 @@
         if len(centres) <= self._max_direct_watchers:
             return None
         watchers = choose_owners(WATCHERS_HASH_KEY, centres, len(set(centres.values())))
-        if self._own.name in watchers:
-            return None
+        self._is_watcher = self._own.name in watchers
+        if self._is_watcher:
+            # The watchers, too, follow the first of them.
+            order = sorted(watchers)
+            order = order[: order.index(self._own.name)]
+        else:
+            order = order_owners(
+                WATCHERS_HASH_KEY,
+                self._own.name,
+                self._own.data_centre,
+                {name: centres[name] for name in watchers},
+            )
         at_s = now_s()
-        order = order_owners(
-            WATCHERS_HASH_KEY,
-            self._own.name,
-            self._own.data_centre,
-            {name: centres[name] for name in watchers},
-        )
         for name in order:
             if self._backoff_until_s.get(name, 0.0) <= at_s:
                 return self._find_host(name)
--- a/src/wasabipitch/coordination/live_hosts.py
+++ b/src/wasabipitch/coordination/live_hosts.py
@@ -10,6 +10,7 @@
 from wasabipitch.clock import now_s
 from wasabipitch.coordination.documents import (
     HOSTS_PREFIX,
+    NAMED_KEY,
     NAMES_PREFIX,
     RELINQUISHED_PREFIX,
     SERVING_PREFIX,
@@ -76,6 +77,8 @@
         self._names: set[str] = set()
         # Earlier versions of the names, with the time at which each was replaced.
         self._earlier_names: deque[tuple[float, frozenset[str]]] = deque()
+        # The last time at which this host may have missed a version of the names.
+        self._missed_names_at_s = now_s()
         # When this host saw that another one had relinquished a group's primary.
         self._relinquished_at_s: dict[tuple[str, str], float] = {}
         mirror.subscribe(self._update)
@@ -171,7 +174,7 @@
             if record.revision >= revision
             and self._relinquished_at_s[group, incarnation] <= lease_ended_s
         )
-        is_complete = at_s - self._mirror.loaded_at_s > UNADOPTED_CLAIM_S
+        is_complete = at_s - self._missed_names_at_s > UNADOPTED_CLAIM_S
         versions = [frozenset(self._names), *(v for _, v in self._earlier_names)]
         return all(excludes_quorum(v, adopted, is_complete) for v in versions)
 
@@ -204,6 +207,8 @@
             self._update_host(key.removeprefix(HOSTS_PREFIX), item)
         elif key.startswith(SERVING_PREFIX):
             self._update_serving(key.removeprefix(SERVING_PREFIX), item)
+        elif key == NAMED_KEY and self._mirror.is_loading:
+            self._missed_names_at_s = now_s()
         elif key.startswith(NAMES_PREFIX):
             self._update_name(key.removeprefix(NAMES_PREFIX), item is not None)
         elif key.startswith(RELINQUISHED_PREFIX):
--- a/src/wasabipitch/coordination/mirror.py
+++ b/src/wasabipitch/coordination/mirror.py
@@ -46,8 +46,8 @@
         # may be newer: pages of a listing are read at different times.
         self._group_records_revision = 0
         self.loaded = asyncio.Event()
-        # The time of the last load; changes before it may have been missed.
-        self.loaded_at_s = 0.0
+        # Whether the items are being loaded, so that changes may have been missed.
+        self.is_loading = False
         # The time of the last confirmation, or 0.
         self.confirmed_at_s = 0.0
         # The time of the last confirmation by the store itself, or 0.
@@ -226,15 +226,16 @@
         listing = await self._store.list(ALL_KEYS)
         self._record_answer()
         present = {item.key: item for item in listing.items}
+        self.is_loading = True
         for key in set(self.items) - set(present):
             self._apply(Removal(key, listing.revision))
         for item in listing.items:
             known = self.items.get(item.key)
             if known is None or known.revision < item.revision:
                 self._apply(item)
+        self.is_loading = False
         self.history.begin(listing.revision)
         self._advance_revision(listing.revision)
-        self.loaded_at_s = now_s()
         self.loaded.set()
 
     async def _follow(self) -> None:
--- a/src/wasabipitch/coordination/registration.py
+++ b/src/wasabipitch/coordination/registration.py
@@ -8,6 +8,7 @@
 from wasabipitch.clock import now_s
 from wasabipitch.coordination.documents import (
     HOSTS_PREFIX,
+    NAMED_KEY,
     NAMES_PREFIX,
     SERVING_PREFIX,
     HostRecord,
@@ -24,9 +25,6 @@
 RETRY_S = 0.1
 RETRY_POLL_S = 0.05
 MAX_RETRY_S = 1.5
-# The local copy shows a new registration with the next watch, some 10 ms later.
-MIRROR_TIMEOUT_S = 0.5
-MIRROR_POLL_S = 0.005
 # A host's last transactions in a group that it no longer serves end within the idle
 # timeout of transactions, which is a few seconds.
 DROPPED_GROUP_RETENTION_S = 10.0
@@ -74,7 +72,8 @@
             try:
                 self._incomplete.clear()
                 await self._register()
-                await self._confirm_after_registration()
+                # Start the read leases at once.
+                await self._mirror.check(shared=False)
                 await self._renew_while_complete()
             except LeaseEnded as exc:
                 logger.warning("registering the host again: %s", exc)
@@ -101,8 +100,11 @@
             self._name_key,
             *map(self._serving_key, self._list_registered_groups()),
         ]
+        writes = {NAMED_KEY: encode(self.record.name)}
         for start in range(0, len(keys), MAX_KEYS_PER_COMMIT):
-            await self._store.commit({}, {}, keys[start : start + MAX_KEYS_PER_COMMIT])
+            chunk = keys[start : start + MAX_KEYS_PER_COMMIT]
+            await self._store.commit({}, writes, chunk)
+            writes = {}
 
     def serve(self, groups: Iterable[str]) -> None:
         """Set the groups that this host serves.
@@ -170,8 +172,10 @@
             raise
 
     async def _write(self) -> None:
+        lasting = {}
         if self._name_key not in self._mirror.items:
-            await self._store.commit({}, {self._name_key: encode(self.record.name)})
+            name = encode(self.record.name)
+            lasting = {self._name_key: name, NAMED_KEY: name}
         missing = [group for group in self._groups if not self.is_serving(group)]
         writes = {self._serving_key(group): encode(group) for group in missing}
         # The host's own key comes last: where it exists, the groups are registered.
@@ -179,7 +183,10 @@
         pairs = list(writes.items())
         for start in range(0, len(pairs), MAX_KEYS_PER_COMMIT):
             chunk = dict(pairs[start : start + MAX_KEYS_PER_COMMIT])
-            await self._store.commit({}, chunk, (), self.lease)
+            revision = await self._store.commit({}, chunk, (), self.lease, lasting)
+            # The read leases need not wait until a watch returns the keys.
+            self._mirror.apply_writes(chunk | lasting, revision)
+            lasting = {}
         self._record_registration()
         at_s = now_s()
         self._serving_since_s.update(dict.fromkeys(missing, at_s))
@@ -205,13 +212,6 @@
             self.registered_since_s = at_s
         self._registered_at_s = at_s
 
-    async def _confirm_after_registration(self) -> None:
-        """Confirm the local copy once it shows the keys, to start read leases early."""
-        until_s = now_s() + MIRROR_TIMEOUT_S
-        while not self._is_complete() and now_s() < until_s:
-            await asyncio.sleep(MIRROR_POLL_S)
-        await self._mirror.check(shared=False)
-
     def _is_complete(self) -> bool:
         present = self.key in self._mirror.items
         return present and all(map(self.is_serving, self._groups))
--- a/src/wasabipitch/coordination/relay.py
+++ b/src/wasabipitch/coordination/relay.py
@@ -81,7 +81,7 @@
             return StoreAnswer(events, 0, changes.revision)
         case "commit":
             revision = await store.commit(
-                call.expected, call.writes, call.removes, call.lease
+                call.expected, call.writes, call.removes, call.lease, call.lasting
             )
             return StoreAnswer((), revision)
         case "open_lease":
@@ -149,6 +149,7 @@
         writes: Mapping[str, bytes],
         removes: Sequence[str] = (),
         lease: int = 0,
+        lasting: Mapping[str, bytes] | None = None,
     ) -> int:
         """Write all or nothing if keys are at expected revisions."""
         call = StoreCall(
@@ -157,6 +158,7 @@
             expected=dict(expected),
             writes=dict(writes),
             removes=tuple(removes),
+            lasting=dict(lasting or {}),
         )
         # An unconditional write has the same result when it is repeated.
         reply = await self._call(call, idempotent=not expected)
--- a/src/wasabipitch/coordination/store.py
+++ b/src/wasabipitch/coordination/store.py
@@ -82,6 +82,7 @@
         writes: Mapping[str, bytes],
         removes: Sequence[str] = (),
         lease: int = 0,
+        lasting: Mapping[str, bytes] | None = None,
     ) -> int:
         """Write and remove keys atomically if keys are at expected revisions.
 
@@ -90,6 +91,7 @@
             writes: The new values, by key.
             removes: The keys to remove.
             lease: The lease of the written keys, or 0.
+            lasting: More values, by key, which are written without the lease.
 
         Returns:
             The revision of the change.
--- a/src/wasabipitch/gateway.py
+++ b/src/wasabipitch/gateway.py
@@ -17,6 +17,7 @@
 from wasabipitch.coordination.checks import SharedChecks
 from wasabipitch.coordination.directory import Directory
 from wasabipitch.coordination.documents import (
+    NAMED_KEY,
     Configuration,
     DocumentDecoder,
     HostRecord,
@@ -57,6 +58,9 @@
 # Each watch is one call to the store, so with more hosts the changes of this time are
 # read together.
 WATCH_BATCH_S = 0.1
+# The hosts of a large fleet start together, and each makes several changes then.
+STARTING_S = 3.0
+STARTING_WATCH_BATCH_S = 0.25
 # A host is not ready for new callers once its records were not confirmed for this
 # long: two checks have failed, and its read leases will soon expire.
 MAX_READY_AGE_S = 1.6
@@ -149,6 +153,7 @@
         self._build_coordination(host, record)
         self._build_service(host)
         self._loop_delay_s = 0.0
+        self._started_at_s = now_s()
         self._stopping = False
         # Idle sessions are closed once for each time that the host is isolated.
         self._closed_while_isolated = False
@@ -335,7 +340,7 @@
         if not keys:
             return
         try:
-            await self._store.commit({}, {}, keys)
+            await self._store.commit({}, {NAMED_KEY: b"null"}, keys)
         except StoreError as exc:
             self.decisions.routine("names not pruned", reason=str(exc))
 
@@ -392,5 +397,9 @@
         return self.groups.have_records and confirmed
 
     def _get_watch_delay_s(self) -> float:
-        is_small_fleet = len(self._live_hosts.hosts) <= MAX_WATCHING_HOSTS
-        return 0.0 if is_small_fleet or self._follower.is_following else WATCH_BATCH_S
+        hosts = max(len(self._live_hosts.hosts), self._live_hosts.count_names())
+        if hosts <= MAX_WATCHING_HOSTS:
+            return 0.0
+        if now_s() - self._started_at_s < STARTING_S:
+            return STARTING_WATCH_BATCH_S
+        return 0.0 if self._follower.is_following else WATCH_BATCH_S
--- a/src/wasabipitch/peer_messages.py
+++ b/src/wasabipitch/peer_messages.py
@@ -23,6 +23,7 @@
         expected: The revisions that keys must have for a write to take effect.
         writes: The values to write, by key.
         removes: The keys to remove.
+        lasting: The values to write without the lease, by key.
     """
 
     name: str
@@ -33,6 +34,7 @@
     expected: dict[str, int] = msgspec.field(default_factory=dict)
     writes: dict[str, bytes] = msgspec.field(default_factory=dict)
     removes: tuple[str, ...] = ()
+    lasting: dict[str, bytes] = msgspec.field(default_factory=dict)
 
 
 class StoredItem(msgspec.Struct, frozen=True):
--- a/src/wasabipitch/policy/read_leases.py
+++ b/src/wasabipitch/policy/read_leases.py
@@ -17,7 +17,7 @@
 # Duration of a read lease. It covers one check, one check that fails, and the
 # agreement among the hosts that takes the check's place. A failover waits this long
 # for hosts that don't answer.
-READ_LEASE_S = 1.5
+READ_LEASE_S = 1.6
 SAMPLE_INTERVAL_S = 0.04
 # Longer than any maximum age that a route may declare, so that a read of aged data
 # finds a sample that is old enough.
--- a/tests/wasabipitch/gateway_fixture.py
+++ b/tests/wasabipitch/gateway_fixture.py
@@ -195,6 +195,8 @@
         """Backdate every host's registration, so that all others must know it."""
         for gateway in self.hosts.values():
             gateway.registration.registered_since_s = -1000.0
+            gateway._live_hosts._earlier_names.clear()
+            gateway._live_hosts._missed_names_at_s = -1000.0
 
     def is_settled(self, host):
         """Return whether a host serves the group, or other hosts own it."""
