Answer what is accepted at the end of a stop; fewer store calls

A stop drained, removed its keys from the store and closed; statements that arrived meanwhile were cut off (test fails first). It now stops accepting and drains once more.

--- a/src/wasabipitch/front/server.py
+++ b/src/wasabipitch/front/server.py
@@ -80,6 +80,8 @@
         self._find_runner = find_runner
         self._server: asyncio.Server | None = None
         self._tasks: set[asyncio.Task] = set()
+        # The number of callers whose startup message was read and is not answered.
+        self._starting = 0
 
     async def start(self, listener: socket.socket) -> None:
         """Accept callers on a socket that is already listening."""
@@ -103,8 +105,8 @@
 
     @property
     def busy(self) -> int:
-        """The number of sessions with a statement or transaction in progress."""
-        return sum(not session.is_idle for session in self.sessions)
+        """The number of sessions that start, or have work in progress."""
+        return self._starting + sum(not session.is_idle for session in self.sessions)
 
     async def close(self) -> None:
         """Stop accepting callers and cancel all sessions."""
@@ -148,7 +150,11 @@
         return message
 
     async def _run_session(self, stream: LineStream, startup: Startup) -> None:
-        configuration = await self._wait_for_configuration()
+        self._starting += 1
+        try:
+            configuration = await self._wait_for_configuration()
+        finally:
+            self._starting -= 1
         if configuration is None or startup.database not in configuration.routes:
             self._refuse_database(stream, startup, configuration)
             return
--- a/src/wasabipitch/gateway.py
+++ b/src/wasabipitch/gateway.py
@@ -270,9 +270,12 @@
         self._stopping = True
         self.decisions.belief("stopping", busy=self._caller_server.busy)
         await self._drain(started_s)
+        self._caller_server.stop_accepting()
         with contextlib.suppress(StoreError, TimeoutError):
             async with asyncio.timeout(0.3):
                 await self.registration.leave()
+        # Statements that were accepted in the meantime are answered, too.
+        await self._drain(started_s)
         self.decisions.belief("stopped", busy=self._caller_server.busy)
         await self.close()
 
--- a/src/wasabipitch/group/repair.py
+++ b/src/wasabipitch/group/repair.py
@@ -14,7 +14,7 @@
 # An instance that stays unreachable for longer is missed by its group anyway: its
 # registration has lapsed, and it restarts without a fence.
 REPAIR_S = 12.0
-REPAIR_INTERVAL_S = 0.5
+REPAIR_INTERVAL_S = 1.0
 
 
 class FollowerRepair:
--- a/tests/wasabipitch/test_gateway.py
+++ b/tests/wasabipitch/test_gateway.py
@@ -619,3 +619,29 @@
         await stopping
         self.assertLess(asyncio.get_running_loop().time() - started, 4.0)
         self.assertTrue(await _is_closed(caller))
+
+    async def test_a_statement_accepted_at_the_end_of_a_stop_is_answered(self):
+        # The host removes its keys from the store when it has drained. Callers that
+        # connected in that moment were cut off without an answer.
+        gateway = self.fleet.hosts["host-0"]
+        caller, _ = await self.fleet.connect(PRIMARY_DB)
+        answers = []
+
+        async def leave_under_load():
+            # The answer of the instance takes as long as the store's.
+            self.fleet.group.primary.silent = True
+            caller.send("WRITE job a", "w1")
+            await asyncio.sleep(0.1)
+            answers.append(asyncio.ensure_future(caller.receive()))
+            asyncio.get_running_loop().call_later(0.2, unsilence)
+
+        def unsilence():
+            self.fleet.group.primary.silent = False
+
+        with (
+            patch.object(gateway.registration, "leave", leave_under_load),
+            patch.object(gateway._caller_server, "close_idle"),
+        ):
+            await gateway.stop()
+        lines = await answers[0]
+        self.assertEqual(lines[:1], ["COMPLETE i-0.w1"])
