--- a/src/standins/fleet.py
+++ b/src/standins/fleet.py
@@ -14,6 +14,7 @@
 
 import aiohttp
 import asyncmy
+import msgspec
 import yaml
 
 from wasabipitch import deployment as deployments
@@ -314,7 +315,7 @@
         module = f"wasabipitch.cli.{role}"
         process = await self._spawn(name, module, {"settings": str(path)})
         listed = Host(name, role, str(process.link), data_centre)
-        await self.call_admin("PUT", "hosts", dataclasses.asdict(listed))
+        await self.call_admin("PUT", "hosts", msgspec.to_builtins(listed))
         return process
 
     async def _spawn(
--- a/src/wasabipitch/members.py
+++ b/src/wasabipitch/members.py
@@ -10,7 +10,7 @@
 import math
 import random
 import time
-from dataclasses import dataclass, field, replace
+from dataclasses import dataclass, field
 
 import msgspec
 from msgspec import structs
@@ -126,7 +126,7 @@
         """Add a host from the platform's list; return whether it was unknown."""
         if host.name == self.own.host.name or host.name in self.others:
             return False
-        fact = HostFact(replace(host, state=LIVE), NO_INCARNATION, 0, LIVE)
+        fact = HostFact(structs.replace(host, state=LIVE), NO_INCARNATION, 0, LIVE)
         sends = self.compute_spread_sends()
         self.others[host.name] = Member(fact, sends, now_s)
         return True
--- a/tests/wasabipitch/test_store.py
+++ b/tests/wasabipitch/test_store.py
@@ -1,9 +1,9 @@
 import asyncio
-import dataclasses
 import unittest
 
 import aiohttp
 from aiohttp import web
+from msgspec import structs
 
 from standins.faults import Faults
 from standins.hosts import Host as StandinHost
@@ -156,7 +156,7 @@
 
     async def test_host_list(self):
         host = Host("pool-1", "pool", "127.0.0.1:4000", "bangna", "leaving")
-        self.platform.hosts.put(StandinHost(**dataclasses.asdict(host)))
+        self.platform.hosts.put(StandinHost(**structs.asdict(host)))
         listed = await self.store.hosts()
         self.assertEqual((host,), listed.hosts)
         self.assertIsNone(await self.store.hosts(listed.revision, 0.05))
