--- a/review/lib/deployment.py
+++ b/review/lib/deployment.py
@@ -285,7 +285,7 @@
             },
         )
 
-    async def start_hosts(self, timeout_s=25):
+    async def start_hosts(self, timeout_s=25, wait=True):
         seeds = [host.control for host in self.hosts[:3]]
         store = self.platform.store_server.address
         cloud = self.platform.cloud_server.address
@@ -294,7 +294,7 @@
             host.write_settings(seeds, store, own)
             await host.start()
         until = time.monotonic() + timeout_s
-        waiting = list(self.hosts)
+        waiting = list(self.hosts) if wait else []
         while waiting:
             waiting = [h for h in waiting if not await h.is_ready()]
             if time.monotonic() > until:
