--- a/review/lib/deployment.py
+++ b/review/lib/deployment.py
@@ -339,6 +339,9 @@
     """
 
     async def run():
+        # A case that is stopped from outside ends its processes, too.
+        stop = asyncio.current_task().cancel
+        asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, stop)
         record = Record(folder)
         deployment = make(record)
         try:
@@ -355,7 +358,7 @@
 
     try:
         breaks = asyncio.run(run())
-    except (CannotRun, TimeoutError, OSError) as exc:
+    except (CannotRun, TimeoutError, OSError, asyncio.CancelledError) as exc:
         print(f"the case could not run: {type(exc).__name__}: {exc}")
         sys.exit(2)
     for text in breaks[:5]:
