--- a/review/1/case.py
+++ b/review/1/case.py
@@ -17,8 +17,11 @@
 )
 
 ZONES = ["dalton", "gainesville", "rome"]
-DEAF_S = 3.5
-DARK_S = 7.0
+# The limits of the site files: deaf 6.5 s, dark primary 7.0 s, dark replica 5.37 s.
+DEAF_S = 6.5
+POWER_AT_S = 3.5
+DARK_PRIMARY_S = 7.0
+DARK_REPLICA_S = 5.3
 RESTART_S = 0.5
 
 
@@ -66,7 +69,7 @@
     if has_trouble():
         record(f"DEAF {behind.name}")
         behind.deaf = True
-    await asyncio.sleep(DEAF_S)
+    await asyncio.sleep(POWER_AT_S)
     if has_trouble():
         record(f"POWER fails for {primary.name}, {other.name} and all hosts")
         primary.go_dark()
@@ -77,12 +80,19 @@
         for host in deployment.hosts:
             await host.start()
         record("BACK: all hosts")
-    await asyncio.sleep(DARK_S - RESTART_S)
+    deaf_left_s = DEAF_S - POWER_AT_S
+    await asyncio.sleep(deaf_left_s - RESTART_S)
     if has_trouble():
         behind.deaf = False
-        await primary.wake()
+        record(f"HEARS again: {behind.name}")
+    await asyncio.sleep(DARK_REPLICA_S - deaf_left_s)
+    if has_trouble():
         await other.wake()
-        record(f"BACK: {primary.name}, {other.name}")
+        record(f"BACK: {other.name}")
+    await asyncio.sleep(DARK_PRIMARY_S - DARK_REPLICA_S)
+    if has_trouble():
+        await primary.wake()
+        record(f"BACK: {primary.name}")
     await asyncio.sleep(8)
     for task in writers:
         task.cancel()
