Count the log of a replica whose promotion was refused

Cause: a replacement dropped a candidate whose promotion was refused, with what it knew of its log. The next choice took the furthest of the others, though the refused replica may be the only one that confirmed a commit: LOST. Change: a refused candidate stays one. It is taken only if no other holds what is needed. Evidence: the test fails on the code before (a candidate can't be marked as refused; the one with the shorter log was the only one left), and passes now.

--- a/src/wasabipitch/group/replacement.py
+++ b/src/wasabipitch/group/replacement.py
@@ -163,9 +163,10 @@
                     entry.name,
                     fenced[entry.name].received,
                     entry.leaving,
+                    entry.name in self._refused,
                 )
                 for entry in replicas
-                if entry.name in fenced and entry.name not in self._refused
+                if entry.name in fenced
             },
             self._find_silent(record, [e for e in replicas if e.name in fenced]),
             self._live_hosts.find_acknowledged_position(self._state.name, revision),
--- a/src/wasabipitch/policy/succession.py
+++ b/src/wasabipitch/policy/succession.py
@@ -92,11 +92,13 @@
         name: The instance's name.
         received: The last position in its log.
         leaving: Whether it announced that it will stop.
+        refused: Whether its promotion was refused.
     """
 
     name: str
     received: Position
     leaving: bool
+    refused: bool = False
 
 
 class Choice(msgspec.Struct, frozen=True):
@@ -145,7 +147,9 @@
         )
     needed = limit if is_limited else furthest
     holders = [c for c in candidates.values() if c.received >= needed]
-    best = max(holders, key=lambda c: (not c.leaving, c.received, c.name))
+    best = max(
+        holders, key=lambda c: (not c.refused, not c.leaving, c.received, c.name)
+    )
     return Choice(best.name, f"it holds {best.received}")
 
 
--- a/tests/wasabipitch/policy/test_succession.py
+++ b/tests/wasabipitch/policy/test_succession.py
@@ -89,6 +89,15 @@
         choice = choose_successor(candidates(a=7, b=7), [], Position(1, 3), limit)
         self.assertEqual(choice.instance, "b")
 
+    def test_the_log_of_a_candidate_whose_promotion_was_refused_counts(self):
+        # Left out, it let a replica be promoted that lacks what it had confirmed.
+        refused = Candidate("b", Position(1, 9), leaving=False, refused=True)
+        found = candidates(a=7) | {"b": refused}
+        choice = choose_successor(found, [], Position(1, 3), None)
+        self.assertEqual(choice.instance, "b")
+        choice = choose_successor(found, [], Position(1, 3), Position(1, 7))
+        self.assertEqual(choice.instance, "a")
+
     def test_staying_candidate_is_preferred_to_a_leaving_one(self):
         found = {
             "a": Candidate("a", Position(1, 9), leaving=True),
