Check before a promotion that the chosen instance has not started again

Cause: a chosen successor was promoted by its name alone. While the store or the promotion service doesn't answer, the order is repeated for seconds; an instance that starts again meanwhile under its name has none of the log for which it was chosen: LOST. Change: before each order the registration must have the start time of the choice. Evidence: the test fails on the code before (the order is given), and passes now.

--- a/src/wasabipitch/group/replacement.py
+++ b/src/wasabipitch/group/replacement.py
@@ -296,6 +296,7 @@
         return self._live_hosts.is_adopted(self._state.name, revision)
 
     async def _promote(self, instance: str, revision: int) -> bool:
+        chosen = self._state.entries.get(instance)
         while self._is_holder(revision):
             # A process that was suspended may no longer be the holder, and must not
             # promote after another host has. A read that the hosts share may be older
@@ -304,6 +305,10 @@
             if not confirmed or not self._is_holder(revision):
                 await asyncio.sleep(RETRY_S)
                 continue
+            entry = self._state.entries.get(instance)
+            if entry is None or chosen is None or entry.born_ms != chosen.born_ms:
+                # It has started again without the log for which it was chosen.
+                return False
             try:
                 await self._promoter.promote(
                     self._state.name, instance, self._host, revision
--- a/tests/wasabipitch/group/test_replacement.py
+++ b/tests/wasabipitch/group/test_replacement.py
@@ -49,24 +49,14 @@
 
 
 class PromoteTest(unittest.IsolatedAsyncioTestCase):
-    async def test_a_promotion_follows_a_read_of_the_store_by_this_host(self):
-        # A read that hosts share may be older than another host's claim. A holder that
-        # had been suspended then promoted after it, under a lower token.
-        checks, orders = [], []
-
-        async def check(shared=True):
-            checks.append(shared)
-            return not shared
-
-        async def promote(*order):
-            orders.append(order)
-
-        state = GroupState(
+    def make_replacement(self, check, promote):
+        self.state = GroupState(
             GroupSettings("ledger", 16, 1), lambda: 0.0, DecisionLog("host")
         )
-        state.set_record(RECORD, 9)
-        replacement = Replacement(
-            state,
+        self.state.set_record(RECORD, 9)
+        self.register("third", 1)
+        return Replacement(
+            self.state,
             None,
             SimpleNamespace(promote=promote),
             SimpleNamespace(check=check, is_current=lambda revision: True),
@@ -77,7 +67,40 @@
             None,
             None,
         )
+
+    def register(self, name, born_ms):
+        self.state.entries = {name: SimpleNamespace(name=name, born_ms=born_ms)}
+
+    async def test_a_promotion_follows_a_read_of_the_store_by_this_host(self):
+        # A read that hosts share may be older than another host's claim. A holder that
+        # had been suspended then promoted after it, under a lower token.
+        checks, orders = [], []
+
+        async def check(shared=True):
+            checks.append(shared)
+            return not shared
+
+        async def promote(*order):
+            orders.append(order)
+
+        replacement = self.make_replacement(check, promote)
         async with asyncio.timeout(2):
             self.assertTrue(await replacement._promote("third", 9))
         self.assertEqual(checks, [False])
         self.assertEqual(orders, [("ledger", "third", "holder", 9)])
+
+    async def test_an_instance_that_starts_again_empty_is_not_promoted(self):
+        # It was chosen for its log, and restarted while the store was silent.
+        orders = []
+
+        async def check(shared=True):
+            self.register("third", 2)
+            return True
+
+        async def promote(*order):
+            orders.append(order)
+
+        replacement = self.make_replacement(check, promote)
+        async with asyncio.timeout(2):
+            self.assertFalse(await replacement._promote("third", 9))
+        self.assertEqual(orders, [])
