Follow the store past an item that a listener can't process

What callers saw: nothing was lost, but a host that met such an item answered late: all items were read again each time, 93 times a host in 45 s where a writer repeated it. Cause: an exception of a listener ended StoreMirror.run amid a batch, with the revision not advanced. The task was started anew, and read everything. Change: the exception is logged with the key, and the copy goes on with the next item. Evidence: the test fails on the code before (a second load), and passes now.

--- a/src/wasabipitch/coordination/mirror.py
+++ b/src/wasabipitch/coordination/mirror.py
@@ -438,7 +438,12 @@
 
     def _publish(self, key: str, item: Item | None) -> None:
         for listener in self._listeners:
-            listener(key, item)
+            try:
+                listener(key, item)
+            except Exception:
+                # Others write items, too. One that a listener can't read must not
+                # keep the copy from following the rest.
+                logger.exception("item %r was not applied", key)
 
     def _record_answer(self) -> None:
         self.answered_at_s = now_s()
--- a/tests/wasabipitch/coordination/test_mirror.py
+++ b/tests/wasabipitch/coordination/test_mirror.py
@@ -49,6 +49,19 @@
         )
         self.assertNotIn("a", self.mirror.items)
 
+    async def test_an_item_that_a_listener_fails_on_is_no_reason_to_load_again(self):
+        # Another writer's entry ended the task, and each start of it read everything.
+        def fail(key, item):
+            raise ZeroDivisionError
+
+        self.mirror._listeners.insert(0, fail)
+        with self.assertLogs("wasabipitch.coordination.mirror"):
+            self.store.put("odd", b"1")
+            self.store.put("b", b"1")
+            await self.settle()
+        self.assertIn("b", [key for key, _ in self.changes])
+        self.assertEqual(self.store.calls.count("list"), 1)
+
     async def test_lost_history_reloads_all_items(self):
         self.store.watches_blocked = True
         self.store.remove("a")
