Decode what others write without errors that pass the handlers

Cause: msgspec raises RecursionError for deep nesting, int() refuses thousands of digits with a ValueError, isdigit accepts superscripts; none of these is what the callers of the decoders handle. A port was not checked at all: uvloop takes it modulo 65,536. A malformed group record, a host record with a malformed address and an answer of the store without its fields passed, too, and so did a request to upgrade the connection of the health check. Change: one module decodes JSON, msgpack and numbers with one kind of error, for store, peers, callers, instances and the MySQL deployment. An unreadable group record is written again by the hosts.

--- a/src/wasabipitch/contracts.py
+++ b/src/wasabipitch/contracts.py
@@ -14,6 +14,7 @@
 import msgspec
 
 from wasabipitch import messages
+from wasabipitch.decoding import decode_msgpack
 from wasabipitch.exceptions import LinkError
 from wasabipitch.messages import Cancel, Execute, Failure, Kind, Message, Result, Rows
 from wasabipitch.models import Column, Position
@@ -224,7 +225,7 @@
 
 def _unpack_control(frame) -> Message:
     body = frame.control
-    return msgspec.msgpack.decode(bytes(body.body), type=_CONTROL_TYPES[body.type])
+    return decode_msgpack(bytes(body.body), _CONTROL_TYPES[body.type])
 
 
 _PACKERS = {
--- a/src/wasabipitch/coordination/documents.py
+++ b/src/wasabipitch/coordination/documents.py
@@ -5,13 +5,17 @@
 """
 
 import enum
+import logging
 from typing import Any, Protocol
 
 import msgspec
 
 from wasabipitch.coordination.store import Item
+from wasabipitch.decoding import decode_json
 from wasabipitch.models import ORIGIN, Address, Position
 
+logger = logging.getLogger(__name__)
+
 HOSTS_PREFIX = "wasabipitch/hosts/"
 GROUPS_PREFIX = "wasabipitch/groups/"
 # Names of hosts that may still run; without a lease, so they stay when leases end.
@@ -289,6 +293,15 @@
     reason: str
 
 
+def read_group_record(item: Item) -> GroupRecord | None:
+    """Return a group record from the store, or None if it can't be read."""
+    try:
+        return decode(item.value, GroupRecord)
+    except msgspec.MsgspecError as exc:
+        logger.warning("ignored malformed record %r: %s", item.key, exc)
+        return None
+
+
 def encode(record: Any) -> bytes:
     """Return a record of the hosts as JSON."""
     return msgspec.json.encode(record)
@@ -300,4 +313,4 @@
     Raises:
         msgspec.MsgspecError: The value is no record of this kind.
     """
-    return msgspec.json.decode(value, type=kind)
+    return decode_json(value, kind)
--- a/src/wasabipitch/coordination/live_hosts.py
+++ b/src/wasabipitch/coordination/live_hosts.py
@@ -22,7 +22,8 @@
 )
 from wasabipitch.coordination.mirror import StoreMirror
 from wasabipitch.coordination.store import Item
-from wasabipitch.models import ORIGIN, Host, Position
+from wasabipitch.exceptions import SettingsError
+from wasabipitch.models import ORIGIN, Address, Host, Position
 from wasabipitch.policy.quorum import (
     MAX_STORE_OUTAGE_S,
     READ_LEASE_MARGIN_S,
@@ -369,7 +370,10 @@
 
     def _decode(self, item: Item, kind: type):
         try:
-            return decode(item.value, kind)
-        except msgspec.MsgspecError as exc:
-            logger.warning("ignored malformed record %s: %s", item.key, exc)
+            record = decode(item.value, kind)
+            if isinstance(record, HostRecord):
+                Address.parse(record.links)
+        except (msgspec.MsgspecError, SettingsError) as exc:
+            logger.warning("ignored malformed record %r: %s", item.key, exc)
             return None
+        return record
--- a/src/wasabipitch/coordination/relay.py
+++ b/src/wasabipitch/coordination/relay.py
@@ -274,4 +274,5 @@
 
 def _find_error(name: str) -> type[StoreError]:
     error = getattr(exceptions, name, StoreError)
-    return error if issubclass(error, StoreError) else StoreError
+    is_known = isinstance(error, type) and issubclass(error, StoreError)
+    return error if is_known else StoreError
--- a/src/wasabipitch/deployment.py
+++ b/src/wasabipitch/deployment.py
@@ -12,6 +12,7 @@
 from pydantic import ConfigDict, Field, TypeAdapter, ValidationError
 from pydantic.dataclasses import dataclass
 
+from wasabipitch.decoding import decode_json
 from wasabipitch.exceptions import SettingsError, UnknownClass, UnknownGroup
 from wasabipitch.models import Address
 
@@ -210,13 +211,13 @@
 def _load_document(text: str) -> Any:
     if text.startswith("{"):
         try:
-            return msgspec.json.decode(text)
+            return decode_json(text)
         except msgspec.DecodeError:
             # The text may be a YAML flow mapping, which starts with a brace too.
             pass
     try:
         return yaml.load(text, Loader=YamlLoader)
-    except yaml.YAMLError as exc:
+    except (yaml.YAMLError, RecursionError) as exc:
         raise SettingsError(f"not valid YAML: {exc}") from exc
 
 
--- a/src/wasabipitch/envelopes.py
+++ b/src/wasabipitch/envelopes.py
@@ -12,6 +12,7 @@
 import msgspec
 import xxhash
 
+from wasabipitch.decoding import decode_json
 from wasabipitch.exceptions import StoreError
 from wasabipitch.store import ABSENT, Record, Store
 
@@ -162,7 +163,7 @@
         StoreError: If the envelope is malformed.
     """
     try:
-        envelope = msgspec.json.decode(record.value, type=Envelope)
+        envelope = decode_json(record.value, Envelope)
     except msgspec.MsgspecError as exc:
         raise StoreError(f"key {record.key}: malformed envelope: {exc}") from exc
     if not envelope.parts:
--- a/src/wasabipitch/group/assembly.py
+++ b/src/wasabipitch/group/assembly.py
@@ -9,10 +9,9 @@
 from wasabipitch.coordination.documents import (
     GROUPS_PREFIX,
     Configuration,
-    GroupRecord,
     GroupSettings,
     InstanceEntry,
-    decode,
+    read_group_record,
 )
 from wasabipitch.coordination.live_hosts import LiveHosts
 from wasabipitch.coordination.members import GroupMembers
@@ -289,8 +288,8 @@
     def _load_record(self, state: GroupState, item: Item | None) -> None:
         if item is None or item.revision <= state.record_revision:
             return
-        record = decode(item.value, GroupRecord)
-        if not is_from_copy(record, item.revision):
+        record = read_group_record(item)
+        if record is not None and not is_from_copy(record, item.revision):
             state.set_record(record, item.revision)
 
     def find_runner(self, group: str) -> ForwardingRunner | RemoteRunner | None:
--- a/src/wasabipitch/group/recovery.py
+++ b/src/wasabipitch/group/recovery.py
@@ -11,7 +11,7 @@
     GROUPS_PREFIX,
     GroupRecord,
     Phase,
-    decode,
+    read_group_record,
 )
 from wasabipitch.coordination.mirror import StoreMirror
 from wasabipitch.coordination.revisions import (
@@ -108,14 +108,16 @@
 
     @property
     def is_needed(self) -> bool:
-        """Whether the group has a record, but none of the store's present epoch."""
+        """Whether the group has a record, but the store none of its present epoch."""
         item = self._mirror.items.get(self._key)
         if item is None:
             record_revision = self._state.record_revision
             return self._state.record is not None and (
                 not self._mirror.is_current(record_revision)
             )
-        return is_from_copy(decode(item.value, GroupRecord), item.revision)
+        record = read_group_record(item)
+        # Where another writer left something else, the record is written again.
+        return record is None or is_from_copy(record, item.revision)
 
     @property
     def is_due(self) -> bool:
@@ -198,7 +200,9 @@
         item = self._mirror.items.get(self._key)
         if item is None:
             return KnownRecord(None)
-        record = decode(item.value, GroupRecord)
+        record = read_group_record(item)
+        if record is None:
+            return KnownRecord(None)
         number = find_number(item.revision)
         return KnownRecord(record, make_revision(record.epoch or 0, number))
 
--- a/src/wasabipitch/http/client.py
+++ b/src/wasabipitch/http/client.py
@@ -63,7 +63,7 @@
             return
         try:
             self._parser.feed_data(data)
-        except httptools.HttpParserError as exc:
+        except (httptools.HttpParserError, httptools.HttpParserUpgrade) as exc:
             self.abort(f"malformed response: {exc}")
 
     def on_header(self, name: bytes, value: bytes) -> None:
--- a/src/wasabipitch/http/server.py
+++ b/src/wasabipitch/http/server.py
@@ -29,6 +29,10 @@
         self._received += len(data)
         try:
             self._parser.feed_data(data)
+        except httptools.HttpParserUpgrade:
+            # The request was answered; no other protocol is spoken.
+            self._transport.close()
+            return
         except httptools.HttpParserError:
             self._transport.abort()
             return
--- a/src/wasabipitch/models.py
+++ b/src/wasabipitch/models.py
@@ -2,8 +2,11 @@
 
 import msgspec
 
+from wasabipitch.decoding import decode_number
 from wasabipitch.exceptions import SettingsError
 
+MAX_PORT = 65_535
+
 
 class Position(msgspec.Struct, frozen=True, order=True):
     """A log position of a group: the term and the index of an entry.
@@ -48,10 +51,14 @@
         Raises:
             SettingsError: The text has another form.
         """
-        ip, sep, port = text.rpartition(":")
-        if not sep or not ip or not port.isdigit():
-            raise SettingsError(f"address {text!r} is not of the form ip:port")
-        return cls(ip, int(port))
+        ip, sep, digits = text.rpartition(":")
+        try:
+            port = decode_number(digits)
+        except ValueError as exc:
+            raise SettingsError(f"address {text[:80]!r}: port {exc}") from exc
+        if not sep or not ip or port > MAX_PORT:
+            raise SettingsError(f"address {text[:80]!r} is not of the form ip:port")
+        return cls(ip, port)
 
 
 class Column(msgspec.Struct, frozen=True):
--- a/src/wasabipitch/settings.py
+++ b/src/wasabipitch/settings.py
@@ -157,7 +157,7 @@
         document = yaml.safe_load(text)
     except (OSError, UnicodeDecodeError) as exc:
         raise SettingsError(f"can't read {path}: {exc}") from exc
-    except yaml.YAMLError as exc:
+    except (yaml.YAMLError, RecursionError) as exc:
         raise SettingsError(f"{path} is not valid YAML: {exc}") from exc
     try:
         return TypeAdapter(kind).validate_python(document)
--- a/src/wasabipitch/statements.py
+++ b/src/wasabipitch/statements.py
@@ -12,6 +12,7 @@
 from functools import lru_cache
 from typing import Any
 
+from wasabipitch.decoding import decode_number
 from wasabipitch.exceptions import Refused
 from wasabipitch.messages import Kind
 
@@ -329,13 +330,17 @@
 def _parse_deadline(text: str | None) -> int | None:
     if text is None:
         return None
-    if not text.isascii() or not text.isdigit() or not 0 < int(text) <= MAX_DEADLINE_MS:
+    try:
+        deadline_ms = decode_number(text)
+    except ValueError:
+        deadline_ms = 0
+    if not 0 < deadline_ms <= MAX_DEADLINE_MS:
         raise Refused(
             f"malformed hint: deadline_ms={text[:20]!r} is not a whole number of"
             f" milliseconds from 1 to {MAX_DEADLINE_MS}",
             code=ER_WRONG_ARGUMENTS,
         )
-    return int(text)
+    return deadline_ms
 
 
 def _raise_for_missing_verb(body: str) -> None:
--- a/src/wasabipitch/store.py
+++ b/src/wasabipitch/store.py
@@ -6,6 +6,7 @@
 import aiohttp
 import msgspec
 
+from wasabipitch.decoding import decode_json
 from wasabipitch.exceptions import StoreConflict, StoreError, StoreUnavailable
 from wasabipitch.metrics import Metrics, StatsdMetrics
 from wasabipitch.models import Address, Host
@@ -275,4 +276,4 @@
 def _decode(data: bytes) -> dict[str, Any]:
     if not data.lstrip().startswith(b"{"):
         return {}
-    return msgspec.json.decode(data)
+    return decode_json(data)
