Bound the rounds in which hosts ask instances for the bookkeeping

What callers saw: nothing; found by reading. Cause: while a replica stays behind, a member that is gone can't be dropped, and every host that serves the group asked the replicas again each 0.3 s; a report takes a slot. Change: the first three hosts by rank do it, each after pauses that double up to 2.4 s. Measured: tests of the bookkeeping and of forgotten commits pass; the rate of status requests was not measured.

--- a/src/wasabipitch/group/bookkeeping.py
+++ b/src/wasabipitch/group/bookkeeping.py
@@ -28,8 +28,12 @@
 
 # Changes of this time are written together.
 BATCH_S = 0.1
-# The pause after a round, during which the watch returns what it wrote.
+# The pause after a round, during which the watch returns what it wrote. It doubles
+# with each round that leaves the same work, since a round may ask instances.
 ROUND_PAUSE_S = 0.3
+MAX_PAUSE_S = 2.4
+# The hosts that do this work, by their ranks.
+MAX_HOSTS = 3
 # The store accepts at most 32 keys in one commit. Each writer takes two, as its key is
 # expected at a revision and removed.
 MAX_WRITERS_PER_COMMIT = 15
@@ -80,6 +84,7 @@
         self._work: tuple[frozenset, frozenset, frozenset] | None = None
         self._work_since_s = 0.0
         self._round_ended_s = 0.0
+        self._pause_s = ROUND_PAUSE_S
 
     def find_work_since_s(self) -> float | None:
         """Return since when there has been something to do, or None if there isn't."""
@@ -90,12 +95,13 @@
         if work != self._work:
             # An end of the log that is read from now on covers all of this work.
             self._work, self._work_since_s = work, now_s()
+            self._pause_s = ROUND_PAUSE_S
         return self._work_since_s + BATCH_S
 
     @property
     def is_pausing(self) -> bool:
         """Whether the last round has just ended."""
-        return now_s() - self._round_ended_s < ROUND_PAUSE_S
+        return now_s() - self._round_ended_s < self._pause_s
 
     def _find_work(self) -> tuple[frozenset, frozenset, frozenset]:
         """Return members to add, members that are gone, and writers that have ended."""
@@ -132,6 +138,7 @@
         finally:
             control.close()
             self._round_ended_s = now_s()
+            self._pause_s = min(MAX_PAUSE_S, 2 * self._pause_s)
 
     async def _read_log_end(
         self, control: InstanceControl, record: GroupRecord
--- a/src/wasabipitch/group/supervisor.py
+++ b/src/wasabipitch/group/supervisor.py
@@ -33,6 +33,7 @@
 from wasabipitch.coordination.writers import CommitWriters
 from wasabipitch.exceptions import RecordConflict, StoreError
 from wasabipitch.group.bookkeeping import (
+    MAX_HOSTS,
     SuccessionBookkeeping,
     encode_members,
     find_members,
@@ -239,7 +240,8 @@
         running = self._round is not None and not self._round.done()
         if running or self._bookkeeping.is_pausing:
             return
-        if not self._registration.is_serving(self._state.name):
+        serving = self._registration.is_serving(self._state.name)
+        if not serving or self._find_rank() >= MAX_HOSTS:
             return
         since_s = self._bookkeeping.find_work_since_s()
         if since_s is not None and self._is_rank_due(since_s):
