Let a restarted primary lead on only after earlier orders have taken effect

What callers saw: nothing; found by reading. Cause: a holder that took a replacement over could establish the old primary, back under another name, while a promotion that the earlier holder had ordered was still to take effect. Commits at the old primary until then would be lost. Change: it leads on only once the claim is older than the longest time that an order takes (VERIFY_AFTER_S). An instance that answered the fence and left since counts as answered. Measured: tests/wasabipitch/group/test_replacement.py and test_forgotten_commits.py pass; the race itself was not played.

--- a/src/wasabipitch/group/replacement.py
+++ b/src/wasabipitch/group/replacement.py
@@ -28,6 +28,7 @@
 from wasabipitch.operations.decisions import DecisionLog
 from wasabipitch.policy.quorum import READ_LEASE_MARGIN_S, UNADOPTED_CLAIM_S
 from wasabipitch.policy.read_leases import READ_LEASE_S
+from wasabipitch.policy.recovery import VERIFY_AFTER_S
 from wasabipitch.policy.succession import (
     Candidate,
     Choice,
@@ -114,7 +115,9 @@
             # The instance that has not answered may lead a later term.
             self._log("no successor yet", record, reason="an instance has not answered")
             return None
-        leader = find_leader(record, reports)
+        leader = find_later_leader(record, reports)
+        if leader is None and self._have_orders_ended():
+            leader = find_restarted_primary(record, reports)
         if leader is None:
             choice = await self._choose(record, revision, reports)
             leader = choice.instance
@@ -128,6 +131,13 @@
             return None
         return await self._establish(leader)
 
+    def _have_orders_ended(self) -> bool:
+        """Return whether all promotions that earlier holders ordered have taken effect.
+
+        A primary that leads on would acknowledge commits that its successor lacks.
+        """
+        return now_s() - self._state.record_since_s >= VERIFY_AFTER_S
+
     async def _fetch_reports(self, record: GroupRecord) -> dict[str, InstanceReport]:
         old = self._state.entries.get(record.primary)
         planned = old is not None and old.leaving
@@ -189,7 +199,8 @@
         """
         registered = {Member(e.name, e.born_ms) for e in self._state.entries.values()}
         answered = {Member(e.name, e.born_ms) for e in fenced}
-        gone = find_gone_members(self._members.find(self._state.name).known, registered)
+        members = self._members.find(self._state.name).known
+        gone = find_gone_members(members, registered | answered)
         silent = [m.name for m in registered - answered if m.name != record.primary]
         if _names_primary(record):
             return silent + [m.name for m in gone if m.name != record.primary]
@@ -377,14 +388,13 @@
     return record.primary != UNKNOWN_PRIMARY
 
 
-def find_leader(
+def find_later_leader(
     record: GroupRecord, reports: Mapping[str, InstanceReport]
 ) -> str | None:
-    """Return an instance that leads the group in place of a record's primary, or None.
+    """Return an instance that leads a later term than a record's primary, or None.
 
     A primary that was replaced earlier may still report itself primary, but at a lower
-    term. An instance that leads the term of the record's primary under another name is
-    that primary, which has started again with its log.
+    term.
 
     Args:
         record: The group record.
@@ -397,13 +407,21 @@
         for name, report in reports.items()
         if report.is_primary and name != record.primary and report.term > term
     }
-    later = max(leaders, key=leaders.get, default=None)
-    return later or _find_restarted_primary(record, reports)
+    return max(leaders, key=leaders.get, default=None)
 
 
-def _find_restarted_primary(
+def find_restarted_primary(
     record: GroupRecord, reports: Mapping[str, InstanceReport]
 ) -> str | None:
+    """Return a record's primary that runs again under another name, or None.
+
+    It leads the same term, and has the longest log, which holds every commit that was
+    acknowledged in this term.
+
+    Args:
+        record: The group record.
+        reports: The reports of the instances that answered, by name.
+    """
     if not record.term or record.primary in reports:
         return None
     needed = max([record.start, *(report.received for report in reports.values())])
--- a/tests/wasabipitch/group/test_replacement.py
+++ b/tests/wasabipitch/group/test_replacement.py
@@ -5,7 +5,11 @@
 from msgspec import structs
 
 from wasabipitch.coordination.documents import GroupRecord, GroupSettings, Phase
-from wasabipitch.group.replacement import Replacement, find_leader
+from wasabipitch.group.replacement import (
+    Replacement,
+    find_later_leader,
+    find_restarted_primary,
+)
 from wasabipitch.group.state import GroupState
 from wasabipitch.models import Position
 from wasabipitch.operations.decisions import DecisionLog
@@ -18,34 +22,44 @@
     return InstanceReport(is_primary, term, Position(term, index), 0, 0.0, 0, 1)
 
 
-class FindLeaderTest(unittest.TestCase):
+class FindLaterLeaderTest(unittest.TestCase):
     def test_primary_of_an_earlier_term_is_no_later_leader(self):
         # The first primary is cut off from its replicas and still reports itself
         # primary at term 1. The second one is too busy to report. The first must not
         # count as its successor. The fault was found in the Wheelcraft run trouble-1
         # with seed 830042208225.
         reports = {"first": report(True, 1), "third": report(False, 2)}
-        self.assertIsNone(find_leader(RECORD, reports))
+        self.assertIsNone(find_later_leader(RECORD, reports))
 
     def test_instance_promoted_at_a_later_term_is_the_leader(self):
         reports = {"second": report(True, 2), "third": report(True, 3)}
-        self.assertEqual(find_leader(RECORD, reports), "third")
+        self.assertEqual(find_later_leader(RECORD, reports), "third")
         del reports["second"]
-        self.assertEqual(find_leader(RECORD, reports), "third")
+        self.assertEqual(find_later_leader(RECORD, reports), "third")
 
+    def test_primary_of_the_record_is_no_later_leader(self):
+        self.assertIsNone(find_later_leader(RECORD, {"second": report(True, 4)}))
+
+
+class FindRestartedPrimaryTest(unittest.TestCase):
     def test_a_primary_that_restarted_under_another_name_leads_on(self):
         reports = {"fourth": report(True, 2), "third": report(False, 2)}
-        self.assertEqual(find_leader(RECORD, reports), "fourth")
+        self.assertEqual(find_restarted_primary(RECORD, reports), "fourth")
 
     def test_a_leader_of_the_same_term_that_lacks_commits_is_no_leader(self):
         # It has started again with no or with an older log.
         reports = {"fourth": report(True, 2, 8), "third": report(False, 2, 9)}
-        self.assertIsNone(find_leader(RECORD, reports))
+        self.assertIsNone(find_restarted_primary(RECORD, reports))
         record = structs.replace(RECORD, start=Position(2, 10))
-        self.assertIsNone(find_leader(record, {"fourth": report(True, 2, 9)}))
+        self.assertIsNone(
+            find_restarted_primary(record, {"fourth": report(True, 2, 9)})
+        )
 
-    def test_primary_of_the_record_is_no_later_leader(self):
-        self.assertIsNone(find_leader(RECORD, {"second": report(True, 4)}))
+    def test_a_primary_that_answers_under_its_name_has_not_restarted(self):
+        reports = {"second": report(False, 2), "fourth": report(True, 2)}
+        self.assertIsNone(find_restarted_primary(RECORD, reports))
+        unknown = structs.replace(RECORD, term=0)
+        self.assertIsNone(find_restarted_primary(unknown, {"fourth": report(True, 0)}))
 
 
 class PromoteTest(unittest.IsolatedAsyncioTestCase):
