Move the choice of a successor into a module of its own

No change of behaviour: Replacement keeps the claim, the order to promote and the new record; SuccessorChoice hands over, fences and chooses.

--- a/src/wasabipitch/group/replacement.py
+++ b/src/wasabipitch/group/replacement.py
@@ -5,14 +5,11 @@
 """
 
 import asyncio
-from collections.abc import Iterable, Mapping
+from collections.abc import Mapping
 
 from wasabipitch.clock import now_s
 from wasabipitch.coordination.documents import (
-    UNKNOWN_PRIMARY,
     GroupRecord,
-    InstanceEntry,
-    Member,
     Phase,
 )
 from wasabipitch.coordination.live_hosts import LiveHosts
@@ -22,28 +19,16 @@
 from wasabipitch.coordination.store import Promoter
 from wasabipitch.coordination.writers import CommitWriters
 from wasabipitch.exceptions import PromotionRefused, StoreUnavailable
+from wasabipitch.group.choice import POLL_INTERVAL_S, SuccessorChoice, names_primary
 from wasabipitch.group.instance_control import InstanceControl
 from wasabipitch.group.state import GroupState
-from wasabipitch.models import Position
 from wasabipitch.operations.decisions import DecisionLog
 from wasabipitch.policy.quorum import READ_LEASE_MARGIN_S, UNADOPTED_CLAIM_S
 from wasabipitch.policy.read_leases import READ_LEASE_S
 from wasabipitch.policy.recovery import VERIFY_AFTER_S
-from wasabipitch.policy.succession import (
-    Candidate,
-    Choice,
-    choose_successor,
-    find_gone_members,
-)
 from wasabipitch.wire.codecs import InstanceCodec
 from wasabipitch.wire.messages import InstanceReport
 
-POLL_INTERVAL_S = 0.02
-# Longest time for which replicas may catch up with a primary that still answers.
-CATCH_UP_S = 1.0
-# Time for unacknowledged commits to reach a replica once one holds every acknowledged
-# commit. A commit takes milliseconds, unless the primary is cut off.
-UNACKNOWLEDGED_WAIT_S = 0.15
 # A promotion takes some hundred ms; it is repeated after this long without effect.
 PROMOTION_EFFECT_S = 2.5
 # A primary that fails has mostly fallen silent, and its report is not waited for. One
@@ -75,8 +60,6 @@
         members: GroupMembers,
     ) -> None:
         self._state = state
-        self._writers = writers
-        self._members = members
         self._registration = registration
         self._promoter = promoter
         self._mirror = mirror
@@ -84,6 +67,14 @@
         self._decisions = decisions
         self._host = host
         self._control = InstanceControl(codec)
+        self._choice = SuccessorChoice(
+            state,
+            self._control,
+            live_hosts,
+            writers,
+            members,
+            self._wait_relinquished,
+        )
         self._refused: set[str] = set()
 
     async def run(self, record: GroupRecord) -> GroupRecord | None:
@@ -111,7 +102,7 @@
 
     async def _attempt(self, record: GroupRecord, revision: int) -> GroupRecord | None:
         reports = await self._fetch_reports(record)
-        if not _names_primary(record) and set(reports) != set(self._state.entries):
+        if not names_primary(record) and set(reports) != set(self._state.entries):
             # The instance that has not answered may lead a later term.
             self._log("no successor yet", record, reason="an instance has not answered")
             return None
@@ -119,7 +110,7 @@
         if leader is None and self._have_orders_ended():
             leader = find_restarted_primary(record, reports)
         if leader is None:
-            choice = await self._choose(record, revision, reports)
+            choice = await self._choice.run(record, revision, reports, self._refused)
             leader = choice.instance
             if leader is None:
                 self._log("no successor yet", record, reason=choice.reason)
@@ -145,142 +136,6 @@
             self._state.entries.values(), None if planned else REPORT_PATIENCE_S
         )
 
-    async def _choose(
-        self,
-        record: GroupRecord,
-        revision: int,
-        reports: dict[str, InstanceReport],
-    ) -> Choice:
-        terms = [max(r.term, r.fenced_term) for r in reports.values()]
-        term = max([record.term, *terms]) + 1
-        entries = self._state.entries
-        old = entries.get(record.primary)
-        replicas = [e for name, e in entries.items() if name != record.primary]
-        end = None
-        if old is not None and record.primary in reports:
-            is_ready, end = await self._hand_over(old, replicas, revision, term)
-            if not is_ready:
-                return self._retain_old_primary(record, reports)
-            if old.born_ms != record.primary_born_ms:
-                # It has started again without its log.
-                end = None
-        fenced = await self._control.fence_all(replicas, term)
-        if not await self._wait_relinquished(revision):
-            return Choice(None, "another host took over the replacement")
-        choice = choose_successor(
-            {
-                entry.name: Candidate(
-                    entry.name,
-                    fenced[entry.name].received,
-                    entry.leaving,
-                    entry.name in self._refused,
-                )
-                for entry in replicas
-                if entry.name in fenced
-            },
-            self._find_silent(record, [e for e in replicas if e.name in fenced]),
-            self._live_hosts.find_acknowledged_position(self._state.name, revision),
-            self._find_limit(record, revision, end),
-        )
-        if choice.instance is None:
-            await asyncio.gather(*(self._control.resume(entry) for entry in replicas))
-        return choice
-
-    def _find_silent(
-        self, record: GroupRecord, fenced: Iterable[InstanceEntry]
-    ) -> list[str]:
-        """Return the instances that may have confirmed commits and don't answer.
-
-        Every commit that was confirmed by the primary, too, is held by a replica.
-
-        Args:
-            record: The group record.
-            fenced: The instances that answered.
-        """
-        registered = {Member(e.name, e.born_ms) for e in self._state.entries.values()}
-        answered = {Member(e.name, e.born_ms) for e in fenced}
-        members = self._members.find(self._state.name).known
-        gone = find_gone_members(members, registered | answered)
-        silent = [m.name for m in registered - answered if m.name != record.primary]
-        if _names_primary(record):
-            return silent + [m.name for m in gone if m.name != record.primary]
-        # One of those that are gone may be the primary.
-        is_held = len(gone) <= self._state.settings.acknowledged_by
-        return silent if is_held else silent + [m.name for m in gone]
-
-    def _find_limit(
-        self, record: GroupRecord, revision: int, end: Position | None
-    ) -> Position | None:
-        """Return a position that no acknowledged commit exceeds, or None.
-
-        Args:
-            record: The group record.
-            revision: The revision of the record.
-            end: The log end of the old primary after it stepped down, or None.
-        """
-        reported = None
-        if _names_primary(record):
-            reported = self._writers.find_limit(self._state.name, revision)
-        limits = [limit for limit in (reported, end) if limit is not None]
-        return min(limits, default=None)
-
-    async def _hand_over(
-        self,
-        old: InstanceEntry,
-        replicas: list[InstanceEntry],
-        revision: int,
-        term: int,
-    ) -> tuple[bool, Position | None]:
-        """Let replicas catch up with a primary that still answers, then stop it.
-
-        Returns:
-            Whether a replica holds every acknowledged commit; if not, the primary was
-            not stopped. And the end of the primary's log after it stopped, or None.
-        """
-        started_s = now_s()
-        acknowledged_held_since_s: float | None = None
-        while True:
-            reports = await self._control.fetch_reports([old, *replicas])
-            answered = self._live_hosts.all_relinquished(self._state.name, revision)
-            if answered and _has_caught_up(old, reports):
-                break
-            if answered and self._holds_acknowledged(old, reports, revision):
-                acknowledged_held_since_s = acknowledged_held_since_s or now_s()
-                if now_s() - acknowledged_held_since_s >= UNACKNOWLEDGED_WAIT_S:
-                    break
-            if now_s() - started_s >= CATCH_UP_S:
-                if not _has_caught_up(old, reports):
-                    return False, None
-                break
-            await asyncio.sleep(POLL_INTERVAL_S)
-        report = await self._control.step_down(old, term)
-        if report is None or report.is_primary:
-            return True, None
-        return True, report.received
-
-    def _holds_acknowledged(
-        self, old: InstanceEntry, reports: dict[str, InstanceReport], revision: int
-    ) -> bool:
-        limit = self._writers.find_limit(self._state.name, revision)
-        if limit is None:
-            return False
-        others = [r for name, r in reports.items() if name != old.name]
-        return any(report.received >= limit for report in others)
-
-    def _retain_old_primary(
-        self, record: GroupRecord, reports: dict[str, InstanceReport]
-    ) -> Choice:
-        """Choose the old primary again, since no replica holds all its commits."""
-        old = self._state.entries.get(record.primary)
-        leads = reports[record.primary].is_primary
-        if leads and old is not None and old.born_ms == record.primary_born_ms:
-            return Choice(
-                record.primary, "no replica holds every commit that it acknowledged"
-            )
-        return Choice(
-            None, "no replica holds every commit that the old primary acknowledged"
-        )
-
     async def _wait_relinquished(self, revision: int) -> bool:
         """Wait until no host uses the old primary.
 
@@ -379,15 +234,6 @@
         )
 
 
-def _names_primary(record: GroupRecord) -> bool:
-    """Return whether a record names the primary that is replaced.
-
-    If not, the hosts have forgotten what they saw acknowledged, and every instance
-    has to answer.
-    """
-    return record.primary != UNKNOWN_PRIMARY
-
-
 def find_later_leader(
     record: GroupRecord, reports: Mapping[str, InstanceReport]
 ) -> str | None:
@@ -430,11 +276,3 @@
         if same_term and report.received >= needed:
             return name
     return None
-
-
-def _has_caught_up(old: InstanceEntry, reports: dict[str, InstanceReport]) -> bool:
-    others = [report for name, report in reports.items() if name != old.name]
-    end = reports.get(old.name)
-    if end is None:
-        return bool(others)
-    return any(report.received >= end.received for report in others)
--- a/tests/wasabipitch/test_gateway.py
+++ b/tests/wasabipitch/test_gateway.py
@@ -265,7 +265,7 @@
         stuck, _ = await self.fleet.connect(OWN_DB)
         stuck.send("WRITE job stuck", "w7")
         await asyncio.sleep(0.1)
-        with patch("wasabipitch.group.replacement.CATCH_UP_S", 60.0):
+        with patch("wasabipitch.group.choice.CATCH_UP_S", 60.0):
             self.fleet.register("i-0", leaving=True)
             await self.wait_primary("i-1", "i-2")
         lines = await stuck.receive()
