--- a/src/wasabipitch/coordination/live_hosts.py
+++ b/src/wasabipitch/coordination/live_hosts.py
@@ -254,6 +254,16 @@
         records = self._list_relinquished(group, revision)
         return max((record.limit for record in records), default=ORIGIN)
 
+    def describe_reports(self, group: str, revision: int) -> dict[str, str]:
+        """Return each host's report on a replacement and its age, for the log."""
+        at_s = now_s()
+        reports = {}
+        for host, record in self._relinquished.get(group, {}).items():
+            if record.revision >= revision:
+                age_s = at_s - self._relinquished_at_s[group, host][1]
+                reports[host] = f"{record.limit}, {age_s:.3f} s"
+        return reports
+
     def _list_relinquished(self, group: str, revision: int) -> list[RelinquishedRecord]:
         records = self._relinquished.get(group, {}).values()
         return [record for record in records if record.revision >= revision]
--- a/src/wasabipitch/group/choice.py
+++ b/src/wasabipitch/group/choice.py
@@ -1,7 +1,11 @@
 """Chooses the successor of a primary, on the host that replaces it."""
 
 import asyncio
+import itertools
 from collections.abc import Awaitable, Callable, Collection, Iterable
+from typing import Any
+
+from msgspec.structs import replace
 
 from wasabipitch.clock import now_s
 from wasabipitch.coordination.documents import (
@@ -30,6 +34,8 @@
 # Time for unacknowledged commits to reach a replica once one holds every acknowledged
 # commit. A commit takes milliseconds, unless the primary is cut off.
 UNACKNOWLEDGED_WAIT_S = 0.15
+# Of a large fleet, a log line names so many hosts.
+MAX_LOGGED_HOSTS = 12
 
 
 class SuccessorChoice:
@@ -90,26 +96,48 @@
                 # It has started again without its log.
                 end = None
         fenced = await self._control.fence_all(replicas, term)
+        silences = dict(self._control.failures)
         if not await self._wait_relinquished(revision):
             return Choice(None, "another host took over the replacement")
-        choice = choose_successor(
-            {
-                entry.name: Candidate(
-                    entry.name,
-                    fenced[entry.name].received,
-                    entry.leaving,
-                    entry.name in refused,
-                )
-                for entry in replicas
-                if entry.name in fenced
-            },
-            self._find_silent(record, [e for e in replicas if e.name in fenced]),
-            self._live_hosts.find_acknowledged_position(self._state.name, revision),
-            self._find_limit(record, revision, end),
+        candidates = {
+            entry.name: Candidate(
+                entry.name,
+                fenced[entry.name].received,
+                entry.leaving,
+                entry.name in refused,
+            )
+            for entry in replicas
+            if entry.name in fenced
+        }
+        silent = self._find_silent(record, [e for e in replicas if e.name in fenced])
+        acknowledged = self._live_hosts.find_acknowledged_position(
+            self._state.name, revision
         )
+        limit = self._find_limit(record, revision, end)
+        choice = choose_successor(candidates, silent, acknowledged, limit)
         if choice.instance is None:
             await asyncio.gather(*(self._control.resume(entry) for entry in replicas))
-        return choice
+        inputs = {
+            "term": term,
+            "received": {name: str(c.received) for name, c in candidates.items()},
+            "fenced": {name: report.fenced_term for name, report in fenced.items()},
+            "silent": {name: silences.get(name, "gone") for name in silent},
+            "acknowledged": str(acknowledged),
+            "limit": None if limit is None else str(limit),
+            "end": None if end is None else str(end),
+            **self._describe_reports(revision),
+        }
+        return replace(choice, inputs=inputs)
+
+    def _describe_reports(self, revision: int) -> dict[str, Any]:
+        """Return the hosts' reports and the hosts without one, for the log."""
+        name = self._state.name
+        reports = self._live_hosts.describe_reports(name, revision)
+        missing = self._writers.find_unreported(name, revision)
+        return {
+            "reports": dict(itertools.islice(reports.items(), MAX_LOGGED_HOSTS)),
+            "unreported": missing[:MAX_LOGGED_HOSTS],
+        }
 
     def _find_silent(
         self, record: GroupRecord, fenced: Iterable[InstanceEntry]
--- a/src/wasabipitch/group/instance_control.py
+++ b/src/wasabipitch/group/instance_control.py
@@ -24,6 +24,8 @@
     def __init__(self, codec: InstanceCodec) -> None:
         self._codec = codec
         self._conns: dict[str, InstanceConnection] = {}
+        # Why the last command to an instance got no report, by the instance's name.
+        self.failures: dict[str, str] = {}
 
     async def status(self, entry: InstanceEntry) -> InstanceReport | None:
         """Return an instance's report, or None if it is silent."""
@@ -79,10 +81,16 @@
     async def _send_command(
         self, entry: InstanceEntry, message: bytes
     ) -> InstanceReport | None:
+        self.failures[entry.name] = "no answer"
         try:
             async with asyncio.timeout(COMMAND_TIMEOUT_S):
-                return await self._send_until_accepted(entry, message)
-        except (TargetDown, InstanceLost, MalformedMessage, TimeoutError):
+                report = await self._send_until_accepted(entry, message)
+            if report is not None:
+                self.failures.pop(entry.name, None)
+            return report
+        except (TargetDown, InstanceLost, MalformedMessage, TimeoutError) as exc:
+            if str(exc):
+                self.failures[entry.name] = str(exc)
             conn = self._conns.pop(entry.name, None)
             if conn is not None:
                 conn.close()
@@ -99,6 +107,7 @@
             reply = await conn.send(message)
             if reply.rows:
                 return self._codec.decode_report(reply.rows[0])
+            self.failures[entry.name] = f"refused: {reply.code.value}"
             if reply.code is not Code.BUSY:
                 return None
             await asyncio.sleep(BUSY_PAUSE_S)
--- a/src/wasabipitch/group/replacement.py
+++ b/src/wasabipitch/group/replacement.py
@@ -26,6 +26,7 @@
 from wasabipitch.policy.quorum import READ_LEASE_MARGIN_S, UNADOPTED_CLAIM_S
 from wasabipitch.policy.read_leases import READ_LEASE_S
 from wasabipitch.policy.recovery import VERIFY_AFTER_S
+from wasabipitch.policy.succession import Choice
 from wasabipitch.wire.codecs import InstanceCodec
 from wasabipitch.wire.messages import InstanceReport
 
@@ -37,6 +38,8 @@
 # A command takes some 15 ms, unless the instance can't be reached.
 RESUME_PATIENCE_S = 0.1
 RETRY_S = 0.1
+# A replacement that waits for the same instances is logged again after this time.
+LOG_AGAIN_S = 2.0
 
 
 class Replacement:
@@ -76,6 +79,9 @@
             self._wait_relinquished,
         )
         self._refused: set[str] = set()
+        # The last reason that was logged for a wait, and when it is logged again.
+        self._logged_reason = ""
+        self._log_again_s = 0.0
 
     async def run(self, record: GroupRecord) -> GroupRecord | None:
         """Replace the primary.
@@ -104,7 +110,7 @@
         reports = await self._fetch_reports(record)
         if not names_primary(record) and set(reports) != set(self._state.entries):
             # The instance that has not answered may lead a later term.
-            self._log("no successor yet", record, reason="an instance has not answered")
+            self._log_waiting(record, Choice(None, "an instance has not answered"))
             return None
         leader = find_later_leader(record, reports)
         if leader is None and self._have_orders_ended():
@@ -113,9 +119,15 @@
             choice = await self._choice.run(record, revision, reports, self._refused)
             leader = choice.instance
             if leader is None:
-                self._log("no successor yet", record, reason=choice.reason)
+                self._log_waiting(record, choice)
                 return None
-            self._log("successor chosen", record, chosen=leader, reason=choice.reason)
+            self._log(
+                "successor chosen",
+                record,
+                chosen=leader,
+                reason=choice.reason,
+                **choice.inputs,
+            )
             if leader != record.primary and not await self._promote(leader, revision):
                 return None
         elif not await self._wait_relinquished(revision):
@@ -224,6 +236,14 @@
         for task in late:
             task.cancel()
 
+    def _log_waiting(self, record: GroupRecord, choice: Choice) -> None:
+        """Log why no instance can be promoted, when that changes or after a while."""
+        at_s = now_s()
+        if choice.reason == self._logged_reason and at_s < self._log_again_s:
+            return
+        self._logged_reason, self._log_again_s = choice.reason, at_s + LOG_AGAIN_S
+        self._log("no successor yet", record, reason=choice.reason, **choice.inputs)
+
     def _log(self, event: str, record: GroupRecord | None, **fields) -> None:
         self._decisions.belief(
             event,
--- a/src/wasabipitch/group/runner.py
+++ b/src/wasabipitch/group/runner.py
@@ -98,9 +98,9 @@
             session.failed = req.statement.verb is not Verb.COMMIT
         self._decisions.request(
             "request failed",
-            **self._make_log_fields(req),
             code=exc.code.value,
             reason=exc.reason,
+            **self._make_log_fields(req),
             primary=self._state.primary,
             record=self._state.record_revision,
             confirmed_s=round(now_s() - self._state.read_lease_until_s, 3),
--- a/src/wasabipitch/group/supervisor.py
+++ b/src/wasabipitch/group/supervisor.py
@@ -173,10 +173,11 @@
         is_awaited = may_serve or self._writers.is_listed(state.name, self._host)
         if not is_awaited and not is_small:
             return
-        revision = state.record_revision
+        revision, started_s = state.record_revision, now_s()
         await self._wait_for_commits()
         # The successor may be chosen as soon as the report is written. Answers of the
         # old primary that arrive later must not count as acknowledged.
+        under_way = state.commits_under_way
         state.abandon_commits(revision)
         acknowledged, covered = state.acknowledged, state.covered
         record = RelinquishedRecord(
@@ -188,6 +189,15 @@
         )
         await self._write(self._relinquished_key, record)
         self._relinquished = report
+        self._decisions.belief(
+            "primary relinquished",
+            group=state.name,
+            record=revision,
+            acknowledged=str(acknowledged),
+            covered=str(covered),
+            under_way=under_way,
+            taken_s=round(now_s() - started_s, 3),
+        )
 
     async def _wait_for_commits(self) -> None:
         until_s = now_s() + COMMIT_WAIT_S
--- a/src/wasabipitch/operations/explanations.py
+++ b/src/wasabipitch/operations/explanations.py
@@ -16,6 +16,7 @@
         "group record",
         "primary doubted",
         "replacing the primary",
+        "primary relinquished",
         "no successor yet",
         "successor chosen",
         "promotion refused",
--- a/src/wasabipitch/policy/succession.py
+++ b/src/wasabipitch/policy/succession.py
@@ -14,6 +14,7 @@
 """
 
 from collections.abc import Iterable, Mapping
+from typing import Any
 
 import msgspec
 import xxhash
@@ -107,10 +108,12 @@
     Args:
         instance: The name of the instance to promote, or None.
         reason: Why it was chosen, or why none was.
+        inputs: What the decision rests on, for the decision log.
     """
 
     instance: str | None
     reason: str
+    inputs: Mapping[str, Any] = {}
 
 
 def choose_successor(
