--- /dev/null
+++ b/tests/wasabipitch/test_unanswered_commits.py
@@ -0,0 +1,115 @@
+import asyncio
+import unittest
+from unittest.mock import patch
+
+from tests.wasabipitch.gateway_fixture import GROUP, OWN_DB, PRIMARY_DB, Fleet
+from wasabipitch.coordination.documents import (
+    GROUPS_PREFIX,
+    RELINQUISHED_PREFIX,
+    GroupRecord,
+    Phase,
+    encode,
+)
+from wasabipitch.policy.read_leases import READ_LEASE_S
+
+SETTLED_S = READ_LEASE_S + 1.5
+
+
+class UnansweredCommitsTest(unittest.IsolatedAsyncioTestCase):
+    """A primary acknowledges commits whose answers no host has read.
+
+    A replica that had received none of them was promoted while the primary and the
+    replica that had confirmed them were dark, since no host had seen them acknowledged.
+    """
+
+    async def asyncSetUp(self):
+        self.fleet = Fleet()
+        self.addAsyncCleanup(self.fleet.close)
+        await self.fleet.start(3)
+        self.instances = self.fleet.group.instances
+
+    async def write(self, number, host="host-0"):
+        caller, _ = await self.fleet.connect(OWN_DB, host)
+        return (await caller.ask(f"WRITE job v{number}", f"w{number}"))[0]
+
+    async def lose_answers(self):
+        """Let a commit be acknowledged whose answer no host reads."""
+        self.assertEqual(await self.write(1), "COMPLETE i-0.w1")
+        self.instances["i-2"].replication_blocked = True
+        self.instances["i-0"].silent = True
+        for number, host in enumerate(self.fleet.hosts, 2):
+            caller, _ = await self.fleet.connect(OWN_DB, host)
+            caller.send(f"WRITE job v{number}", f"w{number}")
+            await self.fleet.wait_for(
+                lambda number=number: len(self.instances["i-1"].log) == number
+            )
+        self.instances["i-1"].silent = True
+
+    def list_chosen(self):
+        return [chosen for chosen, _, _ in self.fleet.group.promotions]
+
+    async def wait_changing(self):
+        await self.fleet.wait_for(
+            lambda: all(self.fleet.state(h).is_changing for h in self.fleet.hosts)
+        )
+
+    async def test_a_replica_without_them_is_not_promoted(self):
+        await self.lose_answers()
+        await self.wait_changing()
+        await asyncio.sleep(SETTLED_S)
+        self.assertEqual(self.list_chosen(), [])
+        self.instances["i-1"].silent = False
+        await self.fleet.wait_for(lambda: self.fleet.state().primary == "i-1")
+        caller, _ = await self.fleet.connect(PRIMARY_DB)
+        self.assertEqual((await caller.ask("READ job"))[0], "ROW v4")
+
+    async def test_requests_are_refused_at_once_while_they_are_in_doubt(self):
+        await self.lose_answers()
+        await self.wait_changing()
+        await asyncio.sleep(1.0)
+        async with asyncio.timeout(0.5):
+            self.assertTrue((await self.write(9)).startswith("ERROR BUSY"))
+
+    async def test_a_connection_that_broke_leaves_its_commit_in_doubt(self):
+        self.assertEqual(await self.write(1), "COMPLETE i-0.w1")
+        self.instances["i-2"].replication_blocked = True
+        self.instances["i-0"].lost_answers = 1
+        self.assertTrue((await self.write(2)).startswith("ERROR UNKNOWN"))
+        await self.instances["i-0"].stop()
+        self.instances["i-1"].silent = True
+        await self.wait_changing()
+        await asyncio.sleep(SETTLED_S)
+        self.assertEqual(self.list_chosen(), [])
+
+    async def test_a_later_commit_ends_the_doubt(self):
+        self.instances["i-0"].lost_answers = 1
+        self.assertTrue((await self.write(1)).startswith("ERROR UNKNOWN"))
+        self.assertTrue(self.fleet.state().is_in_doubt)
+        await asyncio.sleep(0.1)
+        self.assertEqual(await self.write(2), "COMPLETE i-0.w2")
+        # The lost answer's statement may still have been running then.
+        self.assertTrue(self.fleet.state().is_in_doubt)
+        with patch("wasabipitch.group.doubts.STATEMENT_END_S", 0.05):
+            self.assertEqual(await self.write(3), "COMPLETE i-0.w3")
+        self.assertFalse(self.fleet.state().is_in_doubt)
+        await self.instances["i-0"].stop()
+        self.instances["i-1"].silent = True
+        await self.fleet.wait_for(lambda: self.list_chosen() == ["i-2"])
+
+    async def test_a_transaction_does_not_commit_after_its_host_has_reported(self):
+        caller, _ = await self.fleet.connect(PRIMARY_DB)
+        await caller.ask("BEGIN")
+        await caller.ask("WRITE job v1", "w1")
+        state = self.fleet.state()
+        record = GroupRecord(
+            Phase.CHANGING, "i-0", 1, state.record.term, "host-9.1", epoch=0
+        )
+        self.fleet.store.put(GROUPS_PREFIX + GROUP, encode(record))
+        key = RELINQUISHED_PREFIX + GROUP
+        await self.fleet.wait_for(
+            lambda: any(k.startswith(key) for k in self.fleet.store.items)
+        )
+        await self.fleet.wait_for(lambda: state.abandoned_revision > 0)
+        lines = await caller.ask("COMMIT", "w2")
+        self.assertTrue(lines[0].startswith("ERROR ABORTED"), lines)
+        self.assertEqual(self.instances["i-0"].log, [])
