Send no commit to a primary after this host has reported what it saw acknowledged

Callers saw: LOST in their record; the caller of such a commit is told UNKNOWN.

Cause: a host that relinquishes a primary reports the highest position that it saw acknowledged, and the successor is chosen by it. The COMMIT of a transaction that was open then was still sent to the old primary, which acknowledged it as long as a replica received it. Single writes look at the record again before they are sent; commits did not.

Evidence: test_a_transaction_does_not_commit_after_its_host_has_reported failed before (answer UNKNOWN, the commit is in the old primary's log), passes now (ABORTED, the log is empty).

The statement is refused with ABORTED, which is true, as the COMMIT was never sent: the caller may repeat the transaction at the successor. A commit that was sent in time, in a transaction that began before, is now also told UNKNOWN as soon as the primary is relinquished and not held to its time limit.

--- a/src/wasabipitch/group/state.py
+++ b/src/wasabipitch/group/state.py
@@ -36,10 +36,12 @@
     Args:
         revision: The revision of the group record when it was sent.
         sent_at_s: The time of ``now_s`` when it was sent.
+        begun_revision: The revision when its transaction began.
     """
 
     revision: int
     sent_at_s: float
+    begun_revision: int
 
 
 class GroupState:
@@ -201,15 +203,23 @@
         return min(sent, default=None)
 
     @contextlib.contextmanager
-    def track_commit(self) -> Iterator[asyncio.Future[None]]:
-        """Count a commit as unanswered while the block runs.
+    def track_commit(
+        self, begun_revision: int | None = None
+    ) -> Iterator[asyncio.Future[None]]:
+        """Count a commit as under way while the block runs.
+
+        Args:
+            begun_revision: The revision of the group record when its transaction
+                began, or None for a single write.
 
         Yields:
             A future that is done once this host has relinquished the primary. The
             answer to the commit must then be reported as unknown.
         """
         relinquished = asyncio.get_running_loop().create_future()
-        commit = PendingCommit(self.record_revision, now_s())
+        if begun_revision is None:
+            begun_revision = self.record_revision
+        commit = PendingCommit(self.record_revision, now_s(), begun_revision)
         self._commits[relinquished] = commit
         try:
             yield relinquished
@@ -225,10 +235,13 @@
             del self._commits[relinquished]
 
     def abandon_commits(self, revision: int) -> None:
-        """Report commits under record revisions before this one as unknown."""
+        """Report commits that began under earlier record revisions as unknown.
+
+        None is sent from now on.
+        """
         self.abandoned_revision = revision
         for relinquished, commit in self._commits.items():
-            if commit.revision < revision and not relinquished.done():
+            if commit.begun_revision < revision and not relinquished.done():
                 relinquished.set_result(None)
 
     def update_primary_reachability(self, usable: bool) -> None:
--- a/src/wasabipitch/group/transactions.py
+++ b/src/wasabipitch/group/transactions.py
@@ -132,9 +132,14 @@
                 raise StatementFailed(Code.ABORTED, "session values were refused")
             transaction.wrote = transaction.wrote or req.writes
             message = self._exchange.encode(req, conn, None)
+            if transaction.wrote and self._has_relinquished(transaction):
+                transaction.checkout.conn.close()
+                raise StatementFailed(
+                    Code.ABORTED, "the primary was replaced during the transaction"
+                )
             if not (commits and transaction.wrote):
                 return await self._exchange.ask(req, transaction.checkout, message)
-            with self._state.track_commit() as relinquished:
+            with self._state.track_commit(transaction.revision) as relinquished:
                 return await self._exchange.ask(
                     req, transaction.checkout, message, relinquished
                 )
@@ -147,6 +152,11 @@
             )
             raise StatementFailed(code, reason) from exc
 
+    def _has_relinquished(self, transaction: Transaction) -> bool:
+        # A commit that is sent after this host has reported what it saw acknowledged
+        # may be acknowledged by the old primary and be missing at the new one.
+        return transaction.revision < self._state.abandoned_revision
+
     def _end_failed(self, req: Request, transaction: Transaction) -> None:
         # Closing the connection makes the instance roll back, so that the answer
         # ABORTED is true. A commit that was sent may still succeed and is left alone.
