Take the old primary's log end as the limit, not what hosts saw acknowledged

Callers saw: LOST in their record, in planned replacements too.

Cause: where the old primary answered and stepped down, the lower of its log end and of the hosts' reports was taken as a position that no acknowledged commit exceeds. Commits that it acknowledged after the reports, or whose answers no host had read, lie between the two. With a replica silent, or about to leave, another one was promoted that lacked them. A log end below an acknowledged position is that of an instance that has started again without its log, before its new registration was read; it counted as a limit of 0.

Evidence: two tests of test_choice failed before (a replica at 7 is chosen where the primary acknowledged 9 at the silent one) and pass now.

The log end covers all that the primary ever acknowledged, since it acknowledges nothing after it has stepped down.

--- a/src/wasabipitch/group/choice.py
+++ b/src/wasabipitch/group/choice.py
@@ -113,6 +113,9 @@
         acknowledged = self._live_hosts.find_acknowledged_position(
             self._state.name, revision
         )
+        if end is not None and end < acknowledged:
+            # It has started again without its log, and is not registered anew yet.
+            end = None
         limit = self._find_limit(record, revision, end)
         choice = choose_successor(candidates, silent, acknowledged, limit)
         if choice.instance is None:
@@ -171,11 +174,9 @@
             revision: The revision of the record.
             end: The log end of the old primary after it stepped down, or None.
         """
-        reported = None
-        if names_primary(record):
-            reported = self._writers.find_limit(self._state.name, revision)
-        limits = [limit for limit in (reported, end) if limit is not None]
-        return min(limits, default=None)
+        if end is not None or not names_primary(record):
+            return end
+        return self._writers.find_limit(self._state.name, revision)
 
     async def _hand_over(
         self,
