Count a replica as fenced only if its report says so

Cause: any report was taken for a fence. An instance that knows of a later term, or leads, ignores the order; it went on confirming commits after its log end was read.

An instance that isn't fenced counts as silent.

--- a/src/wasabipitch/group/instance_control.py
+++ b/src/wasabipitch/group/instance_control.py
@@ -67,10 +67,23 @@
     async def fence_all(
         self, entries: Iterable[InstanceEntry], term: int
     ) -> dict[str, InstanceReport]:
-        """Fence replicas; return the reports of those that answer, by name."""
+        """Fence replicas; return the reports of those that are fenced, by name.
+
+        An instance that knows of a later term accepts no fence of this one.
+        """
         entries = list(entries)
         reports = await asyncio.gather(*(self.fence(entry, term) for entry in entries))
-        return _index_by_name(entries, reports)
+        fenced = {}
+        for entry, report in zip(entries, reports, strict=True):
+            if report is None:
+                continue
+            if report.is_primary or report.fenced_term < term:
+                self.failures[entry.name] = (
+                    f"not fenced: term {report.term}, fence {report.fenced_term}"
+                )
+                continue
+            fenced[entry.name] = report
+        return fenced
 
     def close(self) -> None:
         """Close the control connections."""
@@ -111,8 +124,3 @@
             if reply.code is not Code.BUSY:
                 return None
             await asyncio.sleep(BUSY_PAUSE_S)
-
-
-def _index_by_name(entries, reports) -> dict[str, InstanceReport]:
-    pairs = zip(entries, reports, strict=True)
-    return {entry.name: report for entry, report in pairs if report is not None}
