Fence the replicas after all hosts have relinquished the primary

Cause: the replicas were fenced, and their log ends read, before the hosts had reported.

Evidence: test_replicas_are_fenced_once_all_hosts_have_relinquished and test_a_repair_has_ended_when_the_primary_is_relinquished failed before, pass now. What callers saw of it isn't shown.

Commits that are under way while the hosts report are answered, and not left unanswered by the fence. test_a_late_answer_is_reported covers the report that an answer changes.

--- a/src/wasabipitch/group/choice.py
+++ b/src/wasabipitch/group/choice.py
@@ -95,10 +95,12 @@
             if old.born_ms != record.primary_born_ms:
                 # It has started again without its log.
                 end = None
-        fenced = await self._control.fence_all(replicas, term)
-        silences = dict(self._control.failures)
         if not await self._wait_relinquished(revision):
             return Choice(None, "another host took over the replacement")
+        # A host that began an earlier replacement ends its commands before it
+        # relinquishes the primary, so none of them ends the fences that follow.
+        fenced = await self._control.fence_all(replicas, term)
+        silences = dict(self._control.failures)
         candidates = {
             entry.name: Candidate(
                 entry.name,
--- a/src/wasabipitch/group/supervisor.py
+++ b/src/wasabipitch/group/supervisor.py
@@ -173,6 +173,7 @@
             return
         revision, started_s = state.record_revision, now_s()
         if state.abandoned_revision < revision:
+            await self._end_repair()
             await self._wait_for_commits()
             # The successor may be chosen as soon as the report is written. Answers of
             # the old primary that arrive later must not count as acknowledged.
@@ -204,6 +205,13 @@
             state.unanswered.is_empty,
         )
 
+    async def _end_repair(self) -> None:
+        """End the repair of an earlier replacement, which ends fences of replicas."""
+        if self._repair is not None:
+            self._repair.cancel()
+            await asyncio.gather(self._repair, return_exceptions=True)
+            self._repair = None
+
     async def _wait_for_commits(self) -> None:
         until_s = now_s() + COMMIT_WAIT_S
         while self._state.commits_under_way and now_s() < until_s:
--- a/tests/wasabipitch/group/test_choice.py
+++ b/tests/wasabipitch/group/test_choice.py
@@ -60,13 +60,19 @@
             self.live_hosts,
             self.writers,
             SimpleNamespace(find=lambda group: Membership()),
-            AsyncMock(return_value=True),
+            self.wait_relinquished,
         )
+        self.commands = []
+
+    async def wait_relinquished(self, revision):
+        self.commands.append("relinquished")
+        return True
 
     async def fetch_reports(self, entries, patience_s=None):
         return self.reports
 
     async def fence_all(self, entries, term):
+        self.commands.append("fenced")
         return self.fenced
 
     async def choose(self):
@@ -119,3 +125,8 @@
         self.reports = {"old": make_report(True, 12), "near": make_report(False, 9)}
         self.assertEqual((await self.choose()).instance, "old")
         self.control.step_down.assert_not_awaited()
+
+    async def test_replicas_are_fenced_once_all_hosts_have_relinquished(self):
+        # The holder of an earlier claim may end a fence until it has relinquished.
+        await self.choose()
+        self.assertEqual(self.commands, ["relinquished", "fenced"])
--- a/tests/wasabipitch/group/test_supervisor.py
+++ b/tests/wasabipitch/group/test_supervisor.py
@@ -1,3 +1,4 @@
+import asyncio
 import unittest
 from types import SimpleNamespace
 from unittest.mock import AsyncMock, patch
@@ -10,7 +11,9 @@
     GroupRecord,
     GroupSettings,
     Phase,
+    RelinquishedRecord,
     SuspicionRecord,
+    decode,
     encode,
 )
 from wasabipitch.coordination.members import Membership
@@ -21,7 +24,7 @@
 from wasabipitch.policy.quorum import READ_LEASE_MARGIN_S
 from wasabipitch.policy.read_leases import READ_LEASE_S
 from wasabipitch.policy.succession import RANK_DELAY_S
-from wasabipitch.wire.messages import InstanceReport
+from wasabipitch.wire.messages import InstanceReport, Reply
 
 GROUP = "ledger"
 KEY = GROUPS_PREFIX + GROUP
@@ -288,3 +291,31 @@
         revision = self.store.revision
         await self.supervisor._report_relinquished()
         self.assertEqual(self.store.revision, revision)
+
+    async def test_a_repair_has_ended_when_the_primary_is_relinquished(self):
+        # It ends the fences of replicas, which the next replacement sets after the
+        # reports. A replica then confirmed commits that the successor lacked.
+        repair = asyncio.ensure_future(asyncio.sleep(60))
+        self.supervisor._repair = repair
+        self.state.set_record(GroupRecord(Phase.CHANGING, "i-0", 1, 1, "other.1"), 5)
+        with patch.object(self.supervisor, "_write") as write:
+            write.side_effect = lambda *args: self.assertTrue(repair.cancelled())
+            await self.supervisor._report_relinquished()
+        write.assert_called_once()
+
+    async def test_a_late_answer_is_reported(self):
+        # A commit was under way when the primary was relinquished.
+        answer = asyncio.get_running_loop().create_future()
+        self.state.unanswered.watch(answer)
+        self.state.set_record(GroupRecord(Phase.CHANGING, "i-0", 1, 1, "other.1"), 5)
+        await self.supervisor._report_relinquished()
+        self.assertFalse(self.read_report().is_answered)
+        answer.set_result(Reply(position=Position(1, 7)))
+        await asyncio.sleep(0)
+        await self.supervisor._report_relinquished()
+        self.assertTrue(self.read_report().is_answered)
+        self.assertEqual(self.read_report().limit, Position(1, 7))
+
+    def read_report(self):
+        item = self.store.items[f"{RELINQUISHED_PREFIX}{GROUP}/host.1"]
+        return decode(item.value, RelinquishedRecord)
