Promote none beside an instance that has registered since the choice

Cause: the replicas that were registered at the choice were fenced. One that registered before the order, as in a release, was not, and could confirm commits of an old primary that runs on without answering the holder.

Evidence: test_none_is_promoted_beside_an_instance_that_was_not_asked failed before (the order was sent), passes now. What callers saw of it isn't shown.

The order is sent only if every registered instance was asked; otherwise the choice is made again.

--- a/src/wasabipitch/group/replacement.py
+++ b/src/wasabipitch/group/replacement.py
@@ -10,6 +10,7 @@
 from wasabipitch.clock import now_s
 from wasabipitch.coordination.documents import (
     GroupRecord,
+    Member,
     Phase,
 )
 from wasabipitch.coordination.live_hosts import LiveHosts
@@ -19,6 +20,7 @@
 from wasabipitch.coordination.store import Promoter
 from wasabipitch.coordination.writers import CommitWriters
 from wasabipitch.exceptions import PromotionRefused, StoreUnavailable
+from wasabipitch.group.bookkeeping import find_members
 from wasabipitch.group.choice import POLL_INTERVAL_S, SuccessorChoice, names_primary
 from wasabipitch.group.instance_control import InstanceControl
 from wasabipitch.group.state import GroupState
@@ -116,6 +118,7 @@
         if leader is None and self._have_orders_ended():
             leader = find_restarted_primary(record, reports)
         if leader is None:
+            asked = find_members(self._state.entries)
             choice = await self._choice.run(record, revision, reports, self._refused)
             leader = choice.instance
             if leader is None:
@@ -128,7 +131,9 @@
                 reason=choice.reason,
                 **choice.inputs,
             )
-            if leader != record.primary and not await self._promote(leader, revision):
+            if leader != record.primary and not await self._promote(
+                leader, revision, asked
+            ):
                 return None
         elif not await self._wait_relinquished(revision):
             return None
@@ -173,8 +178,9 @@
             return True
         return self._live_hosts.is_adopted(self._state.name, revision)
 
-    async def _promote(self, instance: str, revision: int) -> bool:
-        chosen = self._state.entries.get(instance)
+    async def _promote(
+        self, instance: str, revision: int, asked: frozenset[Member]
+    ) -> bool:
         while self._is_holder(revision):
             # A process that was suspended may no longer be the holder, and must not
             # promote after another host has. A read that the hosts share may be older
@@ -183,9 +189,12 @@
             if not confirmed or not self._is_holder(revision):
                 await asyncio.sleep(RETRY_S)
                 continue
-            entry = self._state.entries.get(instance)
-            if entry is None or chosen is None or entry.born_ms != chosen.born_ms:
-                # It has started again without the log for which it was chosen.
+            registered = find_members(self._state.entries)
+            if not registered <= asked or not any(
+                member.name == instance for member in registered
+            ):
+                # An instance that was not fenced may confirm commits of the old
+                # primary, and one that has started again has lost its log.
                 return False
             try:
                 await self._promoter.promote(
--- a/tests/wasabipitch/group/test_replacement.py
+++ b/tests/wasabipitch/group/test_replacement.py
@@ -4,7 +4,12 @@
 
 from msgspec import structs
 
-from wasabipitch.coordination.documents import GroupRecord, GroupSettings, Phase
+from wasabipitch.coordination.documents import (
+    GroupRecord,
+    GroupSettings,
+    Member,
+    Phase,
+)
 from wasabipitch.group.replacement import (
     Replacement,
     find_later_leader,
@@ -15,6 +20,7 @@
 from wasabipitch.operations.decisions import DecisionLog
 from wasabipitch.wire.messages import InstanceReport
 
+ASKED = frozenset({Member("third", 1)})
 RECORD = GroupRecord(Phase.CHANGING, "second", 1, 2, "holder")
 
 
@@ -99,10 +105,28 @@
 
         replacement = self.make_replacement(check, promote)
         async with asyncio.timeout(2):
-            self.assertTrue(await replacement._promote("third", 9))
+            self.assertTrue(await replacement._promote("third", 9, ASKED))
         self.assertEqual(checks, [False])
         self.assertEqual(orders, [("ledger", "third", "holder", 9)])
 
+    async def test_none_is_promoted_beside_an_instance_that_was_not_asked(self):
+        # It has registered since the choice, is not fenced, and may confirm commits of
+        # the old primary that the chosen one lacks.
+        orders = []
+
+        async def check(shared=True):
+            fourth = SimpleNamespace(name="fourth", born_ms=1)
+            self.state.entries = {**self.state.entries, "fourth": fourth}
+            return True
+
+        async def promote(*order):
+            orders.append(order)
+
+        replacement = self.make_replacement(check, promote)
+        async with asyncio.timeout(2):
+            self.assertFalse(await replacement._promote("third", 9, ASKED))
+        self.assertEqual(orders, [])
+
     async def test_an_instance_that_starts_again_empty_is_not_promoted(self):
         # It was chosen for its log, and restarted while the store was silent.
         orders = []
@@ -116,5 +140,5 @@
 
         replacement = self.make_replacement(check, promote)
         async with asyncio.timeout(2):
-            self.assertFalse(await replacement._promote("third", 9))
+            self.assertFalse(await replacement._promote("third", 9, ASKED))
         self.assertEqual(orders, [])
