Answer for ended hosts by a report of the primary, not by its answers to statements

Cause: a position from an answer to a statement was taken for the primary's log end. It need not cover a commit that is in the log and waits for a replica, and which may be acknowledged later.

A round of the bookkeeping now always asks the primary for a report.

--- a/src/wasabipitch/group/bookkeeping.py
+++ b/src/wasabipitch/group/bookkeeping.py
@@ -143,10 +143,11 @@
     async def _read_log_end(
         self, control: InstanceControl, record: GroupRecord
     ) -> Position | None:
-        """Return the end of the primary's log, read since there is work, or None."""
-        newest = self._state.samples.newest
-        if newest is not None and newest.at_s > self._work_since_s:
-            return newest.position
+        """Return the end of the primary's log, or None.
+
+        The positions in its answers to statements need not cover commits that wait
+        for a replica.
+        """
         entry = self._state.entries.get(record.primary)
         if entry is None or entry.born_ms != record.primary_born_ms:
             return None
