Answer for an ended host only once its last statements have ended

Cause: the log end was read as soon as a host was seen to have ended. A commit that it had sent just before could still run at the primary and be acknowledged beyond that end, and no report covered it.

Evidence: test_nobody_answers_for_it_while_its_statements_may_run failed before, passes now. What callers saw of it isn't shown.

--- a/src/wasabipitch/group/bookkeeping.py
+++ b/src/wasabipitch/group/bookkeeping.py
@@ -21,6 +21,7 @@
 from wasabipitch.exceptions import StoreError
 from wasabipitch.group.instance_control import InstanceControl
 from wasabipitch.group.state import GroupState
+from wasabipitch.group.unanswered import STATEMENT_END_S
 from wasabipitch.models import Position
 from wasabipitch.operations.decisions import DecisionLog
 from wasabipitch.policy.succession import find_gone_members, may_drop_members
@@ -83,6 +84,8 @@
         # What there was to do, and since when.
         self._work: tuple[frozenset, frozenset, frozenset] | None = None
         self._work_since_s = 0.0
+        # Since when this host has known that a listed host has ended.
+        self._ended_since_s: dict[str, float] = {}
         self._round_ended_s = 0.0
         self._pause_s = ROUND_PAUSE_S
 
@@ -104,13 +107,26 @@
         return now_s() - self._round_ended_s < self._pause_s
 
     def _find_work(self) -> tuple[frozenset, frozenset, frozenset]:
-        """Return members to add, members that are gone, and writers that have ended."""
+        """Return members to add, members that are gone, and writers to answer for."""
         name = self._state.name
         membership = self._members.find(name)
         registered = find_members(self._state.entries)
         added = (membership.known | registered) - membership.stored
         gone = find_gone_members(membership.known, registered)
-        return added, gone, frozenset(self._writers.find_ended(name))
+        return added, gone, self._find_ended_writers()
+
+    def _find_ended_writers(self) -> frozenset[str]:
+        """Return the writers that ended so long ago that their statements have, too."""
+        at_s = now_s()
+        self._ended_since_s = {
+            host: self._ended_since_s.get(host, at_s)
+            for host in self._writers.find_ended(self._state.name)
+        }
+        return frozenset(
+            host
+            for host, since_s in self._ended_since_s.items()
+            if at_s - since_s >= STATEMENT_END_S
+        )
 
     async def run(self, record: GroupRecord, revision: int) -> None:
         """Do what there is to do, as far as the instances answer.
