Reset connections whose requests were given up

Cause: a command or an order that got no answer in time was given up by closing its connection, and the system went on sending what it had written.

Evidence: test_a_peer_that_reads_later_gets_an_error_and_no_more_bytes failed before with both event loops (the peer reads all bytes and an orderly end), passes now.

Connections to instances and of the HTTP client are reset (SO_LINGER 0), which discards what has not arrived.

--- a/src/wasabipitch/http/client.py
+++ b/src/wasabipitch/http/client.py
@@ -9,6 +9,7 @@
 import httptools
 import msgspec
 
+from wasabipitch import sockets
 from wasabipitch.exceptions import HttpError
 from wasabipitch.models import Address
 
@@ -89,7 +90,7 @@
     def abort(self, reason: str = "request aborted") -> None:
         self.reusable = False
         self._fail(reason)
-        self._transport.abort()
+        sockets.reset(self._transport)
 
     def _fail(self, reason: str) -> None:
         if self._response is not None and not self._response.done():
--- a/src/wasabipitch/wire/lines.py
+++ b/src/wasabipitch/wire/lines.py
@@ -4,6 +4,7 @@
 import socket
 from collections import deque
 
+from wasabipitch import sockets
 from wasabipitch.exceptions import (
     ConnectionRefused,
     InstanceLost,
@@ -129,9 +130,9 @@
             self._transport.close()
 
     def abort(self) -> None:
-        """Close the connection at once and discard unsent bytes."""
+        """Close the connection at once and discard bytes that have not arrived."""
         if self._transport is not None:
-            self._transport.abort()
+            sockets.reset(self._transport)
 
 
 def _set_socket_options(sock: socket.socket) -> None:
