Let the old primary lead on only after earlier orders have taken effect

Cause: a host that took over a replacement and found no replica with all commits named the old primary again at once. An order that the former holder had sent just before could take effect later; what the old primary had acknowledged meanwhile was lost.

Evidence: test_it_leads_on_once_earlier_orders_have_taken_effect failed before (named at once), passes now.

--- a/src/wasabipitch/group/replacement.py
+++ b/src/wasabipitch/group/replacement.py
@@ -124,6 +124,11 @@
             if leader is None:
                 self._log_waiting(record, choice)
                 return None
+            if leader == record.primary and not self._have_orders_ended():
+                self._log_waiting(
+                    record, Choice(None, "earlier orders may take effect")
+                )
+                return None
             self._log(
                 "successor chosen",
                 record,
--- a/tests/wasabipitch/group/test_replacement.py
+++ b/tests/wasabipitch/group/test_replacement.py
@@ -1,6 +1,7 @@
 import asyncio
 import unittest
 from types import SimpleNamespace
+from unittest.mock import AsyncMock
 
 from msgspec import structs
 
@@ -18,6 +19,8 @@
 from wasabipitch.group.state import GroupState
 from wasabipitch.models import Position
 from wasabipitch.operations.decisions import DecisionLog
+from wasabipitch.policy.recovery import VERIFY_AFTER_S
+from wasabipitch.policy.succession import Choice
 from wasabipitch.wire.messages import InstanceReport
 
 ASKED = frozenset({Member("third", 1)})
@@ -68,6 +71,31 @@
         self.assertIsNone(find_restarted_primary(unknown, {"fourth": report(True, 0)}))
 
 
+class RetainedPrimaryTest(unittest.IsolatedAsyncioTestCase):
+    """The old primary is to lead on after another host may have replaced it.
+
+    An order of the former holder that took effect later promoted a replica that
+    lacked the commits which the old primary had acknowledged since.
+    """
+
+    def setUp(self):
+        self.state = GroupState(
+            GroupSettings("ledger", 16, 1), lambda: 0.0, DecisionLog("host")
+        )
+        self.state.set_record(RECORD, 9)
+        self.replacement = Replacement(
+            self.state, None, None, None, None, DecisionLog("host"), *[None] * 4
+        )
+        self.replacement._choice.run = AsyncMock(return_value=Choice("second", ""))
+        self.replacement._fetch_reports = AsyncMock(return_value={})
+        self.replacement._establish = AsyncMock(return_value=RECORD)
+
+    async def test_it_leads_on_once_earlier_orders_have_taken_effect(self):
+        self.assertIsNone(await self.replacement._attempt(RECORD, 9))
+        self.state.record_since_s -= VERIFY_AFTER_S
+        self.assertEqual(await self.replacement._attempt(RECORD, 9), RECORD)
+
+
 class PromoteTest(unittest.IsolatedAsyncioTestCase):
     def make_replacement(self, check, promote):
         self.state = GroupState(
