Commit nothing for a group after this host is marked as ended there

Cause: a host that loses a group is marked as one that acknowledges no more commits 10 s later, and others answer for it. The COMMIT of a transaction that was still open was sent all the same. Found by reading, and by the review of the fix.

Evidence: test_a_transaction_does_not_commit_after_its_host_was_marked_as_ended failed before (COMPLETE), passes now.

Such a transaction ends with ABORTED, as after a report. A report of unanswered commits counts whether or not its host is still listed (test_unanswered_commits_of_a_host_that_is_not_listed_count).

--- a/src/wasabipitch/coordination/live_hosts.py
+++ b/src/wasabipitch/coordination/live_hosts.py
@@ -254,17 +254,18 @@
         records = self._list_relinquished(group, revision)
         return max((record.limit for record in records), default=ORIGIN)
 
-    def has_answers(self, group: str, incarnation: str, revision: int) -> bool:
-        """Return whether a host has read the answers to all commits that it sent.
+    def find_unanswered(self, group: str, revision: int) -> list[str]:
+        """Return the hosts that reported commits whose answers they have not read.
 
         Args:
             group: The group whose primary is replaced.
-            incarnation: The incarnation of the host.
             revision: The revision of the group record that began the replacement.
         """
-        record = self._relinquished.get(group, {}).get(incarnation)
-        is_current = record is not None and record.revision >= revision
-        return is_current and record.is_answered
+        return [
+            host
+            for host, record in self._relinquished.get(group, {}).items()
+            if record.revision >= revision and not record.is_answered
+        ]
 
     def describe_reports(self, group: str, revision: int) -> dict[str, str]:
         """Return each host's report on a replacement and its age, for the log."""
--- a/src/wasabipitch/coordination/registration.py
+++ b/src/wasabipitch/coordination/registration.py
@@ -141,6 +141,14 @@
         """Return whether the store may still list this host as serving a group."""
         return group in self._groups or group in self._dropped_at_s
 
+    def may_commit(self, group: str) -> bool:
+        """Return whether transactions that are open in a group may still commit.
+
+        Once this host is marked as one that acknowledges no more commits of a group
+        that it dropped, other hosts answer for it.
+        """
+        return self.may_serve(group) and group not in self._retired
+
     def is_serving(self, group: str) -> bool:
         """Return whether the store lists this host as serving a group.
 
--- a/src/wasabipitch/coordination/writers.py
+++ b/src/wasabipitch/coordination/writers.py
@@ -69,20 +69,6 @@
             if not self._live_hosts.has_relinquished(group, incarnation, revision)
         ]
 
-    def find_unanswered(self, group: str, revision: int) -> list[str]:
-        """Return the incarnations that reported commits without an answer.
-
-        Args:
-            group: The group whose primary is replaced.
-            revision: The revision of the group record that began the replacement.
-        """
-        return [
-            incarnation
-            for incarnation in self._writers.get(group, {})
-            if self._live_hosts.has_relinquished(group, incarnation, revision)
-            and not self._live_hosts.has_answers(group, incarnation, revision)
-        ]
-
     def find_limit(self, group: str, revision: int) -> Position | None:
         """Return a position that no acknowledged commit exceeds, or None.
 
@@ -96,7 +82,7 @@
         """
         if self._mirror.revision < revision or self.find_unreported(group, revision):
             return None
-        if self.find_unanswered(group, revision):
+        if self._live_hosts.find_unanswered(group, revision):
             return None
         return self._live_hosts.find_limit(group, revision)
 
--- a/src/wasabipitch/group/assembly.py
+++ b/src/wasabipitch/group/assembly.py
@@ -170,6 +170,7 @@
             self._decisions,
             lambda: registration.is_serving(name),
         )
+        state.may_commit = lambda: registration.may_commit(name)
         state.is_relinquished = lambda: self._live_hosts.all_relinquished(
             name, state.record_revision
         )
@@ -241,7 +242,9 @@
             return False
         unreported = self._writers.find_unreported(name, state.record_revision)
         ended = self._writers.find_ended(name).keys() & set(unreported)
-        if not ended and not self._writers.find_unanswered(name, state.record_revision):
+        if not ended and not self._live_hosts.find_unanswered(
+            name, state.record_revision
+        ):
             return False
         pools = dispatcher.pools
         gone = find_gone_members(
--- a/src/wasabipitch/group/state.py
+++ b/src/wasabipitch/group/state.py
@@ -85,6 +85,8 @@
         # Returns whether every host has relinquished the primary that the record
         # replaces.
         self.is_relinquished: Callable[[], bool] = lambda: False
+        # Returns whether open transactions may commit at the primary they began on.
+        self.may_commit: Callable[[], bool] = lambda: True
         # Returns whether a successor can't be chosen before more instances answer.
         self.is_blocked: Callable[[], bool] = lambda: False
         # Time of the first request in a row that could not reach a primary, or None.
--- a/src/wasabipitch/group/transactions.py
+++ b/src/wasabipitch/group/transactions.py
@@ -135,7 +135,7 @@
             if transaction.wrote and self._has_relinquished(transaction):
                 transaction.checkout.conn.close()
                 raise StatementFailed(
-                    Code.ABORTED, "the primary was replaced during the transaction"
+                    Code.ABORTED, "this host gave up the primary of the transaction"
                 )
             if not (commits and transaction.wrote):
                 return await self._exchange.ask(req, transaction.checkout, message)
@@ -155,7 +155,8 @@
     def _has_relinquished(self, transaction: Transaction) -> bool:
         # A commit that is sent after this host has reported what it saw acknowledged
         # may be acknowledged by the old primary and be missing at the new one.
-        return transaction.revision < self._state.abandoned_revision
+        state = self._state
+        return transaction.revision < state.abandoned_revision or not state.may_commit()
 
     def _end_failed(self, req: Request, transaction: Transaction) -> None:
         # Closing the connection makes the instance roll back, so that the answer
--- a/tests/wasabipitch/coordination/test_writers.py
+++ b/tests/wasabipitch/coordination/test_writers.py
@@ -29,7 +29,8 @@
             patch("wasabipitch.coordination.writers.now_s", lambda: self.at_s)
         )
         self.mirror = StoreMirror(MemoryStore(), DecisionLog("host"))
-        self.writers = CommitWriters(self.mirror, LiveHosts(self.mirror, lambda: None))
+        self.live_hosts = LiveHosts(self.mirror, lambda: None)
+        self.writers = CommitWriters(self.mirror, self.live_hosts)
         self.revision = 0
         self.mirror.revision = 100
         for name in ("a", "b"):
@@ -65,11 +66,17 @@
     def test_no_limit_is_known_while_a_host_has_not_read_an_answer(self):
         self.report("a.1", 9, 40)
         self.report("b.1", 9, 39, is_answered=False)
-        self.assertEqual(self.writers.find_unanswered("g", 9), ["b.1"])
+        self.assertEqual(self.live_hosts.find_unanswered("g", 9), ["b.1"])
         self.assertIsNone(self.writers.find_limit("g", 9))
         self.report("b.1", 9, 41)
         self.assertEqual(self.writers.find_limit("g", 9), Position(1, 41))
 
+    def test_unanswered_commits_of_a_host_that_is_not_listed_count(self):
+        self.report("a.1", 9, 40)
+        self.report("b.1", 9, 40)
+        self.report("c.1", 9, 39, is_answered=False)
+        self.assertIsNone(self.writers.find_limit("g", 9))
+
     def test_a_copy_of_the_store_before_the_claim_gives_no_limit(self):
         self.report("a.1", 101, 40)
         self.report("b.1", 101, 40)
--- a/tests/wasabipitch/test_unanswered_commits.py
+++ b/tests/wasabipitch/test_unanswered_commits.py
@@ -101,6 +101,17 @@
         self.instances["i-1"].silent = True
         await self.fleet.wait_for(lambda: self.list_chosen() == ["i-2"])
 
+    async def test_a_transaction_does_not_commit_after_its_host_was_marked_as_ended(
+        self,
+    ):
+        caller, _ = await self.fleet.connect(PRIMARY_DB)
+        await caller.ask("BEGIN")
+        await caller.ask("WRITE job v1", "w1")
+        self.fleet.hosts["host-0"].registration._retired.add(GROUP)
+        lines = await caller.ask("COMMIT", "w2")
+        self.assertTrue(lines[0].startswith("ERROR ABORTED"), lines)
+        self.assertEqual(self.instances["i-0"].log, [])
+
     async def test_a_transaction_does_not_commit_after_its_host_has_reported(self):
         caller, _ = await self.fleet.connect(PRIMARY_DB)
         await caller.ask("BEGIN")
