Count neither refused executions nor answers of a replaced primary as commits in doubt

Cause: NO_STATEMENT is the answer to an execution whose preparation was refused; it has not run, but counted as a commit without an outcome for at least 4 s. An answer that arrived after the primary had been replaced raised the acknowledged position; one that no log holds would have kept every later successor from being chosen. Found by the review of the fix.

--- a/src/wasabipitch/group/exchange.py
+++ b/src/wasabipitch/group/exchange.py
@@ -10,7 +10,7 @@
 from wasabipitch.instances.dispatcher import Checkout, Dispatcher
 from wasabipitch.models import ORIGIN, Position
 from wasabipitch.wire.codecs import InstanceCodec
-from wasabipitch.wire.messages import NOT_RUN_CODES, Code, Reply, Verb
+from wasabipitch.wire.messages import RETRYABLE_CODES, Code, Reply, Verb
 
 # Pause before the first retry of a statement that did not run; later ones are longer.
 RETRY_PAUSE_S = 0.01
@@ -151,7 +151,7 @@
             return False
         if checkout is not None:
             self._apply_refusal(req, checkout, code)
-        return code in NOT_RUN_CODES or code is Code.NO_STATEMENT
+        return code in RETRYABLE_CODES
 
     def _apply_refusal(self, req: Request, checkout: Checkout, code: Code) -> None:
         name = checkout.pool.name
--- a/src/wasabipitch/group/unanswered.py
+++ b/src/wasabipitch/group/unanswered.py
@@ -11,7 +11,7 @@
 from wasabipitch.clock import now_s
 from wasabipitch.exceptions import InstanceLost
 from wasabipitch.models import Position
-from wasabipitch.wire.messages import NOT_RUN_CODES, Reply
+from wasabipitch.wire.messages import RETRYABLE_CODES, Reply
 
 # A statement whose connection has ended runs at its instance for at most this long: an
 # instance drops a connection whose other end can't be reached after 3 s.
@@ -57,14 +57,15 @@
         self._lost_at_s = None
 
     def _end(self, fut: asyncio.Future[Reply], sent_at_s: float) -> None:
-        was_pending = fut in self._pending
-        self._pending.discard(fut)
+        if fut not in self._pending:
+            return
+        self._pending.remove(fut)
         reply = _read_reply(fut)
         if reply is not None and reply.failure is None and reply.position is not None:
             self._on_acknowledged(reply.position)
-            if was_pending and self._have_lost_ended(sent_at_s):
+            if self._have_lost_ended(sent_at_s):
                 self._lost_at_s = None
-        elif was_pending and (reply is None or reply.code not in NOT_RUN_CODES):
+        elif reply is None or reply.code not in RETRYABLE_CODES:
             self._lost_at_s = now_s()
 
     def _have_lost_ended(self, at_s: float) -> bool:
--- a/src/wasabipitch/wire/messages.py
+++ b/src/wasabipitch/wire/messages.py
@@ -53,6 +53,9 @@
         Code.TOO_MANY_CONNECTIONS,
     }
 )
+# A statement that failed with one of these has not run: an execution fails with
+# ``NO_STATEMENT`` if its preparation did.
+RETRYABLE_CODES = NOT_RUN_CODES | {Code.NO_STATEMENT}
 
 
 class SessionState(enum.Enum):
