Give up transactions of a primary whose replacement this host did not see

Cause: where the claim and the record of the successor arrive together, a host never relinquishes the old primary, and the COMMIT of a transaction that is open there was sent.

Evidence: test_a_transaction_does_not_commit_at_a_primary_that_was_replaced_unseen failed before (COMPLETE at the old primary), passes now.

--- a/src/wasabipitch/group/state.py
+++ b/src/wasabipitch/group/state.py
@@ -293,7 +293,9 @@
             self._keep_replicated_samples(record)
         if record is not None and record.phase is Phase.STEADY:
             if not record.names_same_primary(self._established):
-                # The new primary holds every commit that was acknowledged before.
+                # The new primary holds every commit that was acknowledged before. This
+                # host may not have seen the record that began the replacement.
+                self.abandon_commits(revision)
                 self.unanswered.clear()
             self._established = record
         self._decisions.belief(
--- a/tests/wasabipitch/test_unanswered_commits.py
+++ b/tests/wasabipitch/test_unanswered_commits.py
@@ -112,6 +112,20 @@
         self.assertTrue(lines[0].startswith("ERROR ABORTED"), lines)
         self.assertEqual(self.instances["i-0"].log, [])
 
+    async def test_a_transaction_does_not_commit_at_a_primary_that_was_replaced_unseen(
+        self,
+    ):
+        # The claim and the record of the successor arrive together.
+        caller, _ = await self.fleet.connect(PRIMARY_DB)
+        await caller.ask("BEGIN")
+        await caller.ask("WRITE job v1", "w1")
+        state = self.fleet.state()
+        successor = GroupRecord(Phase.STEADY, "i-1", 1, state.record.term + 1, epoch=0)
+        state.set_record(successor, state.record_revision + 5)
+        lines = await caller.ask("COMMIT", "w2")
+        self.assertTrue(lines[0].startswith("ERROR ABORTED"), lines)
+        self.assertEqual(self.instances["i-0"].log, [])
+
     async def test_a_transaction_does_not_commit_after_its_host_has_reported(self):
         caller, _ = await self.fleet.connect(PRIMARY_DB)
         await caller.ask("BEGIN")
