Use a primary only after the store has answered a read since the registration

Cause: a write needed only the host's own registration. A host that registers while a primary is replaced, and whose copy of the store lags, sent commits to the old primary; the holder of the claim doesn't wait for a host that is listed later.

Evidence: test_it_sends_no_write_before_it_has_read_the_claim failed before (the write ran at the old primary), passes now.

A read that is answered after the registration shows every claim whose holder did not see the registration. Reads of primaries needed that confirmation before.

--- a/src/wasabipitch/group/assembly.py
+++ b/src/wasabipitch/group/assembly.py
@@ -164,11 +164,13 @@
                 at_s = mirror.find_confirmation(state.record_revision)
             return registration.validate_confirmation(name, at_s)
 
+        def may_use_primary() -> bool:
+            # A host that registers while a primary is replaced may not have read the
+            # claim, and the holder may not wait for it.
+            return registration.validate_confirmation(name, mirror.confirmed_at_s) > 0
+
         state = GroupState(
-            settings,
-            read_confirmed_at_s,
-            self._decisions,
-            lambda: registration.is_serving(name),
+            settings, read_confirmed_at_s, self._decisions, may_use_primary
         )
         state.may_commit = lambda: registration.may_commit(name)
         state.is_relinquished = lambda: self._live_hosts.all_relinquished(
--- a/src/wasabipitch/group/state.py
+++ b/src/wasabipitch/group/state.py
@@ -54,8 +54,8 @@
             group record to this host, or 0.
         decisions: The log of decisions.
         is_serving: Returns whether the store lists this host as one that serves the
-            group. A replacement waits only for the listed hosts, so a host that is
-            not listed must not use the primary.
+            group, and has answered a read since. A replacement waits only for the
+            listed hosts, so a host that is not listed must not use the primary.
     """
 
     def __init__(
--- a/tests/wasabipitch/test_unanswered_commits.py
+++ b/tests/wasabipitch/test_unanswered_commits.py
@@ -2,10 +2,18 @@
 import unittest
 from unittest.mock import patch
 
-from tests.wasabipitch.gateway_fixture import GROUP, OWN_DB, PRIMARY_DB, Fleet
+from tests.wasabipitch.gateway_fixture import (
+    GROUP,
+    OWN_DB,
+    PRIMARY_DB,
+    Fleet,
+    HostStore,
+)
 from wasabipitch.coordination.documents import (
     GROUPS_PREFIX,
+    HEAD_KEY,
     RELINQUISHED_PREFIX,
+    WRITERS_PREFIX,
     GroupRecord,
     Phase,
     encode,
@@ -143,3 +151,69 @@
         lines = await caller.ask("COMMIT", "w2")
         self.assertTrue(lines[0].startswith("ERROR ABORTED"), lines)
         self.assertEqual(self.instances["i-0"].log, [])
+
+
+class SlowStore(HostStore):
+    """A host's access to the store, through which reads of changes wait.
+
+    Args:
+        store: The store that all hosts share.
+        on_lease: Called when the host opens its lease.
+        released: Set once the reads may go on.
+    """
+
+    def __init__(self, store, on_lease, released):
+        super().__init__(store)
+        self._on_lease = on_lease
+        self._released = released
+
+    def __getattr__(self, name):
+        method = super().__getattr__(name)
+
+        async def call(*args, **kwargs):
+            if name in ("watch", "read_revision"):
+                await self._released.wait()
+            if name == "open_lease":
+                self._on_lease()
+            return await method(*args, **kwargs)
+
+        return call
+
+
+class LateHostTest(unittest.IsolatedAsyncioTestCase):
+    """A host registers while a primary is replaced, and has not read the claim.
+
+    The holder of the claim need not wait for it, and commits that it sent could be
+    confirmed by an instance that was not fenced.
+    """
+
+    async def test_it_sends_no_write_before_it_has_read_the_claim(self):
+        fleet = Fleet()
+        self.addAsyncCleanup(fleet.close)
+        await fleet.start(1)
+        claim = GroupRecord(
+            Phase.CHANGING, "i-0", 1, fleet.state().record.term, "host-9.1", epoch=0
+        )
+        released = asyncio.Event()
+
+        def write_claim():
+            fleet.store.put(GROUPS_PREFIX + GROUP, encode(claim))
+            fleet.store.put(HEAD_KEY, encode(GROUP))
+
+        def make_store(store):
+            return SlowStore(store, write_claim, released)
+
+        with patch("tests.wasabipitch.gateway_fixture.HostStore", make_store):
+            await fleet.add_host("host-1")
+        await fleet.wait_for(lambda: fleet.state().is_changing)
+        await fleet.wait_for(
+            lambda: any(
+                key.startswith(WRITERS_PREFIX) and "/host-1." in key
+                for key in fleet.store.items
+            )
+        )
+        caller, _ = await fleet.connect(OWN_DB, "host-1")
+        caller.send("WRITE job v1", "w1")
+        await asyncio.sleep(0.5)
+        self.assertEqual(fleet.group.instances["i-0"].ran, [])
+        released.set()
