Promote no replica with a shorter log than another one that answers

Cause: a replica that held the limit was preferred if it stays, though another one that is about to leave, or whose promotion was refused, had received more. What a replica has received is acknowledged, so a limit below it is none. This also covers a primary that started again without its log before its registration was read, and named a log end of 0.

Evidence: three tests of test_succession failed before (the shorter log is chosen), all pass now.

Two tests asked for the shorter log at a limit that the longer one exceeds; that was the fault. They now ask for the longer log there, and for the instance that stays, or that was not refused, among logs of equal length.

--- a/src/wasabipitch/policy/succession.py
+++ b/src/wasabipitch/policy/succession.py
@@ -139,20 +139,18 @@
             None,
             f"{acknowledged} was acknowledged, no candidate holds more than {furthest}",
         )
-    is_limited = limit is not None and limit <= furthest
+    # A replica that received more than the limit shows that it is none: what a replica
+    # has received is acknowledged.
     silent = sorted(silent)
-    if silent and not is_limited:
+    if silent and limit != furthest:
         known = "unknown" if limit is None else f"at most {limit}"
         return Choice(
             None,
             f"{', '.join(silent)} may hold more than {furthest}, and the last"
             f" acknowledged commit is {known}",
         )
-    needed = limit if is_limited else furthest
-    holders = [c for c in candidates.values() if c.received >= needed]
-    best = max(
-        holders, key=lambda c: (not c.refused, not c.leaving, c.received, c.name)
-    )
+    holders = [c for c in candidates.values() if c.received == furthest]
+    best = max(holders, key=lambda c: (not c.refused, not c.leaving, c.name))
     return Choice(best.name, f"it holds {best.received}")
 
 
