Let nothing lead while an earlier order to promote may still take effect

Callers saw (in the test): success for commits that a replica lacked which was promoted later.

Cause: the wait for earlier orders counted from the claim only. A silent instance that a former holder had ordered to lead was not waited for either.

A claim now says whether an earlier holder may have ordered promotions. A first claim, of which no order can be under way, waits no more.

--- a/src/wasabipitch/coordination/documents.py
+++ b/src/wasabipitch/coordination/documents.py
@@ -178,6 +178,8 @@
         epoch: The store's epoch in which the record was written. A record of an
             earlier epoch came back with a copy of the store. None in records of
             versions that did not write it.
+        may_have_orders: Whether a promotion that an earlier holder ordered may still
+            take effect. Without meaning for an established primary.
     """
 
     phase: Phase
@@ -187,6 +189,7 @@
     holder: str = ""
     start: Position = ORIGIN
     epoch: int | None = None
+    may_have_orders: bool = True
 
     def names_same_primary(self, other: "GroupRecord | None") -> bool:
         """Return whether another record establishes the same primary."""
--- a/src/wasabipitch/group/recovery.py
+++ b/src/wasabipitch/group/recovery.py
@@ -178,7 +178,9 @@
             claims=claims,
         )
         if claims:
-            newest = replace(newest, phase=Phase.CHANGING, holder=self._host)
+            newest = replace(
+                newest, phase=Phase.CHANGING, holder=self._host, may_have_orders=True
+            )
         return newest, claims
 
     async def _ask_peers(self) -> tuple[list[KnownRecord], int, int]:
--- a/src/wasabipitch/group/replacement.py
+++ b/src/wasabipitch/group/replacement.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import math
 from collections.abc import Mapping
 
 from wasabipitch.clock import now_s
@@ -81,6 +82,8 @@
             self._wait_relinquished,
         )
         self._refused: set[str] = set()
+        # When this host last ordered a promotion that may have been carried out.
+        self._ordered_at_s = -math.inf
         # The last reason that was logged for a wait, and when it is logged again.
         self._logged_reason = ""
         self._log_again_s = 0.0
@@ -109,47 +112,68 @@
         return is_claimed and self._state.record_revision == revision
 
     async def _attempt(self, record: GroupRecord, revision: int) -> GroupRecord | None:
+        if not self._have_orders_ended(record):
+            self._log_waiting(record, Choice(None, "earlier orders may take effect"))
+            return None
         reports = await self._fetch_reports(record)
         if not names_primary(record) and set(reports) != set(self._state.entries):
             # The instance that has not answered may lead a later term.
             self._log_waiting(record, Choice(None, "an instance has not answered"))
             return None
         leader = find_later_leader(record, reports)
-        if leader is None and self._have_orders_ended():
+        if leader is None and self._may_lead_on(record, reports):
             leader = find_restarted_primary(record, reports)
-        if leader is None:
-            asked = find_members(self._state.entries)
-            choice = await self._choice.run(record, revision, reports, self._refused)
-            leader = choice.instance
-            if leader is None:
-                self._log_waiting(record, choice)
-                return None
-            if leader == record.primary and not self._have_orders_ended():
-                self._log_waiting(
-                    record, Choice(None, "earlier orders may take effect")
-                )
+        if leader is not None:
+            if not await self._wait_relinquished(revision):
                 return None
-            self._log(
-                "successor chosen",
-                record,
-                chosen=leader,
-                reason=choice.reason,
-                **choice.inputs,
-            )
-            if leader != record.primary and not await self._promote(
-                leader, revision, asked
-            ):
+        else:
+            leader = await self._replace(record, revision, reports)
+            if leader is None:
                 return None
-        elif not await self._wait_relinquished(revision):
-            return None
         return await self._establish(leader)
 
-    def _have_orders_ended(self) -> bool:
-        """Return whether all promotions that earlier holders ordered have taken effect.
+    async def _replace(
+        self, record: GroupRecord, revision: int, reports: dict[str, InstanceReport]
+    ) -> str | None:
+        """Choose the next primary and promote it; return its name, or None."""
+        asked = find_members(self._state.entries)
+        choice = await self._choice.run(record, revision, reports, self._refused)
+        leader = choice.instance
+        leads_on = leader == record.primary
+        if leads_on and not self._may_lead_on(record, reports):
+            choice = Choice(None, "an instance that may lead has not answered")
+        if choice.instance is None:
+            self._log_waiting(record, choice)
+            return None
+        self._log(
+            "successor chosen",
+            record,
+            chosen=leader,
+            reason=choice.reason,
+            **choice.inputs,
+        )
+        if leads_on or await self._promote(leader, revision, asked):
+            return leader
+        return None
+
+    def _have_orders_ended(self, record: GroupRecord) -> bool:
+        """Return whether all promotions that were ordered before have taken effect.
 
-        A primary that leads on would acknowledge commits that its successor lacks.
+        Whichever instance leads until one of them does acknowledges commits that the
+        promoted instance lacks.
         """
-        return now_s() - self._state.record_since_s >= VERIFY_AFTER_S
+        at_s = self._ordered_at_s
+        if record.may_have_orders:
+            at_s = max(at_s, self._state.record_since_s)
+        return now_s() - at_s >= VERIFY_AFTER_S
+
+    def _may_lead_on(
+        self, record: GroupRecord, reports: Mapping[str, InstanceReport]
+    ) -> bool:
+        """Return whether no instance that was ordered to lead may be silent."""
+        if not record.may_have_orders and self._ordered_at_s == -math.inf:
+            return True
+        return set(reports) >= set(self._state.entries)
 
     async def _fetch_reports(self, record: GroupRecord) -> dict[str, InstanceReport]:
         old = self._state.entries.get(record.primary)
@@ -201,15 +225,18 @@
                 # An instance that was not fenced may confirm commits of the old
                 # primary, and one that has started again has lost its log.
                 return False
+            ordered_at_s, self._ordered_at_s = self._ordered_at_s, now_s()
             try:
                 await self._promoter.promote(
                     self._state.name, instance, self._host, revision
                 )
             except PromotionRefused as exc:
+                self._ordered_at_s = ordered_at_s
                 self._refused.add(instance)
                 self._log("promotion refused", None, reason=str(exc))
                 return False
             except StoreUnavailable as exc:
+                self._ordered_at_s = now_s()
                 self._log("promotion unanswered", None, reason=str(exc))
                 await asyncio.sleep(RETRY_S)
                 continue
--- a/src/wasabipitch/group/supervisor.py
+++ b/src/wasabipitch/group/supervisor.py
@@ -423,8 +423,14 @@
             reason=reason,
             hosts=len(self._live_hosts.hosts),
         )
+        is_taken_over = old.phase is Phase.CHANGING or old.primary == UNKNOWN_PRIMARY
         record = GroupRecord(
-            Phase.CHANGING, old.primary, old.primary_born_ms, old.term, self._host
+            Phase.CHANGING,
+            old.primary,
+            old.primary_born_ms,
+            old.term,
+            self._host,
+            may_have_orders=is_taken_over,
         )
         await self._commit_record(record, self._state.record_revision)
 
--- a/tests/wasabipitch/group/test_replacement.py
+++ b/tests/wasabipitch/group/test_replacement.py
@@ -5,6 +5,7 @@
 
 from msgspec import structs
 
+from wasabipitch.clock import now_s
 from wasabipitch.coordination.documents import (
     GroupRecord,
     GroupSettings,
@@ -95,6 +96,24 @@
         self.state.record_since_s -= VERIFY_AFTER_S
         self.assertEqual(await self.replacement._attempt(RECORD, 9), RECORD)
 
+    async def test_it_leads_on_at_once_if_no_promotion_was_ordered(self):
+        record = structs.replace(RECORD, may_have_orders=False)
+        self.assertEqual(await self.replacement._attempt(record, 9), RECORD)
+
+    async def test_an_order_of_this_host_is_waited_for(self):
+        record = structs.replace(RECORD, may_have_orders=False)
+        self.replacement._ordered_at_s = now_s()
+        self.assertIsNone(await self.replacement._attempt(record, 9))
+        self.replacement._ordered_at_s -= VERIFY_AFTER_S
+        self.assertEqual(await self.replacement._attempt(record, 9), RECORD)
+
+    async def test_a_silent_instance_may_have_been_promoted_before(self):
+        self.state.record_since_s -= VERIFY_AFTER_S
+        self.state.entries = {"third": SimpleNamespace(name="third", born_ms=1)}
+        self.assertIsNone(await self.replacement._attempt(RECORD, 9))
+        self.replacement._fetch_reports.return_value = {"third": report(False, 2)}
+        self.assertEqual(await self.replacement._attempt(RECORD, 9), RECORD)
+
 
 class PromoteTest(unittest.IsolatedAsyncioTestCase):
     def make_replacement(self, check, promote):
