End the doubt about a lost answer by a log end of the running primary

Cause: a lost answer counted until the same host had another commit acknowledged. In a group without writes the doubt lasted, so that a primary and a replica that were lost much later left it without a primary.

--- a/src/wasabipitch/group/bookkeeping.py
+++ b/src/wasabipitch/group/bookkeeping.py
@@ -128,6 +128,28 @@
             if at_s - since_s >= STATEMENT_END_S
         )
 
+    async def settle(self, record: GroupRecord) -> None:
+        """Answer for the commits whose answers this host has lost.
+
+        Args:
+            record: The record of the established primary.
+        """
+        unanswered = self._state.unanswered
+        lost_at_s = unanswered.lost_at_s
+        control = InstanceControl(self._codec)
+        try:
+            end = await self._read_log_end(control, record)
+            if end is not None and record.names_same_primary(self._state.record):
+                self._state.cover(end)
+                unanswered.settle(lost_at_s)
+        finally:
+            control.close()
+            self._end_round()
+
+    def _end_round(self) -> None:
+        self._round_ended_s = now_s()
+        self._pause_s = min(MAX_PAUSE_S, 2 * self._pause_s)
+
     async def run(self, record: GroupRecord, revision: int) -> None:
         """Do what there is to do, as far as the instances answer.
 
@@ -153,8 +175,7 @@
             )
         finally:
             control.close()
-            self._round_ended_s = now_s()
-            self._pause_s = min(MAX_PAUSE_S, 2 * self._pause_s)
+            self._end_round()
 
     async def _read_log_end(
         self, control: InstanceControl, record: GroupRecord
--- a/src/wasabipitch/group/supervisor.py
+++ b/src/wasabipitch/group/supervisor.py
@@ -263,8 +263,15 @@
         running = self._round is not None and not self._round.done()
         if running or self._bookkeeping.is_pausing:
             return
-        serving = self._registration.is_serving(self._state.name)
-        if not serving or self._find_rank() >= MAX_HOSTS:
+        if not self._registration.is_serving(self._state.name):
+            return
+        if self._state.unanswered.is_settleable:
+            # No other host knows what this one has sent.
+            self._round = tasks.spawn(
+                self._bookkeeping.settle(record), f"bookkeeping of {self._state.name}"
+            )
+            return
+        if self._find_rank() >= MAX_HOSTS:
             return
         since_s = self._bookkeeping.find_work_since_s()
         if since_s is not None and self._is_rank_due(since_s):
--- a/src/wasabipitch/group/unanswered.py
+++ b/src/wasabipitch/group/unanswered.py
@@ -29,14 +29,28 @@
     def __init__(self, on_acknowledged: Callable[[Position], None]) -> None:
         self._on_acknowledged = on_acknowledged
         self._pending: set[asyncio.Future[Reply]] = set()
-        # When the last connection ended on which a commit was unanswered, until a
-        # later commit shows that the primary's log holds whatever became of it.
-        self._lost_at_s: float | None = None
+        # When the last connection ended on which a commit was unanswered, until the
+        # primary's log is known to hold whatever became of it.
+        self.lost_at_s: float | None = None
 
     @property
     def is_empty(self) -> bool:
         """Whether every commit that was sent is known to be acknowledged or not."""
-        return not self._pending and self._lost_at_s is None
+        return not self._pending and self.lost_at_s is None
+
+    @property
+    def is_settleable(self) -> bool:
+        """Whether a log end that is read now covers the commits that were lost."""
+        return self._have_lost_ended(now_s())
+
+    def settle(self, lost_at_s: float) -> None:
+        """Count lost commits as answered, since a log end is known that covers them.
+
+        Args:
+            lost_at_s: The time of the last loss when the log end was read.
+        """
+        if self.lost_at_s == lost_at_s:
+            self.lost_at_s = None
 
     def watch(self, fut: asyncio.Future[Reply]) -> None:
         """Count a commit as unanswered until its answer is read.
@@ -54,7 +68,7 @@
     def clear(self) -> None:
         """Forget the commits of a primary that was replaced."""
         self._pending.clear()
-        self._lost_at_s = None
+        self.lost_at_s = None
 
     def _end(self, fut: asyncio.Future[Reply], sent_at_s: float) -> None:
         if fut not in self._pending:
@@ -64,14 +78,14 @@
         if reply is not None and reply.failure is None and reply.position is not None:
             self._on_acknowledged(reply.position)
             if self._have_lost_ended(sent_at_s):
-                self._lost_at_s = None
+                self.lost_at_s = None
         elif reply is None or reply.code not in RETRYABLE_CODES:
-            self._lost_at_s = now_s()
+            self.lost_at_s = now_s()
 
     def _have_lost_ended(self, at_s: float) -> bool:
         # A log is in the order of its commits, so one that was sent after the others
         # had ended comes after them.
-        return self._lost_at_s is not None and at_s >= self._lost_at_s + STATEMENT_END_S
+        return self.lost_at_s is not None and at_s >= self.lost_at_s + STATEMENT_END_S
 
 
 def _read_reply(fut: asyncio.Future[Reply]) -> Reply | None:
--- a/tests/wasabipitch/group/test_bookkeeping.py
+++ b/tests/wasabipitch/group/test_bookkeeping.py
@@ -1,3 +1,4 @@
+import asyncio
 import unittest
 from types import SimpleNamespace
 from unittest.mock import AsyncMock, patch
@@ -19,6 +20,7 @@
 from wasabipitch.coordination.members import GroupMembers
 from wasabipitch.coordination.mirror import StoreMirror
 from wasabipitch.coordination.writers import CommitWriters
+from wasabipitch.exceptions import InstanceLost
 from wasabipitch.group.bookkeeping import SuccessionBookkeeping
 from wasabipitch.group.state import GroupState
 from wasabipitch.group.unanswered import STATEMENT_END_S
@@ -172,6 +174,31 @@
         self.state.set_record(successor, self.state.record_revision + 9)
         self.assertEqual(self.state.covered, Position(3, 8))
 
+    async def lose_answer(self):
+        fut = asyncio.get_running_loop().create_future()
+        self.state.unanswered.watch(fut)
+        fut.set_exception(InstanceLost("closed"))
+        await asyncio.sleep(0)
+
+    async def test_a_lost_answer_is_covered_by_a_log_end_that_is_read_later(self):
+        # Without later writes the doubt would last, and with a silent replica no
+        # successor could be chosen.
+        with patch("wasabipitch.group.unanswered.now_s", lambda: self.at_s):
+            await self.lose_answer()
+            self.at_s += STATEMENT_END_S - 0.1
+            self.assertFalse(self.state.unanswered.is_settleable)
+            self.at_s += 0.1
+            self.assertTrue(self.state.unanswered.is_settleable)
+        await self.bookkeeping.settle(RECORD)
+        self.assertTrue(self.state.unanswered.is_empty)
+        self.assertEqual(self.state.covered, Position(3, 9))
+
+    async def test_a_lost_answer_is_not_covered_while_the_primary_is_silent(self):
+        del self.reports["i-0"]
+        await self.lose_answer()
+        await self.bookkeeping.settle(RECORD)
+        self.assertFalse(self.state.unanswered.is_empty)
+
     async def test_there_is_no_work_once_all_is_written(self):
         await self.run_round()
         self.assertNotIn(WRITER, self.store.items)
--- a/tests/wasabipitch/test_unanswered_commits.py
+++ b/tests/wasabipitch/test_unanswered_commits.py
@@ -109,6 +109,14 @@
         self.instances["i-1"].silent = True
         await self.fleet.wait_for(lambda: self.list_chosen() == ["i-2"])
 
+    async def test_the_doubt_ends_without_a_later_commit(self):
+        with patch("wasabipitch.group.unanswered.STATEMENT_END_S", 0.2):
+            self.instances["i-0"].lost_answers = 1
+            self.assertTrue((await self.write(1)).startswith("ERROR UNKNOWN"))
+            unanswered = self.fleet.state().unanswered
+            self.assertFalse(unanswered.is_empty)
+            await self.fleet.wait_for(lambda: unanswered.is_empty)
+
     async def test_a_transaction_does_not_commit_after_its_host_was_marked_as_ended(
         self,
     ):
