End fences only for an old primary that answers, and only as the holder

Cause: a holder that found no successor ended the fences of all replicas. One that was suspended, or cut off from the store, did so after a later holder had fenced them; an old primary that still ran could then have commits confirmed that the successor lacks.

Evidence: test_fences_stay_while_the_old_primary_does_not_answer and test_a_holder_that_was_taken_over_ends_no_fence fail on the code before, as it ended every fence after an attempt; they pass now.

Replicas need the log again only while the old primary answers and hands over. What remains: RESUME names no term, so one of a holder that is suspended between its check and its command still takes effect.

--- a/src/wasabipitch/group/choice.py
+++ b/src/wasabipitch/group/choice.py
@@ -47,6 +47,7 @@
         live_hosts: The hosts that are alive, and their reports.
         writers: The hosts that may have acknowledged commits.
         members: The members of the groups.
+        is_holder: Returns whether this host holds the replacement of a revision.
         wait_relinquished: Waits until no host uses the old primary; returns whether
             this host still holds the replacement of that revision then.
     """
@@ -58,6 +59,7 @@
         live_hosts: LiveHosts,
         writers: CommitWriters,
         members: GroupMembers,
+        is_holder: Callable[[int], bool],
         wait_relinquished: Callable[[int], Awaitable[bool]],
     ) -> None:
         self._state = state
@@ -65,6 +67,7 @@
         self._live_hosts = live_hosts
         self._writers = writers
         self._members = members
+        self._is_holder = is_holder
         self._wait_relinquished = wait_relinquished
 
     async def run(
@@ -89,6 +92,7 @@
         replicas = [e for name, e in entries.items() if name != record.primary]
         end = None
         if old is not None and record.primary in reports:
+            await self._end_fences(replicas, reports, revision)
             is_ready, end = await self._hand_over(record, old, replicas, revision, term)
             if not is_ready:
                 return self._retain_old_primary(record, reports)
@@ -120,8 +124,6 @@
             end = None
         limit = self._find_limit(record, revision, end)
         choice = choose_successor(candidates, silent, acknowledged, limit)
-        if choice.instance is None:
-            await asyncio.gather(*(self._control.resume(entry) for entry in replicas))
         inputs = {
             "term": term,
             "received": {name: str(c.received) for name, c in candidates.items()},
@@ -134,6 +136,26 @@
         }
         return replace(choice, inputs=inputs)
 
+    async def _end_fences(
+        self,
+        replicas: list[InstanceEntry],
+        reports: dict[str, InstanceReport],
+        revision: int,
+    ) -> None:
+        """Let replicas receive the log again that an earlier attempt has fenced.
+
+        The fences stay while the old primary doesn't answer: it may still run, and
+        commits that a replica confirms then may be missing at the successor that
+        another holder has chosen.
+        """
+        fenced = [
+            entry
+            for entry in replicas
+            if entry.name in reports and reports[entry.name].fenced_term
+        ]
+        if fenced and self._is_holder(revision):
+            await asyncio.gather(*(self._control.resume(entry) for entry in fenced))
+
     def _describe_reports(self, revision: int) -> dict[str, Any]:
         """Return the hosts' reports and the hosts without one, for the log."""
         name = self._state.name
--- a/src/wasabipitch/group/replacement.py
+++ b/src/wasabipitch/group/replacement.py
@@ -79,6 +79,7 @@
             live_hosts,
             writers,
             members,
+            self._is_holder,
             self._wait_relinquished,
         )
         self._refused: set[str] = set()
--- a/tests/wasabipitch/group/test_choice.py
+++ b/tests/wasabipitch/group/test_choice.py
@@ -60,9 +60,11 @@
             self.live_hosts,
             self.writers,
             SimpleNamespace(find=lambda group: Membership()),
+            lambda revision: self.is_holder,
             self.wait_relinquished,
         )
         self.commands = []
+        self.is_holder = True
 
     async def wait_relinquished(self, revision):
         self.commands.append("relinquished")
@@ -130,3 +132,22 @@
         # The holder of an earlier claim may end a fence until it has relinquished.
         await self.choose()
         self.assertEqual(self.commands, ["relinquished", "fenced"])
+
+    async def test_fences_stay_while_the_old_primary_does_not_answer(self):
+        # It may still run. A holder that was suspended ended the fences of a later
+        # one, and a replica confirmed commits that the successor lacks.
+        del self.reports["old"]
+        self.limit = None
+        self.assertIsNone((await self.choose()).instance)
+        self.control.resume.assert_not_awaited()
+
+    async def test_fences_end_for_a_primary_that_answers_again(self):
+        self.reports["near"] = make_report(False, 7, 2)
+        await self.choose()
+        self.control.resume.assert_awaited_once_with(self.state.entries["near"])
+
+    async def test_a_holder_that_was_taken_over_ends_no_fence(self):
+        self.reports["near"] = make_report(False, 7, 2)
+        self.is_holder = False
+        await self.choose()
+        self.control.resume.assert_not_awaited()
