--- a/tests/docs/test_spec.py
+++ b/tests/docs/test_spec.py
@@ -10,7 +10,10 @@
 def find(path: str):
     parts = path.split(".")
     thing = importlib.import_module(".".join(parts[:2]))
-    for name in parts[2:]:
+    for end, name in enumerate(parts[2:], start=3):
+        if not hasattr(thing, name):
+            # A module of a package is its attribute only once it was imported.
+            importlib.import_module(".".join(parts[:end]))
         thing = getattr(thing, name)
     return thing
 
