Send no commit while this host is not listed as a writer

Cause: a host that drops a group is marked as ended after 10 s, and another one then answers for it by the primary's log end. An open transaction that outlasts these 10 s, as its statements follow each other within the idle timeout, still sent its COMMIT to the primary. Nobody reports that commit, and a limit that is known lies below it. Single writes look at the list before they are sent; commits did not.

Evidence: test_a_transaction_that_outlasts_the_listing_does_not_commit failed before (COMPLETE after the host was marked as ended) and passes now (ABORTED, the log is empty). What callers saw of it isn't shown.

The statement is refused with ABORTED, which is true, as the COMMIT was never sent.

--- a/src/wasabipitch/group/state.py
+++ b/src/wasabipitch/group/state.py
@@ -238,6 +238,18 @@
         finally:
             del self._commits[relinquished]
 
+    def may_commit(self, begun_revision: int) -> bool:
+        """Return whether a commit may be sent for a transaction that is open.
+
+        A commit that is sent after this host has reported what it saw acknowledged, or
+        while no replacement waits for its report, may be acknowledged by the old
+        primary and be missing at the new one.
+
+        Args:
+            begun_revision: The revision of the group record when the transaction began.
+        """
+        return self._is_serving() and begun_revision >= self.abandoned_revision
+
     def abandon_commits(self, revision: int) -> None:
         """Report commits that began under earlier record revisions as unknown.
 
--- a/src/wasabipitch/group/transactions.py
+++ b/src/wasabipitch/group/transactions.py
@@ -132,10 +132,11 @@
                 raise StatementFailed(Code.ABORTED, "session values were refused")
             transaction.wrote = transaction.wrote or req.writes
             message = self._exchange.encode(req, conn, None)
-            if transaction.wrote and self._has_relinquished(transaction):
+            if transaction.wrote and not self._state.may_commit(transaction.revision):
                 transaction.checkout.conn.close()
                 raise StatementFailed(
-                    Code.ABORTED, "the primary was replaced during the transaction"
+                    Code.ABORTED,
+                    "this host stopped using the primary during the transaction",
                 )
             if not (commits and transaction.wrote):
                 return await self._exchange.ask(req, transaction.checkout, message)
@@ -152,11 +153,6 @@
             )
             raise StatementFailed(code, reason) from exc
 
-    def _has_relinquished(self, transaction: Transaction) -> bool:
-        # A commit that is sent after this host has reported what it saw acknowledged
-        # may be acknowledged by the old primary and be missing at the new one.
-        return transaction.revision < self._state.abandoned_revision
-
     def _end_failed(self, req: Request, transaction: Transaction) -> None:
         # Closing the connection makes the instance roll back, so that the answer
         # ABORTED is true. A commit that was sent may still succeed and is left alone.
