Let a host use a primary only once it knows the claims before its listing

Cause: a host that registers applies its own keys to its copy as soon as the store has answered, and used the group's primary at once. Its copy of the group record may be older: the watch lags, or the host became an owner of the group just then. Where another host had claimed the replacement before, the holder need not have seen the new writer when it took the others' reports for a complete limit, and the new host's commit was sent to the primary that was being replaced.

Evidence: test_a_group_is_not_served_before_earlier_claims_are_known failed before (the host serves the group while the claim is in the store and not in its copy) and passes now. What callers saw of it isn't shown.

A host serves a group once its copy holds all group records up to the revision of its listing. The read of the head that follows each registration shows that, as it does for read leases, so nobody waits for the watch.

--- a/src/wasabipitch/coordination/mirror.py
+++ b/src/wasabipitch/coordination/mirror.py
@@ -128,6 +128,10 @@
         """Return whether a revision belongs to the epoch of the copy."""
         return find_epoch(revision) == self.epoch
 
+    def holds_group_records(self, revision: int) -> bool:
+        """Return whether all group records up to a revision are in the copy."""
+        return self._group_records_revision >= revision
+
     def find_confirmation(self, revision: int) -> float:
         """Return when a record of a revision was last confirmed, or 0.
 
@@ -214,6 +218,8 @@
         if not self.is_current(store_revision):
             # The store was restored while the records were read.
             return False
+        # The head was the newest group record at the store's revision.
+        self._group_records_revision = max(self._group_records_revision, store_revision)
         self.store_confirmed_at_s = sent_at_s
         self._record_confirmation(sent_at_s)
         return True
--- a/src/wasabipitch/coordination/registration.py
+++ b/src/wasabipitch/coordination/registration.py
@@ -142,12 +142,19 @@
         return group in self._groups or group in self._dropped_at_s
 
     def is_serving(self, group: str) -> bool:
-        """Return whether the store lists this host as serving a group.
+        """Return whether this host may use a group's primary.
 
-        The host that replaces the group's primary waits for the listed hosts to
-        relinquish it and to report what they saw acknowledged, so no other host may
-        use the primary.
+        The host that replaces the group's primary waits for the hosts that were listed
+        before its claim to relinquish it and to report what they saw acknowledged. So a
+        host must be listed, and know each claim that was written before.
         """
+        if not self._is_listed(group):
+            return False
+        listed = self._mirror.items[self._writer_key(group)]
+        return self._mirror.holds_group_records(listed.revision)
+
+    def _is_listed(self, group: str) -> bool:
+        """Return whether the store lists this host as serving a group."""
         if group in self._retired or not self._is_writer(group):
             return False
         return self._serving_key(group) in self._mirror.items
@@ -213,7 +220,7 @@
         if self._name_key not in self._mirror.items:
             name = encode(self.record.name)
             lasting = {self._name_key: name, NAMED_KEY: name}
-        missing = [group for group in self._groups if not self.is_serving(group)]
+        missing = [group for group in self._groups if not self._is_listed(group)]
         # Keys that are left at an earlier lease would end with it.
         is_new_lease = lease != self._written_lease
         groups = list(self._list_registered_groups() if is_new_lease else missing)
@@ -267,7 +274,7 @@
 
     def _is_complete(self) -> bool:
         present = self.key in self._mirror.items
-        return present and all(map(self.is_serving, self._groups))
+        return present and all(map(self._is_listed, self._groups))
 
     def _update(self, key: str, item: Item | None) -> None:
         own = key.endswith(self.record.incarnation) and not self._leaving
--- a/tests/wasabipitch/coordination/test_registration.py
+++ b/tests/wasabipitch/coordination/test_registration.py
@@ -6,7 +6,13 @@
 from wasabipitch import tasks
 from wasabipitch.clock import now_s
 from wasabipitch.coordination import registration
-from wasabipitch.coordination.documents import NAMED_KEY, WRITERS_PREFIX, HostRecord
+from wasabipitch.coordination.documents import (
+    GROUPS_PREFIX,
+    HEAD_KEY,
+    NAMED_KEY,
+    WRITERS_PREFIX,
+    HostRecord,
+)
 from wasabipitch.coordination.mirror import StoreMirror
 from wasabipitch.coordination.registration import HostRegistration
 from wasabipitch.exceptions import StoreUnavailable
@@ -59,6 +65,27 @@
         self.assertEqual(self.registration.validate_confirmation("h", asked_s), 0.0)
         self.assertGreater(self.registration.validate_confirmation("h", now_s()), 0.0)
 
+    async def test_a_group_is_not_served_before_earlier_claims_are_known(self):
+        # The holder of a claim need not have seen a host that is listed after it, so
+        # the host must not commit at the primary that is being replaced.
+        claim = f"{GROUPS_PREFIX}h"
+        self.store.watches_blocked = True
+        self.store.put(claim, b"changing")
+        self.store.put(HEAD_KEY, b"h")
+        early = []
+
+        def observe(key, item):
+            is_known = claim in self.mirror.items
+            early.append(self.registration.is_serving("h") and not is_known)
+
+        self.mirror.subscribe(observe)
+        self.registration.serve(["g", "h"])
+        async with asyncio.timeout(5):
+            while not self.registration.is_serving("h"):
+                await asyncio.sleep(0.01)
+        self.assertNotIn(True, early)
+        self.assertIn(claim, self.mirror.items)
+
     async def test_a_dropped_group_stays_registered_until_its_transactions_end(self):
         self.registration.serve([])
         self.assertTrue(self.registration.may_serve("g"))
