Send no command or call after its time on a machine that was suspended

Cause: the timeouts of commands to instances and of HTTP calls run on the steady clock, which stops while a machine is suspended. One that was suspended while it connected sent its RESUME, or its order to promote, when it went on, although another host had fenced the replicas or promoted meanwhile.

Evidence: test_a_command_is_not_sent_after_its_time and test_a_request_is_not_sent_after_its_time end in an error without the two checks, as the bytes are sent, and pass with them. What callers saw of it isn't shown.

Before the bytes are written, the time is compared on the clock that counts the time suspended.

--- a/src/wasabipitch/group/instance_control.py
+++ b/src/wasabipitch/group/instance_control.py
@@ -3,6 +3,7 @@
 import asyncio
 from collections.abc import Iterable
 
+from wasabipitch.clock import now_s
 from wasabipitch.coordination.documents import InstanceEntry
 from wasabipitch.exceptions import InstanceLost, MalformedMessage, TargetDown
 from wasabipitch.instances.connection import InstanceConnection, connect
@@ -112,11 +113,15 @@
     async def _send_until_accepted(
         self, entry: InstanceEntry, message: bytes
     ) -> InstanceReport | None:
+        until_s = now_s() + COMMAND_TIMEOUT_S
         while True:
             conn = self._conns.get(entry.name)
             if conn is None or not conn.is_open:
                 conn = await connect(entry, self._codec)
                 self._conns[entry.name] = conn
+            if now_s() > until_s:
+                # The timeout does not count the time for which a machine is suspended.
+                raise TimeoutError("not sent in time")
             reply = await conn.send(message)
             if reply.rows:
                 return self._codec.decode_report(reply.rows[0])
--- a/src/wasabipitch/http/client.py
+++ b/src/wasabipitch/http/client.py
@@ -10,6 +10,7 @@
 import msgspec
 
 from wasabipitch import sockets
+from wasabipitch.clock import now_s
 from wasabipitch.exceptions import HttpError
 from wasabipitch.models import Address
 
@@ -129,13 +130,20 @@
             headers: Headers to add to those that every request has.
 
         Raises:
-            ConnectError: If the connection failed, so that nothing was sent.
+            ConnectError: If the connection failed or took too long, so that nothing was
+                sent.
             HttpError: If no complete and valid response came in time.
         """
         data = self._encode_request(method, path, params, body, headers)
+        until_s = now_s() + timeout_s
         try:
             async with asyncio.timeout(timeout_s):
                 conn = await self._connect()
+                if now_s() > until_s:
+                    # The timeout does not count the time for which a machine is
+                    # suspended.
+                    conn.abort()
+                    raise ConnectError(f"not sent within {timeout_s:g} s")
                 try:
                     response = await conn.send(data)
                 except asyncio.CancelledError:
--- a/tests/wasabipitch/group/test_instance_control.py
+++ b/tests/wasabipitch/group/test_instance_control.py
@@ -1,6 +1,6 @@
 import unittest
 from types import SimpleNamespace
-from unittest.mock import AsyncMock
+from unittest.mock import AsyncMock, patch
 
 from wasabipitch.group.instance_control import InstanceControl
 from wasabipitch.models import Position
@@ -27,3 +27,24 @@
         self.assertEqual(list(fenced), ["held"])
         self.assertEqual(control.failures["later"], "not fenced: term 3, fence 0")
         self.assertIn("leader", control.failures)
+
+
+class SuspensionTest(unittest.IsolatedAsyncioTestCase):
+    async def test_a_command_is_not_sent_after_its_time(self):
+        # The machine was suspended while it connected, and its steady clock stopped. A
+        # RESUME that was sent then ended a fence of another holder.
+        conn = SimpleNamespace(is_open=True, send=AsyncMock(), close=lambda: None)
+        clock = [100.0]
+
+        async def connect(entry, codec):
+            clock[0] += 30.0
+            return conn
+
+        control = InstanceControl(SimpleNamespace(resume=lambda: b"RESUME"))
+        with (
+            patch("wasabipitch.group.instance_control.connect", connect),
+            patch("wasabipitch.group.instance_control.now_s", lambda: clock[0]),
+        ):
+            self.assertIsNone(await control.resume(SimpleNamespace(name="third")))
+        conn.send.assert_not_awaited()
+        self.assertEqual(control.failures, {"third": "not sent in time"})
--- a/tests/wasabipitch/http/test_client.py
+++ b/tests/wasabipitch/http/test_client.py
@@ -1,5 +1,6 @@
 import asyncio
 import unittest
+from unittest.mock import patch
 
 from wasabipitch.exceptions import HttpError
 from wasabipitch.http.client import ConnectError, HttpClient, Response
@@ -64,3 +65,16 @@
     async def test_a_port_without_a_listener(self):
         with self.assertRaises(ConnectError):
             await self.client(1).request("GET", "/", 1.0)
+
+    async def test_a_request_is_not_sent_after_its_time(self):
+        # The machine was suspended while it connected, and its steady clock stopped. An
+        # order to promote arrived after another host had promoted.
+        received = []
+        client = await self.serve(HttpServer(received.append))
+        times_s = iter((100.0, 130.0))
+        with (
+            patch("wasabipitch.http.client.now_s", lambda: next(times_s)),
+            self.assertRaises(ConnectError),
+        ):
+            await client.request("POST", "/promote", 1.0)
+        self.assertEqual(received, [])
