End fences and promote only while the claim was confirmed just before

Cause: a holder that is suspended or stopped for seconds is taken over, and the other one goes on without its report. When it wakes, its copy of the store still names it as the holder. It then ended the fences of the replicas (after a choice without a successor, after it saw its promotion take effect, in the repair of followers), which were the other holder's by then: a replica could confirm commits of the old primary that the chosen one lacks. An answer of the store that had waited in the socket during a suspension counted as a confirmation just before the order to promote.

Evidence: test_a_confirmation_that_has_aged_allows_no_promotion and test_no_fence_is_ended_after_a_suspension failed on the code before. test_a_holder_that_was_taken_over_ends_no_fence and test_a_holder_that_was_taken_over_resumes_no_replica need the new arguments, and fail with the two checks taken out. All four pass now. What callers saw of it isn't shown.

The claim must have been confirmed as of at most 0.8 s ago; if it wasn't, the store is asked once more. Another host acts on its own claim no sooner than a read lease (1.6 s) after it. The wait for the effect of a promotion ends when the claim is lost.

--- a/src/wasabipitch/coordination/mirror.py
+++ b/src/wasabipitch/coordination/mirror.py
@@ -132,6 +132,14 @@
         """Return whether all group records up to a revision are in the copy."""
         return self._group_records_revision >= revision
 
+    def is_confirmed_within(self, age_s: float) -> bool:
+        """Return whether the copy was confirmed as of a time within the last seconds.
+
+        Args:
+            age_s: The age of the oldest confirmation that counts, in seconds.
+        """
+        return now_s() - self.confirmed_at_s <= age_s
+
     def find_confirmation(self, revision: int) -> float:
         """Return when a record of a revision was last confirmed, or 0.
 
--- a/src/wasabipitch/group/choice.py
+++ b/src/wasabipitch/group/choice.py
@@ -49,6 +49,8 @@
         members: The members of the groups.
         wait_relinquished: Waits until no host uses the old primary; returns whether
             this host still holds the replacement of that revision then.
+        may_command: Returns whether this host is certain to hold the replacement of a
+            revision, so that it ends no fence of another host.
     """
 
     def __init__(
@@ -59,6 +61,7 @@
         writers: CommitWriters,
         members: GroupMembers,
         wait_relinquished: Callable[[int], Awaitable[bool]],
+        may_command: Callable[[int], Awaitable[bool]],
     ) -> None:
         self._state = state
         self._control = control
@@ -66,6 +69,7 @@
         self._writers = writers
         self._members = members
         self._wait_relinquished = wait_relinquished
+        self._may_command = may_command
 
     async def run(
         self,
@@ -120,7 +124,7 @@
             end = None
         limit = self._find_limit(record, revision, end)
         choice = choose_successor(candidates, silent, acknowledged, limit)
-        if choice.instance is None:
+        if choice.instance is None and await self._may_command(revision):
             await asyncio.gather(*(self._control.resume(entry) for entry in replicas))
         inputs = {
             "term": term,
--- a/src/wasabipitch/group/repair.py
+++ b/src/wasabipitch/group/repair.py
@@ -9,6 +9,7 @@
 from wasabipitch.group.instance_control import InstanceControl
 from wasabipitch.group.state import GroupState
 from wasabipitch.operations.decisions import DecisionLog
+from wasabipitch.policy.quorum import COMMAND_LEASE_S
 from wasabipitch.wire.codecs import InstanceCodec
 
 # An instance that stays unreachable for longer is missed by its group anyway: its
@@ -68,7 +69,7 @@
                 if not left:
                     return
                 results = await asyncio.gather(
-                    *(self._repair(control, entry, record.term) for entry in left)
+                    *(self._repair(control, entry, record) for entry in left)
                 )
                 repaired |= {
                     entry.name
@@ -78,11 +79,16 @@
                 await asyncio.sleep(REPAIR_INTERVAL_S)
 
     async def _repair(
-        self, control: InstanceControl, entry: InstanceEntry, term: int
+        self, control: InstanceControl, entry: InstanceEntry, record: GroupRecord
     ) -> bool:
         """Repair an instance; return whether it needs no other attempt."""
+        term = record.term
         report = await control.status(entry)
-        if report is None:
+        # The process may have been suspended since it read the store.
+        recent = self._mirror.is_confirmed_within(COMMAND_LEASE_S)
+        if report is None or not recent:
+            return False
+        if not record.names_same_primary(self._state.record):
             return False
         if report.is_primary:
             report = await control.step_down(entry, term)
--- a/src/wasabipitch/group/replacement.py
+++ b/src/wasabipitch/group/replacement.py
@@ -25,7 +25,11 @@
 from wasabipitch.group.instance_control import InstanceControl
 from wasabipitch.group.state import GroupState
 from wasabipitch.operations.decisions import DecisionLog
-from wasabipitch.policy.quorum import READ_LEASE_MARGIN_S, UNADOPTED_CLAIM_S
+from wasabipitch.policy.quorum import (
+    COMMAND_LEASE_S,
+    READ_LEASE_MARGIN_S,
+    UNADOPTED_CLAIM_S,
+)
 from wasabipitch.policy.read_leases import READ_LEASE_S
 from wasabipitch.policy.recovery import VERIFY_AFTER_S
 from wasabipitch.policy.succession import Choice
@@ -79,6 +83,7 @@
             writers,
             members,
             self._wait_relinquished,
+            self._may_command,
         )
         self._refused: set[str] = set()
         # The last reason that was logged for a wait, and when it is logged again.
@@ -108,6 +113,16 @@
         is_claimed = self._mirror.is_current(revision) and self._state.is_changing
         return is_claimed and self._state.record_revision == revision
 
+    async def _may_command(self, revision: int) -> bool:
+        """Return whether no other host can have acted on a later claim.
+
+        A process that was suspended may have been taken over without knowing it.
+        """
+        if not self._mirror.is_confirmed_within(COMMAND_LEASE_S):
+            await self._mirror.check(shared=False)
+        recent = self._mirror.is_confirmed_within(COMMAND_LEASE_S)
+        return recent and self._is_holder(revision)
+
     async def _attempt(self, record: GroupRecord, revision: int) -> GroupRecord | None:
         reports = await self._fetch_reports(record)
         if not names_primary(record) and set(reports) != set(self._state.entries):
@@ -137,7 +152,7 @@
                 return None
         elif not await self._wait_relinquished(revision):
             return None
-        return await self._establish(leader)
+        return await self._establish(leader, revision)
 
     def _have_orders_ended(self) -> bool:
         """Return whether all promotions that earlier holders ordered have taken effect.
@@ -186,7 +201,9 @@
             # promote after another host has. A read that the hosts share may be older
             # than the other host's claim.
             confirmed = await self._mirror.check(shared=False)
-            if not confirmed or not self._is_holder(revision):
+            # The answer may have been waiting here while the process was suspended.
+            recent = self._mirror.is_confirmed_within(COMMAND_LEASE_S)
+            if not (confirmed and recent and self._is_holder(revision)):
                 await asyncio.sleep(RETRY_S)
                 continue
             registered = find_members(self._state.entries)
@@ -211,15 +228,16 @@
             return True
         return False
 
-    async def _establish(self, leader: str) -> GroupRecord | None:
+    async def _establish(self, leader: str, revision: int) -> GroupRecord | None:
         until_s = now_s() + PROMOTION_EFFECT_S
-        while now_s() < until_s:
+        while now_s() < until_s and self._is_holder(revision):
             entry = self._state.entries.get(leader)
             if entry is None:
                 return None
             report = await self._control.status(entry)
             if report is not None and report.is_primary:
-                await self._resume_replicas(leader)
+                if await self._may_command(revision):
+                    await self._resume_replicas(leader)
                 self._log("primary settled", None, primary=leader, term=report.term)
                 return GroupRecord(
                     Phase.STEADY,
--- a/src/wasabipitch/policy/quorum.py
+++ b/src/wasabipitch/policy/quorum.py
@@ -24,6 +24,10 @@
 # A claim that too few hosts have adopted is acted upon after this time, when no host
 # can have been confirmed since by others.
 UNADOPTED_CLAIM_S = MAX_STORE_OUTAGE_S + READ_LEASE_S + READ_LEASE_MARGIN_S
+# A host sends a command that would be harmful after another host's claim only for this
+# long after it asked for a confirmation of its own. The command itself takes at most
+# 0.8 s, and the other host acts on its claim no sooner than after a read lease.
+COMMAND_LEASE_S = 0.8
 
 
 def is_quorum(answers: int, names: int) -> bool:
--- a/tests/wasabipitch/group/test_choice.py
+++ b/tests/wasabipitch/group/test_choice.py
@@ -61,7 +61,9 @@
             self.writers,
             SimpleNamespace(find=lambda group: Membership()),
             self.wait_relinquished,
+            AsyncMock(side_effect=lambda revision: self.is_holder),
         )
+        self.is_holder = True
         self.commands = []
 
     async def wait_relinquished(self, revision):
@@ -130,3 +132,14 @@
         # The holder of an earlier claim may end a fence until it has relinquished.
         await self.choose()
         self.assertEqual(self.commands, ["relinquished", "fenced"])
+
+    async def test_a_holder_that_was_taken_over_ends_no_fence(self):
+        # It was suspended while it fenced. The fences may be those of the next holder.
+        self.limit = None
+        self.reports = {"near": make_report(False, 9)}
+        self.is_holder = False
+        self.assertIsNone((await self.choose()).instance)
+        self.control.resume.assert_not_awaited()
+        self.is_holder = True
+        self.assertIsNone((await self.choose()).instance)
+        self.control.resume.assert_awaited()
--- a/tests/wasabipitch/group/test_replacement.py
+++ b/tests/wasabipitch/group/test_replacement.py
@@ -1,6 +1,7 @@
 import asyncio
 import unittest
 from types import SimpleNamespace
+from unittest.mock import AsyncMock
 
 from msgspec import structs
 
@@ -74,12 +75,17 @@
             GroupSettings("ledger", 16, 1), lambda: 0.0, DecisionLog("host")
         )
         self.state.set_record(RECORD, 9)
+        self.confirmed_ages_s = [0.1] * 9
         self.register("third", 1)
         return Replacement(
             self.state,
             None,
             SimpleNamespace(promote=promote),
-            SimpleNamespace(check=check, is_current=lambda revision: True),
+            SimpleNamespace(
+                check=check,
+                is_current=lambda revision: True,
+                is_confirmed_within=lambda age_s: self.confirmed_ages_s.pop(0) <= age_s,
+            ),
             None,
             DecisionLog("host"),
             "holder",
@@ -142,3 +148,36 @@
         async with asyncio.timeout(2):
             self.assertFalse(await replacement._promote("third", 9, ASKED))
         self.assertEqual(orders, [])
+
+    async def test_a_confirmation_that_has_aged_allows_no_promotion(self):
+        # The machine was suspended between the store's answer and its arrival here, and
+        # another host has promoted meanwhile.
+        orders = []
+
+        async def promote(*order):
+            orders.append((order, list(self.confirmed_ages_s)))
+
+        replacement = self.make_replacement(AsyncMock(return_value=True), promote)
+        self.confirmed_ages_s = [30.0, 0.1]
+        async with asyncio.timeout(2):
+            self.assertTrue(await replacement._promote("third", 9, ASKED))
+        self.assertEqual(orders, [(("ledger", "third", "holder", 9), [])])
+
+    async def test_a_holder_that_was_taken_over_resumes_no_replica(self):
+        # It saw its promotion take effect after another holder had fenced the replicas.
+        check = AsyncMock()
+        replacement = self.make_replacement(check, AsyncMock())
+        control = replacement._control = SimpleNamespace(
+            status=AsyncMock(return_value=report(True, 3)), resume=AsyncMock()
+        )
+        fourth = SimpleNamespace(name="fourth", born_ms=1)
+        self.state.entries = {**self.state.entries, "fourth": fourth}
+        self.confirmed_ages_s = [30.0, 30.0]
+        await replacement._establish("third", 9)
+        control.resume.assert_not_awaited()
+        check.assert_awaited_with(shared=False)
+        self.confirmed_ages_s = [0.1, 0.1]
+        await replacement._establish("third", 9)
+        control.resume.assert_awaited_once_with(fourth)
+        self.state.set_record(structs.replace(RECORD, holder="other"), 10)
+        self.assertIsNone(await replacement._establish("third", 9))
