Use no primary once the other hosts may take this one for ended

Cause: a host whose registration has lapsed counts as ended when its name has been missing for 12 s, and another host answers for it by the primary's log end. The host may still run: cut off from the store only, or stopped and woken again.

Evidence: test_a_host_that_counts_as_ended_uses_no_primary fails without the check (the host serves the group 31 s after its last renewal) and passes with it. What callers saw of it isn't shown.

A host uses primaries for at most 30 s after the call that last renewed its registration. The others drop it 32 s after that at the earliest, and read the log end 4 s later. While no host reaches the store, nobody is dropped, but writes end after 30 s all the same; reads of a primary end after 12 s.

--- a/src/wasabipitch/coordination/registration.py
+++ b/src/wasabipitch/coordination/registration.py
@@ -24,6 +24,10 @@
 # The registration lapses after three failed renewals.
 HOST_LEASE_S = 6.0
 RENEW_INTERVAL_S = 2.0
+# A host whose registration was renewed longer ago than this uses no primary. Others
+# that can't see it take it for ended 32 s after the renewal at the earliest, and answer
+# for the commits that it sent before.
+MAX_REGISTRATION_AGE_S = 30.0
 RETRY_S = 0.1
 RETRY_POLL_S = 0.05
 MAX_RETRY_S = 1.5
@@ -63,6 +67,7 @@
         self._store = store
         self._mirror = mirror
         self._name_key = NAMES_PREFIX + record.name
+        # When the call was made by which the registration was last renewed, or 0.
         self._registered_at_s = 0.0
         # The groups that this host serves, and the times of their registrations.
         self._groups: frozenset[str] = frozenset()
@@ -146,9 +151,11 @@
 
         The host that replaces the group's primary waits for the hosts that were listed
         before its claim to relinquish it and to report what they saw acknowledged. So a
-        host must be listed, and know each claim that was written before.
+        host must be listed, and know each claim that was written before. A host that is
+        cut off or was suspended may have been dropped from the list as ended.
         """
-        if not self._is_listed(group):
+        is_recent = now_s() - self._registered_at_s <= MAX_REGISTRATION_AGE_S
+        if not is_recent or not self._is_listed(group):
             return False
         listed = self._mirror.items[self._writer_key(group)]
         return self._mirror.holds_group_records(listed.revision)
@@ -215,6 +222,7 @@
             raise
 
     async def _write(self) -> None:
+        started_s = now_s()
         lease = self.lease
         lasting = {}
         if self._name_key not in self._mirror.items:
@@ -239,7 +247,7 @@
             self._mirror.apply_writes(writes | lasting, revision)
             lasting = {}
         self._written_lease = lease
-        self._record_registration()
+        self._record_registration(started_s)
         at_s = now_s()
         self._serving_since_s.update(dict.fromkeys(missing, at_s))
 
@@ -266,11 +274,16 @@
             self._dropped_at_s.pop(group, None)
             self._serving_since_s.pop(group, None)
 
-    def _record_registration(self) -> None:
+    def _record_registration(self, started_s: float) -> None:
+        """Record that the store has renewed the registration.
+
+        Args:
+            started_s: The time before the call to the store.
+        """
         at_s = now_s()
         if at_s - self._registered_at_s > MAX_STORE_OUTAGE_S:
             self.registered_since_s = at_s
-        self._registered_at_s = at_s
+        self._registered_at_s = started_s
 
     def _is_complete(self) -> bool:
         present = self.key in self._mirror.items
@@ -295,12 +308,13 @@
             await self._sleep_while_complete()
             if self._needs_lease:
                 return
+            started_s = now_s()
             try:
                 await self._store.renew_lease(self.lease)
             except LeaseEnded:
                 self._needs_lease = True
                 raise
-            self._record_registration()
+            self._record_registration(started_s)
             if not self._is_complete():
                 # The store may remove a key although its lease has not ended.
                 return
--- a/tests/wasabipitch/coordination/test_registration.py
+++ b/tests/wasabipitch/coordination/test_registration.py
@@ -13,8 +13,10 @@
     WRITERS_PREFIX,
     HostRecord,
 )
+from wasabipitch.coordination.live_hosts import NAME_RETENTION_S
 from wasabipitch.coordination.mirror import StoreMirror
 from wasabipitch.coordination.registration import HostRegistration
+from wasabipitch.coordination.writers import ENDED_AFTER_S
 from wasabipitch.exceptions import StoreUnavailable
 from wasabipitch.operations.decisions import DecisionLog
 
@@ -86,6 +88,19 @@
         self.assertNotIn(True, early)
         self.assertIn(claim, self.mirror.items)
 
+    async def test_a_host_that_counts_as_ended_uses_no_primary(self):
+        # It was suspended, or cut off from the store only. Its copy still lists it, but
+        # another host has answered for its commits and has dropped it.
+        at_s = now_s()
+        self.assertLess(
+            registration.MAX_REGISTRATION_AGE_S, NAME_RETENTION_S + ENDED_AFTER_S
+        )
+        self.store.down = True
+        with patch.object(registration, "now_s", lambda: at_s + 29.0):
+            self.assertTrue(self.registration.is_serving("g"))
+        with patch.object(registration, "now_s", lambda: at_s + 31.0):
+            self.assertFalse(self.registration.is_serving("g"))
+
     async def test_a_dropped_group_stays_registered_until_its_transactions_end(self):
         self.registration.serve([])
         self.assertTrue(self.registration.may_serve("g"))
