Register again after a late registration of an earlier run

Cause: a call to the store that got no answer may be executed seconds later. If that is a registration of an earlier run of the same host, all others take the earlier run for the one that runs: the present one leaves the list of the hosts that serve a group, for good, so that no replacement waits for it, and counts as ended, so that another host answers for its commits while it sends more.

Evidence: test_a_late_registration_of_an_earlier_run_is_written_over failed before (the others list a.0 and not a.1, which runs) and passes now. What callers saw of it isn't shown.

A host that sees such a registration writes all its keys again.

--- a/src/wasabipitch/coordination/registration.py
+++ b/src/wasabipitch/coordination/registration.py
@@ -67,6 +67,8 @@
         self._store = store
         self._mirror = mirror
         self._name_key = NAMES_PREFIX + record.name
+        # The last revision at which another run of this host was registered.
+        self._earlier_run_revision = 0
         # When the call was made by which the registration was last renewed, or 0.
         self._registered_at_s = 0.0
         # The groups that this host serves, and the times of their registrations.
@@ -230,8 +232,8 @@
             lasting = {self._name_key: name, NAMED_KEY: name}
         missing = [group for group in self._groups if not self._is_listed(group)]
         # Keys that are left at an earlier lease would end with it.
-        is_new_lease = lease != self._written_lease
-        groups = list(self._list_registered_groups() if is_new_lease else missing)
+        writes_all = lease != self._written_lease or self._is_displaced
+        groups = list(self._list_registered_groups() if writes_all else missing)
         for start in range(0, max(1, len(groups)), MAX_GROUPS_PER_COMMIT):
             chunk = groups[start : start + MAX_GROUPS_PER_COMMIT]
             writes = {self._serving_key(group): encode(group) for group in chunk}
@@ -286,13 +288,34 @@
         self._registered_at_s = started_s
 
     def _is_complete(self) -> bool:
-        present = self.key in self._mirror.items
-        return present and all(map(self._is_listed, self._groups))
+        items = self._mirror.items
+        if self.key not in items:
+            return False
+        return not self._is_displaced and all(map(self._is_listed, self._groups))
+
+    @property
+    def _is_displaced(self) -> bool:
+        """Whether an earlier run's registration was written after that of this run."""
+        own = self._mirror.items.get(self.key)
+        return own is not None and own.revision < self._earlier_run_revision
+
+    def _is_of_earlier_run(self, key: str) -> bool:
+        if not key.startswith(HOSTS_PREFIX) or key == self.key:
+            return False
+        name = key.removeprefix(HOSTS_PREFIX).rpartition(".")[0]
+        return name == self.record.name
 
     def _update(self, key: str, item: Item | None) -> None:
-        own = key.endswith(self.record.incarnation) and not self._leaving
+        if self._leaving:
+            return
+        is_own = key.endswith(self.record.incarnation)
         is_lost = item is None or item.value == ENDED_WRITER
-        if is_lost and own and not self._is_complete():
+        if item is not None and self._is_of_earlier_run(key):
+            # A call that got no answer may be executed seconds later. The others take
+            # the run that registered last for the one that runs.
+            self._earlier_run_revision = max(self._earlier_run_revision, item.revision)
+            is_lost = is_own = self._is_displaced
+        if is_lost and is_own and not self._is_complete():
             self._incomplete.set()
 
     async def _sleep_while_complete(self) -> None:
--- a/tests/wasabipitch/coordination/test_registration.py
+++ b/tests/wasabipitch/coordination/test_registration.py
@@ -9,14 +9,16 @@
 from wasabipitch.coordination.documents import (
     GROUPS_PREFIX,
     HEAD_KEY,
+    HOSTS_PREFIX,
     NAMED_KEY,
     WRITERS_PREFIX,
     HostRecord,
+    encode,
 )
-from wasabipitch.coordination.live_hosts import NAME_RETENTION_S
+from wasabipitch.coordination.live_hosts import NAME_RETENTION_S, LiveHosts
 from wasabipitch.coordination.mirror import StoreMirror
 from wasabipitch.coordination.registration import HostRegistration
-from wasabipitch.coordination.writers import ENDED_AFTER_S
+from wasabipitch.coordination.writers import ENDED_AFTER_S, CommitWriters
 from wasabipitch.exceptions import StoreUnavailable
 from wasabipitch.operations.decisions import DecisionLog
 
@@ -101,6 +103,25 @@
         with patch.object(registration, "now_s", lambda: at_s + 31.0):
             self.assertFalse(self.registration.is_serving("g"))
 
+    async def test_a_late_registration_of_an_earlier_run_is_written_over(self):
+        # The store executed a call of the earlier run, which had got no answer, after
+        # this run had registered. All others took this run for ended.
+        mirror = StoreMirror(self.store, DecisionLog("b"))
+        live_hosts = LiveHosts(mirror, lambda: None)
+        writers = CommitWriters(mirror, live_hosts)
+        self.addAsyncCleanup(tasks.cancel, tasks.spawn(mirror.run(), "other"))
+        await mirror.loaded.wait()
+        earlier = HostRecord("a", "rome", "a.0", "127.0.0.1:1")
+        self.store.put(HOSTS_PREFIX + "a.0", encode(earlier))
+        await asyncio.sleep(0.05)
+        self.assertEqual(list(live_hosts.hosts), ["a.1"])
+        self.assertEqual(live_hosts.list_serving_hosts("g"), {"a.1"})
+        self.assertEqual(writers.find_ended("g"), {})
+        self.store.remove(HOSTS_PREFIX + "a.0")
+        commits = self.store.calls.count("commit")
+        await asyncio.sleep(0.05)
+        self.assertEqual(self.store.calls.count("commit"), commits)
+
     async def test_a_dropped_group_stays_registered_until_its_transactions_end(self):
         self.registration.serve([])
         self.assertTrue(self.registration.may_serve("g"))
