Write a host's name again when it is removed

Cause: a host that was suspended counts the time in which it did not see another one as that one's absence, and removes its name although the other one is registered meanwhile. Nobody wrote it again. Without a name, a host whose registration lapses counts as ended 12 s later, and not after 32 s, sooner than it stops using primaries.

Evidence: test_a_name_that_was_removed_is_written_again failed before (no name after 1 s) and passes now. What callers saw of it isn't shown.

--- a/src/wasabipitch/coordination/registration.py
+++ b/src/wasabipitch/coordination/registration.py
@@ -289,7 +289,7 @@
 
     def _is_complete(self) -> bool:
         items = self._mirror.items
-        if self.key not in items:
+        if self.key not in items or self._name_key not in items:
             return False
         return not self._is_displaced and all(map(self._is_listed, self._groups))
 
@@ -308,7 +308,7 @@
     def _update(self, key: str, item: Item | None) -> None:
         if self._leaving:
             return
-        is_own = key.endswith(self.record.incarnation)
+        is_own = key.endswith(self.record.incarnation) or key == self._name_key
         is_lost = item is None or item.value == ENDED_WRITER
         if item is not None and self._is_of_earlier_run(key):
             # A call that got no answer may be executed seconds later. The others take
--- a/tests/wasabipitch/coordination/test_registration.py
+++ b/tests/wasabipitch/coordination/test_registration.py
@@ -11,6 +11,7 @@
     HEAD_KEY,
     HOSTS_PREFIX,
     NAMED_KEY,
+    NAMES_PREFIX,
     WRITERS_PREFIX,
     HostRecord,
     encode,
@@ -103,6 +104,14 @@
         with patch.object(registration, "now_s", lambda: at_s + 31.0):
             self.assertFalse(self.registration.is_serving("g"))
 
+    async def test_a_name_that_was_removed_is_written_again(self):
+        # A host that was suspended removed it by an old count. Without a name, a host
+        # counts as ended soon after its registration lapses.
+        self.store.remove(f"{NAMES_PREFIX}a")
+        async with asyncio.timeout(1):
+            while f"{NAMES_PREFIX}a" not in self.store.items:
+                await asyncio.sleep(0.01)
+
     async def test_a_late_registration_of_an_earlier_run_is_written_over(self):
         # The store executed a call of the earlier run, which had got no answer, after
         # this run had registered. All others took this run for ended.
