Count an instance as a member from its registration on

Cause: members are written to the store while the group has a primary. An instance that registers while the primary is replaced may confirm commits of the old one; if its registration lapsed before the end of the replacement, nobody waited for it, and a replica that lacks these commits was promoted once all others had answered.

Evidence: test_a_replica_that_registers_during_a_replacement_is_waited_for failed before (i-1 is promoted) and passes now. What callers saw of it isn't shown.

Each host keeps what has registered as a member until the store has held it. A member that is gone before it was written is written first and dropped by a later round.

--- a/src/wasabipitch/group/assembly.py
+++ b/src/wasabipitch/group/assembly.py
@@ -260,6 +260,7 @@
             return
         state = group.state
         state.entries = self._read_instances(name)
+        self._members.add_registered(name, find_members(state.entries))
         centres = self._live_hosts.find_data_centres()
         centres.setdefault(self._host.name, self._host.data_centre)
         limit = state.settings.max_connections
--- a/src/wasabipitch/group/bookkeeping.py
+++ b/src/wasabipitch/group/bookkeeping.py
@@ -219,7 +219,10 @@
         name = self._state.name
         membership = self._members.find(name)
         registered = find_members(self._state.entries)
-        members = (membership.known | registered) - (gone - registered)
+        # A member that was never in the store is written first, since the other hosts
+        # keep it until then.
+        dropped = (gone & membership.stored) - registered
+        members = (membership.known | registered) - dropped
         key, value = make_key(name), encode_members(members)
         expected = {key: membership.revision, GROUPS_PREFIX + name: revision}
         written = await self._store.commit(expected, {key: value})
@@ -228,5 +231,5 @@
             "group members",
             group=name,
             members=sorted(member.name for member in members),
-            dropped=sorted(member.name for member in gone),
+            dropped=sorted(member.name for member in dropped),
         )
--- a/tests/wasabipitch/coordination/test_members.py
+++ b/tests/wasabipitch/coordination/test_members.py
@@ -43,6 +43,16 @@
         self.put(4, A)
         self.assertEqual(self.members.find("g").known, {A})
 
+    def test_an_instance_counts_from_its_registration_until_it_was_written(self):
+        # Its registration lapsed before the hosts wrote it, as in a replacement.
+        self.members.add_registered("g", frozenset([A, C]))
+        self.assertEqual(self.members.find("g").known, {A, B, C})
+        self.put(2, A)
+        self.assertEqual(self.members.find("g").known, {A, C})
+        self.put(3, A, C)
+        self.put(4, A)
+        self.assertEqual(self.members.find("g").known, {A})
+
     def test_an_unreadable_record_is_ignored(self):
         with self.assertLogs("wasabipitch.coordination.members"):
             self.mirror._apply(Item(make_key("g"), b"\xff", 2))
--- a/tests/wasabipitch/test_forgotten_commits.py
+++ b/tests/wasabipitch/test_forgotten_commits.py
@@ -1,4 +1,5 @@
 import asyncio
+import json
 import unittest
 from unittest.mock import patch
 
@@ -93,6 +94,30 @@
         await self.wait_primary("i-1")
         self.assertEqual(await self.read_job(), "ROW v4")
 
+    async def test_a_replica_that_registers_during_a_replacement_is_waited_for(self):
+        # It may have confirmed commits of the old primary. Its registration lapses
+        # before the group has a primary again, so it is no member by the store.
+        await self.instances["i-0"].stop()
+        self.instances["i-1"].silent = True
+        await self.restart_hosts()
+        await self.wait_changing()
+        port = self.instances["i-0"].port
+        fields = {"name": "i-3", "port": port, "is_primary": False}
+        self.fleet.register("i-2")
+        item = json.loads(self.fleet.store.items["instances/i-2"].value)
+        self.fleet.store.put("instances/i-3", json.dumps(item | fields).encode())
+        hosts = self.fleet.hosts.values()
+        await self.fleet.wait_for(
+            lambda: all("i-3" in self.fleet.state(h).entries for h in self.fleet.hosts)
+        )
+        self.fleet.store.remove("instances/i-3")
+        await self.fleet.wait_for(
+            lambda: not any(g._directory._instances.get("i-3") for g in hosts)
+        )
+        self.instances["i-1"].silent = False
+        await asyncio.sleep(SETTLED_S)
+        self.assertEqual(self.fleet.group.promotions, [])
+
     async def test_a_replica_that_came_back_empty_does_not_count(self):
         await self.instances["i-0"].stop()
         self.instances["i-1"].log.clear()
