Keep a member that answers although its registration lapsed

Cause: a member is dropped once its registration has lapsed and another replica has received the primary's log. A replica that is cut off from the store only goes on confirming commits after that. If the other replica lacks them and the primary is lost, the latter was promoted, as no member was missing.

Evidence: test_a_member_that_is_cut_off_from_the_store_only_is_not_dropped failed before (i-1 is dropped although it answers) and passes now. What callers saw of it isn't shown.

Before members are dropped, those that were registered since this host started are asked at their last address. One that no host reaches, or that this host has never seen, is dropped as before.

--- a/src/wasabipitch/group/bookkeeping.py
+++ b/src/wasabipitch/group/bookkeeping.py
@@ -84,6 +84,8 @@
         # What there was to do, and since when.
         self._work: tuple[frozenset, frozenset, frozenset] | None = None
         self._work_since_s = 0.0
+        # The last registration of each member that this host has seen.
+        self._last_entries: dict[Member, InstanceEntry] = {}
         # Since when this host has known that a listed host has ended.
         self._ended_since_s: dict[str, float] = {}
         self._round_ended_s = 0.0
@@ -112,6 +114,12 @@
         membership = self._members.find(name)
         registered = find_members(self._state.entries)
         added = (membership.known | registered) - membership.stored
+        self._last_entries |= {
+            Member(entry.name, entry.born_ms): entry
+            for entry in self._state.entries.values()
+        }
+        for member in self._last_entries.keys() - membership.known - registered:
+            del self._last_entries[member]
         gone = find_gone_members(membership.known, registered)
         return added, gone, self._find_ended_writers()
 
@@ -196,7 +204,7 @@
         self, control: InstanceControl, gone: frozenset[Member], end: Position
     ) -> bool:
         """Return whether another replica holds what the gone members may hold."""
-        if not gone:
+        if not gone or await self._is_any_running(control, gone):
             return False
         primary = self._state.primary
         replicas = [
@@ -215,6 +223,20 @@
             end, received, members | find_members(self._state.entries)
         )
 
+    async def _is_any_running(
+        self, control: InstanceControl, gone: frozenset[Member]
+    ) -> bool:
+        """Return whether a member without a registration answers at its last address.
+
+        It can't reach the store, and may go on confirming commits of the primary.
+        """
+        entries = [
+            entry
+            for member, entry in self._last_entries.items()
+            if member in gone and member.name not in self._state.entries
+        ]
+        return bool(entries) and bool(await control.fetch_reports(entries))
+
     async def _write_members(self, gone: frozenset[Member], revision: int) -> None:
         name = self._state.name
         membership = self._members.find(name)
--- a/tests/wasabipitch/group/test_bookkeeping.py
+++ b/tests/wasabipitch/group/test_bookkeeping.py
@@ -161,6 +161,17 @@
         everyone.remove(("i-1", 1))
         self.assertEqual(self.read_members(), everyone)
 
+    async def test_a_member_that_is_cut_off_from_the_store_only_is_not_dropped(self):
+        # It goes on confirming commits, which the other replica may lack.
+        self.bookkeeping.find_work_since_s()
+        self.enter(make_entry("i-0"), make_entry("i-2"))
+        self.reports["i-1"] = report(False, 9)
+        await self.run_round()
+        self.assertIn(("i-1", 1), self.read_members())
+        del self.reports["i-1"]
+        await self.run_round()
+        self.assertNotIn(("i-1", 1), self.read_members())
+
     async def test_a_leaving_replica_is_no_reason_to_drop_a_member(self):
         self.enter(make_entry("i-0"), make_entry("i-2", leaving=True))
         await self.run_round()
