Keep what a host knows of commits while the configuration lacks their group

Cause: a host forgot the positions that it had seen acknowledged, the commits without an answer and what it answers for when a configuration removed the group, but its listing as a writer stayed, or was written again under the same name when the group came back. Its report then said that it had seen nothing, and counted as complete.

Evidence: test_the_commits_are_known_after_the_group_was_removed_and_added failed before (i-2, which lacks five commits whose callers were told success, is promoted) and passes now. What callers saw of it isn't shown.

The state of a group is kept for the run of the host.

--- a/src/wasabipitch/group/assembly.py
+++ b/src/wasabipitch/group/assembly.py
@@ -110,6 +110,9 @@
         self._decisions = decisions
         self._read_instances = read_instances
         self._groups: dict[str, Group] = {}
+        # The states of all groups that this host ever had. The store goes on to list it
+        # as a writer of a group that the configuration lacks for a while.
+        self._states: dict[str, GroupState] = {}
         mirror.subscribe(self._apply_record)
         mirror.on_confirmed(self.wake)
 
@@ -176,7 +179,9 @@
         return state
 
     def _make_group(self, settings: GroupSettings) -> Group:
-        state = self._make_state(settings)
+        state = self._states.get(settings.name)
+        if state is None:
+            state = self._states[settings.name] = self._make_state(settings)
         peers = GroupPeers(
             state,
             self._links,
--- a/tests/wasabipitch/test_forgotten_commits.py
+++ b/tests/wasabipitch/test_forgotten_commits.py
@@ -8,6 +8,7 @@
 from wasabipitch.coordination.documents import (
     MEMBERS_PREFIX,
     WRITERS_PREFIX,
+    Configuration,
     MembersRecord,
     Phase,
     decode,
@@ -94,6 +95,19 @@
         await self.wait_primary("i-1")
         self.assertEqual(await self.read_job(), "ROW v4")
 
+    async def test_the_commits_are_known_after_the_group_was_removed_and_added(self):
+        # The configuration lacks the group for a while. The host is listed all along.
+        for host in self.fleet.hosts.values():
+            host.groups.apply_configuration(Configuration(9))
+            host.groups.apply_configuration(host.configuration)
+        for name in self.fleet.hosts:
+            await self.fleet.wait_for(lambda name=name: self.fleet.is_settled(name))
+        self.instances["i-1"].silent = True
+        await self.instances["i-0"].stop()
+        await self.wait_changing()
+        await asyncio.sleep(SETTLED_S)
+        self.assertEqual(self.fleet.group.promotions, [])
+
     async def test_a_replica_that_registers_during_a_replacement_is_waited_for(self):
         # It may have confirmed commits of the old primary. Its registration lapses
         # before the group has a primary again, so it is no member by the store.
