Take the log end at which a primary began into account in the next choice

Cause: once a successor is established, the hosts forget the commits of the old primary whose answers they have not read, as the successor holds them. Their reports in the replacement after that don't count these commits: if no host has read an answer of the successor yet, the limit lies below them, and a replica that lacks them was promoted.

What callers saw of it isn't shown.

A claim names the log end at which the primary began, as the record before it does, and no limit lies below that. A claim named none so far, so that the check of a restarted primary did not use it either. Where the start is not known, as after a return of the store, commits without an answer go on counting until a later commit ends that.

--- a/src/wasabipitch/coordination/documents.py
+++ b/src/wasabipitch/coordination/documents.py
@@ -174,7 +174,8 @@
         holder: The host that carries out the replacement, or carried out the last
             one.
         start: The primary's log end when it became primary, or ``ORIGIN`` while
-            that is not known.
+            that is not known. No commit that an earlier primary acknowledged exceeds
+            it.
         epoch: The store's epoch in which the record was written. A record of an
             earlier epoch came back with a copy of the store. None in records of
             versions that did not write it.
--- a/src/wasabipitch/group/choice.py
+++ b/src/wasabipitch/group/choice.py
@@ -182,7 +182,10 @@
         """
         if end is not None or not names_primary(record):
             return end
-        return self._writers.find_limit(self._state.name, revision)
+        limit = self._writers.find_limit(self._state.name, revision)
+        # The reports count commits of earlier primaries only as far as a host has read
+        # their answers; all of them lie before the log end at which this one began.
+        return None if limit is None else max(limit, record.start)
 
     async def _hand_over(
         self,
--- a/src/wasabipitch/group/state.py
+++ b/src/wasabipitch/group/state.py
@@ -302,8 +302,10 @@
         elif record.primary != old.primary:
             self._keep_replicated_samples(record)
         if record is not None and record.phase is Phase.STEADY:
-            if not record.names_same_primary(self._established):
-                # The new primary holds every commit that was acknowledged before.
+            is_same = record.names_same_primary(self._established)
+            if not is_same and record.start != ORIGIN:
+                # No commit that was acknowledged before exceeds the start, which the
+                # next choice of a successor takes into account.
                 self.unanswered.clear()
             self._established = record
         self._decisions.belief(
--- a/src/wasabipitch/group/supervisor.py
+++ b/src/wasabipitch/group/supervisor.py
@@ -424,7 +424,12 @@
             hosts=len(self._live_hosts.hosts),
         )
         record = GroupRecord(
-            Phase.CHANGING, old.primary, old.primary_born_ms, old.term, self._host
+            Phase.CHANGING,
+            old.primary,
+            old.primary_born_ms,
+            old.term,
+            self._host,
+            start=old.start,
         )
         await self._commit_record(record, self._state.record_revision)
 
--- a/tests/wasabipitch/group/test_state.py
+++ b/tests/wasabipitch/group/test_state.py
@@ -51,6 +51,20 @@
             raise TimeoutError
         self.assertIsNone(state.oldest_commit_s)
 
+    async def test_lost_answers_count_until_it_is_known_where_a_primary_began(self):
+        # The next choice of a successor could not take them into account otherwise.
+        state = make_state()
+        state.set_record(STEADY, 5)
+        fut = asyncio.get_running_loop().create_future()
+        state.unanswered.watch(fut)
+        fut.cancel()
+        await asyncio.sleep(0)
+        state.set_record(GroupRecord(Phase.STEADY, "new", 1, 2), 7)
+        self.assertFalse(state.unanswered.is_empty)
+        start = Position(1, 9)
+        state.set_record(GroupRecord(Phase.STEADY, "third", 1, 3, start=start), 9)
+        self.assertTrue(state.unanswered.is_empty)
+
     async def test_abandon_commits_ends_the_wait_for_older_commits_only(self):
         state = make_state()
         state.set_record(STEADY, 5)
--- a/tests/wasabipitch/test_unanswered_commits.py
+++ b/tests/wasabipitch/test_unanswered_commits.py
@@ -101,6 +101,22 @@
         self.instances["i-1"].silent = True
         await self.fleet.wait_for(lambda: self.list_chosen() == ["i-2"])
 
+    async def test_they_count_in_the_replacement_after_the_next_one(self):
+        # The next primary holds them, and is lost before a host reads an answer of it.
+        self.assertEqual(await self.write(1), "COMPLETE i-0.w1")
+        await self.fleet.wait_for(lambda: len(self.instances["i-2"].log) == 1)
+        self.instances["i-2"].replication_blocked = True
+        self.instances["i-0"].lost_answers = 1
+        self.assertTrue((await self.write(2)).startswith("ERROR UNKNOWN"))
+        await self.instances["i-0"].stop()
+        await self.fleet.wait_for(
+            lambda: all(self.fleet.state(h).primary == "i-1" for h in self.fleet.hosts)
+        )
+        await self.instances["i-1"].stop()
+        await self.wait_changing()
+        await asyncio.sleep(SETTLED_S)
+        self.assertEqual(self.list_chosen(), ["i-1"])
+
     async def test_a_transaction_does_not_commit_after_its_host_has_reported(self):
         caller, _ = await self.fleet.connect(PRIMARY_DB)
         await caller.ask("BEGIN")
