Let the holder of a replacement report again

Cause: a host that replaces a primary is occupied with that until it ends, and wrote its own report only before. If the report said that commits had no answer, the answers that it read later, as well as a new lease, did not change it: the replacement waited for its own host until another one took over after 4 s.

Evidence: test_the_holder_reports_again_while_it_finds_no_successor fails without the call (0 reports in 3 attempts) and passes with it. Found by reading; the time that a replacement takes was not measured.

--- a/src/wasabipitch/group/replacement.py
+++ b/src/wasabipitch/group/replacement.py
@@ -5,7 +5,7 @@
 """
 
 import asyncio
-from collections.abc import Mapping
+from collections.abc import Awaitable, Callable, Mapping
 
 from wasabipitch.clock import now_s
 from wasabipitch.coordination.documents import (
@@ -53,6 +53,8 @@
 
     Args:
         host: The incarnation of this host, the holder in the group record.
+        report: Writes this host's own report on the replacement again if it has
+            changed, as an answer that was read late changes it.
     """
 
     def __init__(
@@ -67,8 +69,10 @@
         registration: HostRegistration,
         writers: CommitWriters,
         members: GroupMembers,
+        report: Callable[[], Awaitable[None]],
     ) -> None:
         self._state = state
+        self._report = report
         self._registration = registration
         self._promoter = promoter
         self._mirror = mirror
@@ -100,6 +104,7 @@
         revision = self._state.record_revision
         try:
             while self._is_holder(revision):
+                await self._report()
                 established = await self._attempt(record, revision)
                 if established is not None:
                     return established
--- a/src/wasabipitch/group/supervisor.py
+++ b/src/wasabipitch/group/supervisor.py
@@ -480,6 +480,7 @@
             self._registration,
             self._writers,
             self._members,
+            self._report_relinquished,
         )
         revision = self._state.record_revision
         established = await replacement.run(record)
--- a/tests/wasabipitch/group/test_replacement.py
+++ b/tests/wasabipitch/group/test_replacement.py
@@ -1,7 +1,7 @@
 import asyncio
 import unittest
 from types import SimpleNamespace
-from unittest.mock import AsyncMock
+from unittest.mock import AsyncMock, patch
 
 from msgspec import structs
 
@@ -76,6 +76,7 @@
         )
         self.state.set_record(RECORD, 9)
         self.confirmed_ages_s = [0.1] * 9
+        self.report = AsyncMock()
         self.register("third", 1)
         return Replacement(
             self.state,
@@ -92,6 +93,7 @@
             None,
             None,
             None,
+            self.report,
         )
 
     def register(self, name, born_ms):
@@ -181,3 +183,16 @@
         control.resume.assert_awaited_once_with(fourth)
         self.state.set_record(structs.replace(RECORD, holder="other"), 10)
         self.assertIsNone(await replacement._establish("third", 9))
+
+    async def test_the_holder_reports_again_while_it_finds_no_successor(self):
+        # It had reported commits without an answer, and waited for its own report to
+        # change until another host took over.
+        replacement = self.make_replacement(AsyncMock(), AsyncMock())
+        steady = structs.replace(RECORD, phase=Phase.STEADY)
+        attempts = AsyncMock(side_effect=[None, None, steady])
+        with (
+            patch.object(replacement, "_attempt", attempts),
+            patch("wasabipitch.group.replacement.RETRY_S", 0.01),
+        ):
+            self.assertEqual(await replacement.run(RECORD), steady)
+        self.assertEqual(self.report.await_count, 3)
