Claim anew after a record that got no answer

Cause: the holder writes the record that establishes the successor under the condition that its claim is the last record. A write without an answer may be executed seconds later, as long as that holds. The holder went on under the same claim: if the successor was silent then, it ordered the promotion of another instance, and the record of the first one could come into force meanwhile, so that hosts committed at it what the other one lacks.

Evidence: test_a_record_without_an_answer_is_not_in_force_beside_the_next failed before (the second attempt runs under the same claim) and passes now (the late write is refused). What callers saw of it isn't shown.

--- a/src/wasabipitch/group/supervisor.py
+++ b/src/wasabipitch/group/supervisor.py
@@ -31,7 +31,7 @@
 from wasabipitch.coordination.revisions import find_epoch
 from wasabipitch.coordination.store import CoordinationStore, Promoter
 from wasabipitch.coordination.writers import CommitWriters
-from wasabipitch.exceptions import RecordConflict, StoreError
+from wasabipitch.exceptions import RecordConflict, StoreError, StoreUnavailable
 from wasabipitch.group.bookkeeping import (
     MAX_HOSTS,
     SuccessionBookkeeping,
@@ -55,6 +55,7 @@
     rank,
 )
 from wasabipitch.policy.suspicion import PrimaryEvidence, find_doubt
+from wasabipitch.verdict import Verdict
 from wasabipitch.wire.codecs import InstanceCodec
 from wasabipitch.wire.messages import InstanceReport
 
@@ -114,6 +115,9 @@
         self._reason_since_s: float | None = None
         # Since when the group has no record and not exactly one leader.
         self._leaderless_since_s: float | None = None
+        # The revision of the last claim of this host over which it wrote a record
+        # without getting an answer, or None.
+        self._unanswered_revision: int | None = None
         # Repairs the followers of the primary that this host established last.
         self._repair: asyncio.Task | None = None
         self._bookkeeping = SuccessionBookkeeping(
@@ -469,6 +473,12 @@
         return find_epoch(written) == epoch
 
     async def _replace_primary(self, record: GroupRecord) -> None:
+        revision = self._state.record_revision
+        if revision == self._unanswered_revision:
+            # The store may still establish the primary of the last attempt while the
+            # next one promotes another instance. After a new claim, it can't.
+            await self._claim(record, "the end of the replacement got no answer")
+            return
         replacement = Replacement(
             self._state,
             self._codec,
@@ -482,11 +492,16 @@
             self._members,
             self._report_relinquished,
         )
-        revision = self._state.record_revision
         established = await replacement.run(record)
         if established is None:
             return
-        if await self._commit_record(established, revision):
+        try:
+            is_written = await self._commit_record(established, revision)
+        except StoreUnavailable as exc:
+            if exc.verdict is not Verdict.NOT_RUN:
+                self._unanswered_revision = revision
+            raise
+        if is_written:
             self._repair = tasks.spawn(
                 FollowerRepair(
                     self._state, self._codec, self._mirror, self._decisions
--- a/tests/wasabipitch/group/test_supervisor.py
+++ b/tests/wasabipitch/group/test_supervisor.py
@@ -17,6 +17,7 @@
     encode,
 )
 from wasabipitch.coordination.members import Membership
+from wasabipitch.exceptions import RecordConflict, StoreUnavailable
 from wasabipitch.group.state import GroupState
 from wasabipitch.group.supervisor import GroupSupervisor
 from wasabipitch.models import Position
@@ -107,6 +108,33 @@
         self.assertEqual(self.store.items[KEY].value, encode(taken_over))
         repair.return_value.run.assert_not_called()
 
+    async def test_a_record_without_an_answer_is_not_in_force_beside_the_next(self):
+        # The store executed the write seconds later, while another instance was being
+        # promoted. Callers then committed at the first one.
+        own = GroupRecord(Phase.CHANGING, "i-0", 1, 1, "host.1")
+        self.write_as_another_host(own)
+        self.supervisor._live_hosts.hosts = {"host.1": None}
+        successor = GroupRecord(Phase.STEADY, "i-1", 1, 2, "host.1")
+        replacement = SimpleNamespace(run=AsyncMock(return_value=successor))
+        with (
+            patch("wasabipitch.group.supervisor.Replacement", return_value=replacement),
+            patch.object(
+                self.store, "commit", AsyncMock(side_effect=StoreUnavailable("late"))
+            ) as commit,
+            self.assertRaises(StoreUnavailable),
+        ):
+            await self.supervisor._replace_primary(own)
+        with patch(
+            "wasabipitch.group.supervisor.Replacement", return_value=replacement
+        ):
+            await self.supervisor._replace_primary(own)
+        replacement.run.assert_awaited_once()
+        with self.assertRaises(RecordConflict):
+            await self.store.commit(*commit.await_args.args)
+        self.assertEqual(
+            decode(self.store.items[KEY].value, GroupRecord).phase, own.phase
+        )
+
 
 class TurnsTest(unittest.IsolatedAsyncioTestCase):
     """A primary has to be replaced again at once, since its successor leaves.
