--- a/src/wasabipitch/coordination/registration.py
+++ b/src/wasabipitch/coordination/registration.py
@@ -24,6 +24,10 @@
 # The registration lapses after three failed renewals.
 HOST_LEASE_S = 6.0
 RENEW_INTERVAL_S = 2.0
+# A host whose registration was renewed longer ago than this uses no primary. Others
+# that can't see it take it for ended 32 s after the renewal at the earliest, and answer
+# for the commits that it sent before.
+MAX_REGISTRATION_AGE_S = 30.0
 RETRY_S = 0.1
 RETRY_POLL_S = 0.05
 MAX_RETRY_S = 1.5
@@ -63,6 +67,9 @@
         self._store = store
         self._mirror = mirror
         self._name_key = NAMES_PREFIX + record.name
+        # The last revision at which another run of this host was registered.
+        self._earlier_run_revision = 0
+        # When the call was made by which the registration was last renewed, or 0.
         self._registered_at_s = 0.0
         # The groups that this host serves, and the times of their registrations.
         self._groups: frozenset[str] = frozenset()
@@ -141,21 +148,22 @@
         """Return whether the store may still list this host as serving a group."""
         return group in self._groups or group in self._dropped_at_s
 
-    def may_commit(self, group: str) -> bool:
-        """Return whether transactions that are open in a group may still commit.
-
-        Once this host is marked as one that acknowledges no more commits of a group
-        that it dropped, other hosts answer for it.
-        """
-        return self.may_serve(group) and group not in self._retired
-
     def is_serving(self, group: str) -> bool:
-        """Return whether the store lists this host as serving a group.
+        """Return whether this host may use a group's primary.
 
-        The host that replaces the group's primary waits for the listed hosts to
-        relinquish it and to report what they saw acknowledged, so no other host may
-        use the primary.
+        The host that replaces the group's primary waits for the hosts that were listed
+        before its claim to relinquish it and to report what they saw acknowledged. So a
+        host must be listed, and know each claim that was written before. A host that is
+        cut off or was suspended may have been dropped from the list as ended.
         """
+        is_recent = now_s() - self._registered_at_s <= MAX_REGISTRATION_AGE_S
+        if not is_recent or not self._is_listed(group):
+            return False
+        listed = self._mirror.items[self._writer_key(group)]
+        return self._mirror.holds_group_records(listed.revision)
+
+    def _is_listed(self, group: str) -> bool:
+        """Return whether the store lists this host as serving a group."""
         if group in self._retired or not self._is_writer(group):
             return False
         return self._serving_key(group) in self._mirror.items
@@ -216,15 +224,16 @@
             raise
 
     async def _write(self) -> None:
+        started_s = now_s()
         lease = self.lease
         lasting = {}
         if self._name_key not in self._mirror.items:
             name = encode(self.record.name)
             lasting = {self._name_key: name, NAMED_KEY: name}
-        missing = [group for group in self._groups if not self.is_serving(group)]
+        missing = [group for group in self._groups if not self._is_listed(group)]
         # Keys that are left at an earlier lease would end with it.
-        is_new_lease = lease != self._written_lease
-        groups = list(self._list_registered_groups() if is_new_lease else missing)
+        writes_all = lease != self._written_lease or self._is_displaced
+        groups = list(self._list_registered_groups() if writes_all else missing)
         for start in range(0, max(1, len(groups)), MAX_GROUPS_PER_COMMIT):
             chunk = groups[start : start + MAX_GROUPS_PER_COMMIT]
             writes = {self._serving_key(group): encode(group) for group in chunk}
@@ -240,7 +249,7 @@
             self._mirror.apply_writes(writes | lasting, revision)
             lasting = {}
         self._written_lease = lease
-        self._record_registration()
+        self._record_registration(started_s)
         at_s = now_s()
         self._serving_since_s.update(dict.fromkeys(missing, at_s))
 
@@ -267,20 +276,46 @@
             self._dropped_at_s.pop(group, None)
             self._serving_since_s.pop(group, None)
 
-    def _record_registration(self) -> None:
+    def _record_registration(self, started_s: float) -> None:
+        """Record that the store has renewed the registration.
+
+        Args:
+            started_s: The time before the call to the store.
+        """
         at_s = now_s()
         if at_s - self._registered_at_s > MAX_STORE_OUTAGE_S:
             self.registered_since_s = at_s
-        self._registered_at_s = at_s
+        self._registered_at_s = started_s
 
     def _is_complete(self) -> bool:
-        present = self.key in self._mirror.items
-        return present and all(map(self.is_serving, self._groups))
+        items = self._mirror.items
+        if self.key not in items or self._name_key not in items:
+            return False
+        return not self._is_displaced and all(map(self._is_listed, self._groups))
+
+    @property
+    def _is_displaced(self) -> bool:
+        """Whether an earlier run's registration was written after that of this run."""
+        own = self._mirror.items.get(self.key)
+        return own is not None and own.revision < self._earlier_run_revision
+
+    def _is_of_earlier_run(self, key: str) -> bool:
+        if not key.startswith(HOSTS_PREFIX) or key == self.key:
+            return False
+        name = key.removeprefix(HOSTS_PREFIX).rpartition(".")[0]
+        return name == self.record.name
 
     def _update(self, key: str, item: Item | None) -> None:
-        own = key.endswith(self.record.incarnation) and not self._leaving
+        if self._leaving:
+            return
+        is_own = key.endswith(self.record.incarnation) or key == self._name_key
         is_lost = item is None or item.value == ENDED_WRITER
-        if is_lost and own and not self._is_complete():
+        if item is not None and self._is_of_earlier_run(key):
+            # A call that got no answer may be executed seconds later. The others take
+            # the run that registered last for the one that runs.
+            self._earlier_run_revision = max(self._earlier_run_revision, item.revision)
+            is_lost = is_own = self._is_displaced
+        if is_lost and is_own and not self._is_complete():
             self._incomplete.set()
 
     async def _sleep_while_complete(self) -> None:
@@ -296,12 +331,13 @@
             await self._sleep_while_complete()
             if self._needs_lease:
                 return
+            started_s = now_s()
             try:
                 await self._store.renew_lease(self.lease)
             except LeaseEnded:
                 self._needs_lease = True
                 raise
-            self._record_registration()
+            self._record_registration(started_s)
             if not self._is_complete():
                 # The store may remove a key although its lease has not ended.
                 return
--- a/src/wasabipitch/group/assembly.py
+++ b/src/wasabipitch/group/assembly.py
@@ -110,6 +110,9 @@
         self._decisions = decisions
         self._read_instances = read_instances
         self._groups: dict[str, Group] = {}
+        # The states of all groups that this host ever had. The store goes on to list it
+        # as a writer of a group that the configuration lacks for a while.
+        self._states: dict[str, GroupState] = {}
         mirror.subscribe(self._apply_record)
         mirror.on_confirmed(self.wake)
 
@@ -164,22 +167,21 @@
                 at_s = mirror.find_confirmation(state.record_revision)
             return registration.validate_confirmation(name, at_s)
 
-        def may_use_primary() -> bool:
-            # A host that registers while a primary is replaced may not have read the
-            # claim, and the holder may not wait for it.
-            return registration.validate_confirmation(name, mirror.confirmed_at_s) > 0
-
         state = GroupState(
-            settings, read_confirmed_at_s, self._decisions, may_use_primary
+            settings,
+            read_confirmed_at_s,
+            self._decisions,
+            lambda: registration.is_serving(name),
         )
-        state.may_commit = lambda: registration.may_commit(name)
         state.is_relinquished = lambda: self._live_hosts.all_relinquished(
             name, state.record_revision
         )
         return state
 
     def _make_group(self, settings: GroupSettings) -> Group:
-        state = self._make_state(settings)
+        state = self._states.get(settings.name)
+        if state is None:
+            state = self._states[settings.name] = self._make_state(settings)
         peers = GroupPeers(
             state,
             self._links,
@@ -265,6 +267,7 @@
             return
         state = group.state
         state.entries = self._read_instances(name)
+        self._members.add_registered(name, find_members(state.entries))
         centres = self._live_hosts.find_data_centres()
         centres.setdefault(self._host.name, self._host.data_centre)
         limit = state.settings.max_connections
--- a/src/wasabipitch/group/choice.py
+++ b/src/wasabipitch/group/choice.py
@@ -47,9 +47,10 @@
         live_hosts: The hosts that are alive, and their reports.
         writers: The hosts that may have acknowledged commits.
         members: The members of the groups.
-        is_holder: Returns whether this host holds the replacement of a revision.
         wait_relinquished: Waits until no host uses the old primary; returns whether
             this host still holds the replacement of that revision then.
+        may_command: Returns whether this host is certain to hold the replacement of a
+            revision, so that it ends no fence of another host.
     """
 
     def __init__(
@@ -59,16 +60,16 @@
         live_hosts: LiveHosts,
         writers: CommitWriters,
         members: GroupMembers,
-        is_holder: Callable[[int], bool],
         wait_relinquished: Callable[[int], Awaitable[bool]],
+        may_command: Callable[[int], Awaitable[bool]],
     ) -> None:
         self._state = state
         self._control = control
         self._live_hosts = live_hosts
         self._writers = writers
         self._members = members
-        self._is_holder = is_holder
         self._wait_relinquished = wait_relinquished
+        self._may_command = may_command
 
     async def run(
         self,
@@ -153,7 +154,7 @@
             for entry in replicas
             if entry.name in reports and reports[entry.name].fenced_term
         ]
-        if fenced and self._is_holder(revision):
+        if fenced and await self._may_command(revision):
             await asyncio.gather(*(self._control.resume(entry) for entry in fenced))
 
     def _describe_reports(self, revision: int) -> dict[str, Any]:
@@ -200,7 +201,10 @@
         """
         if end is not None or not names_primary(record):
             return end
-        return self._writers.find_limit(self._state.name, revision)
+        limit = self._writers.find_limit(self._state.name, revision)
+        # The reports count commits of earlier primaries only as far as a host has read
+        # their answers; all of them lie before the log end at which this one began.
+        return None if limit is None else max(limit, record.start)
 
     async def _hand_over(
         self,
--- a/src/wasabipitch/group/replacement.py
+++ b/src/wasabipitch/group/replacement.py
@@ -6,7 +6,7 @@
 
 import asyncio
 import math
-from collections.abc import Mapping
+from collections.abc import Awaitable, Callable, Mapping
 
 from wasabipitch.clock import now_s
 from wasabipitch.coordination.documents import (
@@ -26,7 +26,11 @@
 from wasabipitch.group.instance_control import InstanceControl
 from wasabipitch.group.state import GroupState
 from wasabipitch.operations.decisions import DecisionLog
-from wasabipitch.policy.quorum import READ_LEASE_MARGIN_S, UNADOPTED_CLAIM_S
+from wasabipitch.policy.quorum import (
+    COMMAND_LEASE_S,
+    READ_LEASE_MARGIN_S,
+    UNADOPTED_CLAIM_S,
+)
 from wasabipitch.policy.read_leases import READ_LEASE_S
 from wasabipitch.policy.recovery import VERIFY_AFTER_S
 from wasabipitch.policy.succession import Choice
@@ -50,6 +54,8 @@
 
     Args:
         host: The incarnation of this host, the holder in the group record.
+        report: Writes this host's own report on the replacement again if it has
+            changed, as an answer that was read late changes it.
     """
 
     def __init__(
@@ -64,8 +70,10 @@
         registration: HostRegistration,
         writers: CommitWriters,
         members: GroupMembers,
+        report: Callable[[], Awaitable[None]],
     ) -> None:
         self._state = state
+        self._report = report
         self._registration = registration
         self._promoter = promoter
         self._mirror = mirror
@@ -79,8 +87,8 @@
             live_hosts,
             writers,
             members,
-            self._is_holder,
             self._wait_relinquished,
+            self._may_command,
         )
         self._refused: set[str] = set()
         # When this host last ordered a promotion that may have been carried out.
@@ -99,6 +107,7 @@
         revision = self._state.record_revision
         try:
             while self._is_holder(revision):
+                await self._report()
                 established = await self._attempt(record, revision)
                 if established is not None:
                     return established
@@ -112,6 +121,16 @@
         is_claimed = self._mirror.is_current(revision) and self._state.is_changing
         return is_claimed and self._state.record_revision == revision
 
+    async def _may_command(self, revision: int) -> bool:
+        """Return whether no other host can have acted on a later claim.
+
+        A process that was suspended may have been taken over without knowing it.
+        """
+        if not self._mirror.is_confirmed_within(COMMAND_LEASE_S):
+            await self._mirror.check(shared=False)
+        recent = self._mirror.is_confirmed_within(COMMAND_LEASE_S)
+        return recent and self._is_holder(revision)
+
     async def _attempt(self, record: GroupRecord, revision: int) -> GroupRecord | None:
         if not self._have_orders_ended(record):
             self._log_waiting(record, Choice(None, "earlier orders may take effect"))
@@ -131,7 +150,7 @@
             leader = await self._replace(record, revision, reports)
             if leader is None:
                 return None
-        return await self._establish(leader)
+        return await self._establish(leader, revision)
 
     async def _replace(
         self, record: GroupRecord, revision: int, reports: dict[str, InstanceReport]
@@ -216,7 +235,9 @@
             # promote after another host has. A read that the hosts share may be older
             # than the other host's claim.
             confirmed = await self._mirror.check(shared=False)
-            if not confirmed or not self._is_holder(revision):
+            # The answer may have been waiting here while the process was suspended.
+            recent = self._mirror.is_confirmed_within(COMMAND_LEASE_S)
+            if not (confirmed and recent and self._is_holder(revision)):
                 await asyncio.sleep(RETRY_S)
                 continue
             registered = find_members(self._state.entries)
@@ -244,15 +265,16 @@
             return True
         return False
 
-    async def _establish(self, leader: str) -> GroupRecord | None:
+    async def _establish(self, leader: str, revision: int) -> GroupRecord | None:
         until_s = now_s() + PROMOTION_EFFECT_S
-        while now_s() < until_s:
+        while now_s() < until_s and self._is_holder(revision):
             entry = self._state.entries.get(leader)
             if entry is None:
                 return None
             report = await self._control.status(entry)
             if report is not None and report.is_primary:
-                await self._resume_replicas(leader)
+                if await self._may_command(revision):
+                    await self._resume_replicas(leader)
                 self._log("primary settled", None, primary=leader, term=report.term)
                 return GroupRecord(
                     Phase.STEADY,
--- a/src/wasabipitch/group/state.py
+++ b/src/wasabipitch/group/state.py
@@ -54,8 +54,8 @@
             group record to this host, or 0.
         decisions: The log of decisions.
         is_serving: Returns whether the store lists this host as one that serves the
-            group, and has answered a read since. A replacement waits only for the
-            listed hosts, so a host that is not listed must not use the primary.
+            group, and the host knows the group records up to then. A replacement
+            waits only for the listed hosts, so no other host may use the primary.
     """
 
     def __init__(
@@ -85,8 +85,6 @@
         # Returns whether every host has relinquished the primary that the record
         # replaces.
         self.is_relinquished: Callable[[], bool] = lambda: False
-        # Returns whether open transactions may commit at the primary they began on.
-        self.may_commit: Callable[[], bool] = lambda: True
         # Returns whether a successor can't be chosen before more instances answer.
         self.is_blocked: Callable[[], bool] = lambda: False
         # Time of the first request in a row that could not reach a primary, or None.
@@ -240,6 +238,18 @@
         finally:
             del self._commits[relinquished]
 
+    def may_commit(self, begun_revision: int) -> bool:
+        """Return whether a commit may be sent for a transaction that is open.
+
+        A commit that is sent after this host has reported what it saw acknowledged, or
+        while no replacement waits for its report, may be acknowledged by the old
+        primary and be missing at the new one.
+
+        Args:
+            begun_revision: The revision of the group record when the transaction began.
+        """
+        return self._is_serving() and begun_revision >= self.abandoned_revision
+
     def abandon_commits(self, revision: int) -> None:
         """Report commits that began under earlier record revisions as unknown.
 
@@ -293,10 +303,12 @@
             self._keep_replicated_samples(record)
         if record is not None and record.phase is Phase.STEADY:
             if not record.names_same_primary(self._established):
-                # The new primary holds every commit that was acknowledged before. This
-                # host may not have seen the record that began the replacement.
+                # This host may not have seen the record that began the replacement.
                 self.abandon_commits(revision)
-                self.unanswered.clear()
+                if record.start != ORIGIN:
+                    # No commit that was acknowledged before exceeds the start, which
+                    # the next choice of a successor takes into account.
+                    self.unanswered.clear()
             self._established = record
         self._decisions.belief(
             "group record",
--- a/tests/wasabipitch/coordination/test_registration.py
+++ b/tests/wasabipitch/coordination/test_registration.py
@@ -6,9 +6,20 @@
 from wasabipitch import tasks
 from wasabipitch.clock import now_s
 from wasabipitch.coordination import registration
-from wasabipitch.coordination.documents import NAMED_KEY, WRITERS_PREFIX, HostRecord
+from wasabipitch.coordination.documents import (
+    GROUPS_PREFIX,
+    HEAD_KEY,
+    HOSTS_PREFIX,
+    NAMED_KEY,
+    NAMES_PREFIX,
+    WRITERS_PREFIX,
+    HostRecord,
+    encode,
+)
+from wasabipitch.coordination.live_hosts import NAME_RETENTION_S, LiveHosts
 from wasabipitch.coordination.mirror import StoreMirror
 from wasabipitch.coordination.registration import HostRegistration
+from wasabipitch.coordination.writers import ENDED_AFTER_S, CommitWriters
 from wasabipitch.exceptions import StoreUnavailable
 from wasabipitch.operations.decisions import DecisionLog
 
@@ -59,6 +70,67 @@
         self.assertEqual(self.registration.validate_confirmation("h", asked_s), 0.0)
         self.assertGreater(self.registration.validate_confirmation("h", now_s()), 0.0)
 
+    async def test_a_group_is_not_served_before_earlier_claims_are_known(self):
+        # The holder of a claim need not have seen a host that is listed after it, so
+        # the host must not commit at the primary that is being replaced.
+        claim = f"{GROUPS_PREFIX}h"
+        self.store.watches_blocked = True
+        self.store.put(claim, b"changing")
+        self.store.put(HEAD_KEY, b"h")
+        early = []
+
+        def observe(key, item):
+            is_known = claim in self.mirror.items
+            early.append(self.registration.is_serving("h") and not is_known)
+
+        self.mirror.subscribe(observe)
+        self.registration.serve(["g", "h"])
+        async with asyncio.timeout(5):
+            while not self.registration.is_serving("h"):
+                await asyncio.sleep(0.01)
+        self.assertNotIn(True, early)
+        self.assertIn(claim, self.mirror.items)
+
+    async def test_a_host_that_counts_as_ended_uses_no_primary(self):
+        # It was suspended, or cut off from the store only. Its copy still lists it, but
+        # another host has answered for its commits and has dropped it.
+        at_s = now_s()
+        self.assertLess(
+            registration.MAX_REGISTRATION_AGE_S, NAME_RETENTION_S + ENDED_AFTER_S
+        )
+        self.store.down = True
+        with patch.object(registration, "now_s", lambda: at_s + 29.0):
+            self.assertTrue(self.registration.is_serving("g"))
+        with patch.object(registration, "now_s", lambda: at_s + 31.0):
+            self.assertFalse(self.registration.is_serving("g"))
+
+    async def test_a_name_that_was_removed_is_written_again(self):
+        # A host that was suspended removed it by an old count. Without a name, a host
+        # counts as ended soon after its registration lapses.
+        self.store.remove(f"{NAMES_PREFIX}a")
+        async with asyncio.timeout(1):
+            while f"{NAMES_PREFIX}a" not in self.store.items:
+                await asyncio.sleep(0.01)
+
+    async def test_a_late_registration_of_an_earlier_run_is_written_over(self):
+        # The store executed a call of the earlier run, which had got no answer, after
+        # this run had registered. All others took this run for ended.
+        mirror = StoreMirror(self.store, DecisionLog("b"))
+        live_hosts = LiveHosts(mirror, lambda: None)
+        writers = CommitWriters(mirror, live_hosts)
+        self.addAsyncCleanup(tasks.cancel, tasks.spawn(mirror.run(), "other"))
+        await mirror.loaded.wait()
+        earlier = HostRecord("a", "rome", "a.0", "127.0.0.1:1")
+        self.store.put(HOSTS_PREFIX + "a.0", encode(earlier))
+        await asyncio.sleep(0.05)
+        self.assertEqual(list(live_hosts.hosts), ["a.1"])
+        self.assertEqual(live_hosts.list_serving_hosts("g"), {"a.1"})
+        self.assertEqual(writers.find_ended("g"), {})
+        self.store.remove(HOSTS_PREFIX + "a.0")
+        commits = self.store.calls.count("commit")
+        await asyncio.sleep(0.05)
+        self.assertEqual(self.store.calls.count("commit"), commits)
+
     async def test_a_dropped_group_stays_registered_until_its_transactions_end(self):
         self.registration.serve([])
         self.assertTrue(self.registration.may_serve("g"))
--- a/tests/wasabipitch/group/test_choice.py
+++ b/tests/wasabipitch/group/test_choice.py
@@ -60,11 +60,11 @@
             self.live_hosts,
             self.writers,
             SimpleNamespace(find=lambda group: Membership()),
-            lambda revision: self.is_holder,
             self.wait_relinquished,
+            AsyncMock(side_effect=lambda revision: self.is_holder),
         )
-        self.commands = []
         self.is_holder = True
+        self.commands = []
 
     async def wait_relinquished(self, revision):
         self.commands.append("relinquished")
--- a/tests/wasabipitch/group/test_replacement.py
+++ b/tests/wasabipitch/group/test_replacement.py
@@ -1,7 +1,7 @@
 import asyncio
 import unittest
 from types import SimpleNamespace
-from unittest.mock import AsyncMock
+from unittest.mock import AsyncMock, patch
 
 from msgspec import structs
 
@@ -85,7 +85,7 @@
         )
         self.state.set_record(RECORD, 9)
         self.replacement = Replacement(
-            self.state, None, None, None, None, DecisionLog("host"), *[None] * 4
+            self.state, None, None, None, None, DecisionLog("host"), *[None] * 5
         )
         self.replacement._choice.run = AsyncMock(return_value=Choice("second", ""))
         self.replacement._fetch_reports = AsyncMock(return_value={})
@@ -121,18 +121,25 @@
             GroupSettings("ledger", 16, 1), lambda: 0.0, DecisionLog("host")
         )
         self.state.set_record(RECORD, 9)
+        self.confirmed_ages_s = [0.1] * 9
+        self.report = AsyncMock()
         self.register("third", 1)
         return Replacement(
             self.state,
             None,
             SimpleNamespace(promote=promote),
-            SimpleNamespace(check=check, is_current=lambda revision: True),
+            SimpleNamespace(
+                check=check,
+                is_current=lambda revision: True,
+                is_confirmed_within=lambda age_s: self.confirmed_ages_s.pop(0) <= age_s,
+            ),
             None,
             DecisionLog("host"),
             "holder",
             None,
             None,
             None,
+            self.report,
         )
 
     def register(self, name, born_ms):
@@ -189,3 +196,49 @@
         async with asyncio.timeout(2):
             self.assertFalse(await replacement._promote("third", 9, ASKED))
         self.assertEqual(orders, [])
+
+    async def test_a_confirmation_that_has_aged_allows_no_promotion(self):
+        # The machine was suspended between the store's answer and its arrival here, and
+        # another host has promoted meanwhile.
+        orders = []
+
+        async def promote(*order):
+            orders.append((order, list(self.confirmed_ages_s)))
+
+        replacement = self.make_replacement(AsyncMock(return_value=True), promote)
+        self.confirmed_ages_s = [30.0, 0.1]
+        async with asyncio.timeout(2):
+            self.assertTrue(await replacement._promote("third", 9, ASKED))
+        self.assertEqual(orders, [(("ledger", "third", "holder", 9), [])])
+
+    async def test_a_holder_that_was_taken_over_resumes_no_replica(self):
+        # It saw its promotion take effect after another holder had fenced the replicas.
+        check = AsyncMock()
+        replacement = self.make_replacement(check, AsyncMock())
+        control = replacement._control = SimpleNamespace(
+            status=AsyncMock(return_value=report(True, 3)), resume=AsyncMock()
+        )
+        fourth = SimpleNamespace(name="fourth", born_ms=1)
+        self.state.entries = {**self.state.entries, "fourth": fourth}
+        self.confirmed_ages_s = [30.0, 30.0]
+        await replacement._establish("third", 9)
+        control.resume.assert_not_awaited()
+        check.assert_awaited_with(shared=False)
+        self.confirmed_ages_s = [0.1, 0.1]
+        await replacement._establish("third", 9)
+        control.resume.assert_awaited_once_with(fourth)
+        self.state.set_record(structs.replace(RECORD, holder="other"), 10)
+        self.assertIsNone(await replacement._establish("third", 9))
+
+    async def test_the_holder_reports_again_while_it_finds_no_successor(self):
+        # It had reported commits without an answer, and waited for its own report to
+        # change until another host took over.
+        replacement = self.make_replacement(AsyncMock(), AsyncMock())
+        steady = structs.replace(RECORD, phase=Phase.STEADY)
+        attempts = AsyncMock(side_effect=[None, None, steady])
+        with (
+            patch.object(replacement, "_attempt", attempts),
+            patch("wasabipitch.group.replacement.RETRY_S", 0.01),
+        ):
+            self.assertEqual(await replacement.run(RECORD), steady)
+        self.assertEqual(self.report.await_count, 3)
