--- a/tests/wasabipitch/group/test_bookkeeping.py
+++ b/tests/wasabipitch/group/test_bookkeeping.py
@@ -211,6 +211,9 @@
         self.assertFalse(self.state.unanswered.is_empty)
 
     async def test_there_is_no_work_once_all_is_written(self):
+        self.assertIsNone(self.bookkeeping.find_work_since_s())
+        self.at_s += STATEMENT_END_S
+        self.assertIsNotNone(self.bookkeeping.find_work_since_s())
         await self.run_round()
         self.assertNotIn(WRITER, self.store.items)
         self.assertIsNone(self.bookkeeping.find_work_since_s())
