Remember an order to promote beyond the replacement that sent it

Cause: an error of the store ends a replacement, which begins anew under the same claim; remembered the last order in the former one only, so that it was not waited for.

Evidence: test_an_order_of_a_replacement_that_the_store_interrupted_counts failed before (the next one went on to ask the instances at once), passes now. Found by reading.

--- a/src/wasabipitch/group/replacement.py
+++ b/src/wasabipitch/group/replacement.py
@@ -91,8 +91,6 @@
             self._may_command,
         )
         self._refused: set[str] = set()
-        # When this host last ordered a promotion that may have been carried out.
-        self._ordered_at_s = -math.inf
         # The last reason that was logged for a wait, and when it is logged again.
         self._logged_reason = ""
         self._log_again_s = 0.0
@@ -182,7 +180,7 @@
         Whichever instance leads until one of them does acknowledges commits that the
         promoted instance lacks.
         """
-        at_s = self._ordered_at_s
+        at_s = self._state.ordered_at_s
         if record.may_have_orders:
             at_s = max(at_s, self._state.record_since_s)
         return now_s() - at_s >= VERIFY_AFTER_S
@@ -191,7 +189,7 @@
         self, record: GroupRecord, reports: Mapping[str, InstanceReport]
     ) -> bool:
         """Return whether no instance that was ordered to lead may be silent."""
-        if not record.may_have_orders and self._ordered_at_s == -math.inf:
+        if not record.may_have_orders and self._state.ordered_at_s == -math.inf:
             return True
         return set(reports) >= set(self._state.entries)
 
@@ -247,18 +245,19 @@
                 # An instance that was not fenced may confirm commits of the old
                 # primary, and one that has started again has lost its log.
                 return False
-            ordered_at_s, self._ordered_at_s = self._ordered_at_s, now_s()
+            ordered_at_s = self._state.ordered_at_s
+            self._state.ordered_at_s = now_s()
             try:
                 await self._promoter.promote(
                     self._state.name, instance, self._host, revision
                 )
             except PromotionRefused as exc:
-                self._ordered_at_s = ordered_at_s
+                self._state.ordered_at_s = ordered_at_s
                 self._refused.add(instance)
                 self._log("promotion refused", None, reason=str(exc))
                 return False
             except StoreUnavailable as exc:
-                self._ordered_at_s = now_s()
+                self._state.ordered_at_s = now_s()
                 self._log("promotion unanswered", None, reason=str(exc))
                 await asyncio.sleep(RETRY_S)
                 continue
--- a/src/wasabipitch/group/state.py
+++ b/src/wasabipitch/group/state.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import math
 from collections.abc import Callable, Iterator
 
 import msgspec
@@ -82,6 +83,8 @@
         # Since when this host may not use the group's primaries because it is not yet
         # registered as one that serves the group, or None.
         self.registering_since_s: float | None = now_s()
+        # When this host last ordered a promotion that may have been carried out.
+        self.ordered_at_s = -math.inf
         # Returns whether every host has relinquished the primary that the record
         # replaces.
         self.is_relinquished: Callable[[], bool] = lambda: False
--- a/tests/wasabipitch/group/test_replacement.py
+++ b/tests/wasabipitch/group/test_replacement.py
@@ -102,11 +102,28 @@
 
     async def test_an_order_of_this_host_is_waited_for(self):
         record = structs.replace(RECORD, may_have_orders=False)
-        self.replacement._ordered_at_s = now_s()
+        self.state.ordered_at_s = now_s()
         self.assertIsNone(await self.replacement._attempt(record, 9))
-        self.replacement._ordered_at_s -= VERIFY_AFTER_S
+        self.state.ordered_at_s -= VERIFY_AFTER_S
         self.assertEqual(await self.replacement._attempt(record, 9), RECORD)
 
+    async def test_an_order_of_a_replacement_that_the_store_interrupted_counts(self):
+        # Its host could not write its report, and begins anew under the same claim.
+        record = structs.replace(RECORD, may_have_orders=False)
+        self.state.entries = {"third": SimpleNamespace(name="third", born_ms=1)}
+        self.replacement._mirror = SimpleNamespace(
+            check=AsyncMock(return_value=True),
+            is_current=lambda revision: True,
+            is_confirmed_within=lambda age_s: True,
+        )
+        self.replacement._promoter = SimpleNamespace(promote=AsyncMock())
+        async with asyncio.timeout(2):
+            self.assertTrue(await self.replacement._promote("third", 9, ASKED))
+        again = Replacement(
+            self.state, None, None, None, None, DecisionLog("host"), *[None] * 5
+        )
+        self.assertIsNone(await again._attempt(record, 9))
+
     async def test_a_silent_instance_may_have_been_promoted_before(self):
         self.state.record_since_s -= VERIFY_AFTER_S
         self.state.entries = {"third": SimpleNamespace(name="third", born_ms=1)}
