--- a/src/wasabipitch/group/replacement.py
+++ b/src/wasabipitch/group/replacement.py
@@ -274,7 +274,13 @@
             if report is not None and report.is_primary:
                 if await self._may_command(revision):
                     await self._resume_replicas(leader)
-                self._log("primary settled", None, primary=leader, term=report.term)
+                self._log(
+                    "primary settled",
+                    None,
+                    primary=leader,
+                    term=report.term,
+                    start=str(report.received),
+                )
                 return GroupRecord(
                     Phase.STEADY,
                     leader,
