Let the stand-in of the store serve several groups

Cause: the operator's configuration named one group, and an order to promote was always held for 0.3 s, also where a group holds it itself. Change: configure_groups writes routes to several groups; promotion_delay_s is an attribute. configure and the default stay as they were.

--- a/src/standins/http_store.py
+++ b/src/standins/http_store.py
@@ -5,7 +5,7 @@
 import contextlib
 import json
 from collections import Counter
-from collections.abc import Iterable
+from collections.abc import Iterable, Mapping
 from dataclasses import dataclass
 from typing import Any
 
@@ -74,6 +74,8 @@
         self.store = MemoryStore()
         # The delay before each call is handled.
         self.delay_s = 0.0
+        # How long an order to promote is held before the group receives it.
+        self.promotion_delay_s = PROMOTION_DELAY_S
         self.port = 0
         self._groups = groups
         # How often each instance has written its registration.
@@ -128,6 +130,21 @@
             routes: The routes, all to that group.
             connections: The connections that each instance accepts.
         """
+        self.configure_groups(version, {group: routes}, connections)
+
+    def configure_groups(
+        self,
+        version: int,
+        routes: Mapping[str, Iterable[RouteSpec]],
+        connections: int,
+    ) -> None:
+        """Store a configuration of several groups unless it is unchanged.
+
+        Args:
+            version: The version of the configuration.
+            routes: The routes to each group, by its name.
+            connections: The connections that each instance accepts.
+        """
         document = {
             "Version": version,
             "Routes": [
@@ -140,9 +157,13 @@
                     "Priority": 1,
                     "MaxStalenessMs": route.max_age_ms,
                 }
-                for route in routes
+                for group, group_routes in routes.items()
+                for route in group_routes
+            ],
+            "Backends": [
+                {"Name": group, "MaxConns": connections, "SyncReplicas": 1}
+                for group in routes
             ],
-            "Backends": [{"Name": group, "MaxConns": connections, "SyncReplicas": 1}],
             "Limits": {"TxIdleMs": 1000},
         }
         value = json.dumps(document).encode()
@@ -276,7 +297,7 @@
 
     async def _promote(self, request: web.Request) -> dict[str, Any]:
         body = await request.json()
-        await asyncio.sleep(PROMOTION_DELAY_S)
+        await asyncio.sleep(self.promotion_delay_s)
         await self._groups[body["Backend"]].promote(
             body["Backend"],
             body["Id"],
