Add a form of the soak with losses of whole groups

All primaries fail at one moment, with replicas, hosts and the store as the seed draws them. The present form draws what it drew before.

--- a/src/soak/callers.py
+++ b/src/soak/callers.py
@@ -88,6 +88,11 @@
             raise Disconnected(str(exc)) from exc
         return lines
 
+    def send(self, text: str) -> None:
+        """Send a statement without waiting for the reply."""
+        request = f"{next(_request_numbers):x}"
+        self._writer.write(f"QUERY {request} {text}\r\n".encode())
+
     def close(self) -> None:
         """Abort the connection."""
         self._writer.transport.abort()
--- a/src/soak/history.py
+++ b/src/soak/history.py
@@ -3,6 +3,7 @@
 from collections import Counter
 from collections.abc import Iterable
 from dataclasses import dataclass, field
+from pathlib import Path
 
 from standins.line_group import Entry
 
@@ -25,6 +26,23 @@
     detail: str
 
 
+@dataclass(frozen=True, slots=True)
+class Report:
+    """The result of a run.
+
+    Args:
+        seed: The seed of the run.
+        violations: The broken guarantees.
+        outcomes: The number of attempts by kind and result.
+        folder: The directory with the hosts' logs and the fault log.
+    """
+
+    seed: int
+    violations: tuple[Violation, ...]
+    outcomes: dict[str, int]
+    folder: Path
+
+
 @dataclass(frozen=True, slots=True)
 class AcknowledgedWrite:
     """A write that was acknowledged to its caller.
--- a/src/soak/proxy.py
+++ b/src/soak/proxy.py
@@ -21,6 +21,8 @@
     def __init__(self, target: Address) -> None:
         self.target = target
         self.delay_s = 0.0
+        # While set, new connections are reset.
+        self.is_refusing = False
         self.port = 0
         # Bytes of a blocked direction are held back until its event is set again.
         self._upstream_open = asyncio.Event()
@@ -46,8 +48,9 @@
         await asyncio.gather(*self._tasks, return_exceptions=True)
 
     def heal(self) -> None:
-        """Remove the delay and unblock both directions."""
+        """Remove the delay, unblock both directions and accept connections."""
         self.delay_s = 0.0
+        self.is_refusing = False
         self._upstream_open.set()
         self._downstream_open.set()
 
@@ -75,6 +78,8 @@
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
         with contextlib.suppress(OSError, asyncio.CancelledError):
+            if self.is_refusing:
+                raise ConnectionResetError
             await self._forward(reader, writer)
         writer.transport.abort()
 
--- a/src/soak/run.py
+++ b/src/soak/run.py
@@ -7,7 +7,6 @@
 import sys
 import tempfile
 import time
-from dataclasses import dataclass
 from pathlib import Path
 
 import fire
@@ -15,7 +14,8 @@
 from soak.callers import Caller, Connection, Database, Disconnected
 from soak.faults import run_faults, run_returns
 from soak.fleet import SoakFleet
-from soak.history import History, Violation
+from soak.history import History, Report, Violation
+from soak.incident import run_incident
 
 DATABASES = {
     "payments": Database(0.0, True),
@@ -29,23 +29,8 @@
 START_TIMEOUT_S = 15.0
 RECOVERY_TIMEOUT_S = 30.0
 EXIT_VIOLATION = 1
-
-
-@dataclass(frozen=True, slots=True)
-class Report:
-    """The result of a run.
-
-    Args:
-        seed: The seed of the run.
-        violations: The broken guarantees.
-        outcomes: The number of attempts by kind and result.
-        folder: The directory with the hosts' logs and the fault log.
-    """
-
-    seed: int
-    violations: tuple[Violation, ...]
-    outcomes: dict[str, int]
-    folder: Path
+# The counts of the incident form that a run prints.
+COUNTS = ("losses", "promotions", "lost commits", "late commits")
 
 
 async def run_seed(seed: int, seconds: float, folder: Path) -> Report:
@@ -144,7 +129,15 @@
     await asyncio.gather(*tasks, return_exceptions=True)
 
 
-def main(seed: int = -1, seconds: float = 20.0, runs: int = 1, keep: str = "") -> None:
+def main(
+    seed: int = -1,
+    seconds: float = 20.0,
+    runs: int = 1,
+    keep: str = "",
+    form: str = "faults",
+    late: bool = True,
+    busy: int = 0,
+) -> None:
     """Run fault injection tests and exit with 1 if a guarantee was violated.
 
     Args:
@@ -153,23 +146,37 @@
         seconds: How long faults are injected in each run.
         runs: Number of runs; each one uses the next seed.
         keep: Directory for the logs; by default a new temporary one.
+        form: ``faults`` for three hosts and one group, ``incident`` for six hosts and
+            three groups that are lost and return.
+        late: Whether answers of instances may leave late, in the incident form.
+        busy: Number of processes that compute beside a run of the incident form.
     """
+    if form not in ("faults", "incident"):
+        raise ValueError(f"there is no form {form}")
     first = secrets.randbelow(1_000_000) if seed < 0 else seed
     base = Path(keep) if keep else Path(tempfile.mkdtemp(prefix="soak-"))
     broken = False
     for number in range(first, first + runs):
         folder = base / str(number)
         folder.mkdir(parents=True, exist_ok=True)
-        report = asyncio.run(run_seed(number, seconds, folder))
+        if form == "incident":
+            run = run_incident(number, seconds, folder, late, busy)
+        else:
+            run = run_seed(number, seconds, folder)
+        report = asyncio.run(run)
         served = sum(n for name, n in report.outcomes.items() if name.endswith(" ok"))
         total = sum(report.outcomes.values())
         print(f"seed {number}: {served} of {total} served", flush=True)
+        if form == "incident":
+            counts = [f"{n} {report.outcomes[n]}" for n in COUNTS]
+            print(f"  {', '.join(counts)}", flush=True)
         for violation in report.violations[:5]:
             print(f"  {violation.promise}: {violation.detail}")
         if report.violations:
             broken = True
             print(
-                f"  logs: {folder}; reproduce with: --seed {number} --seconds {seconds}"
+                f"  logs: {folder}; reproduce with: --form {form} --seed {number} "
+                f"--seconds {seconds}"
             )
     sys.exit(EXIT_VIOLATION if broken else 0)
 
--- a/tests/soak/test_run.py
+++ b/tests/soak/test_run.py
@@ -4,9 +4,13 @@
 import unittest
 from pathlib import Path
 
+from soak.incident import run_incident
 from soak.run import run_seed
 
 SECONDS = 8.0
+INCIDENT_SEED = 3
+# One loss with its return.
+INCIDENT_SECONDS = 1.0
 # Seeds of runs that once found a fault, with their seconds and a comment on the cause.
 REGRESSION_SEEDS = {
     # No primary for good: the store lost the record of a replacement that had ended.
@@ -33,3 +37,16 @@
         for seed, seconds in REGRESSION_SEEDS.items():
             with self.subTest(seed=seed):
                 self.run_once(seed, seconds)
+
+
+class IncidentRunTest(unittest.TestCase):
+    # Commits without a read answer were lost when all primaries went at one moment.
+    def test_no_acknowledged_commit_is_lost_with_a_fixed_seed(self):
+        with tempfile.TemporaryDirectory() as folder:
+            report = asyncio.run(
+                run_incident(INCIDENT_SEED, INCIDENT_SECONDS, Path(folder))
+            )
+            log = (Path(folder) / "faults.log").read_text(encoding="utf-8")
+        self.assertEqual(report.violations, (), log)
+        self.assertGreater(report.outcomes["promotions"], 0)
+        self.assertGreater(report.outcomes.get("write ok", 0), 0)
