Draw losses that each safety rule is needed for

Cause: losses drawn at random seldom have the order of events in which a rule matters. Change: every other loss is of the kind of the incident; the others are drawn, or lose most hosts, strike while the primaries drain, let primaries run statements late, or let frozen hosts run again beside primaries that were replaced.

--- a/src/soak/incident.py
+++ b/src/soak/incident.py
@@ -99,8 +99,8 @@
         ]
         losses = 0
         while losses == 0 or time.monotonic() - started_s < seconds:
+            await runner.run(_draw(rng, losses, late))
             losses += 1
-            await runner.run(_draw(rng, late))
             returned_s = time.monotonic()
             await _check_writable(fleet, common, RECOVERY_TIMEOUT_S, "the last return")
             log(f"all serve writes after {time.monotonic() - returned_s:.2f} s")
@@ -110,8 +110,8 @@
     return _make_report(seed, folder, fleet, [common, *histories.values()], losses)
 
 
-def _draw(rng: random.Random, late: bool) -> Strike:
-    strike = draw_strike(rng)
+def _draw(rng: random.Random, number: int, late: bool) -> Strike:
+    strike = draw_strike(rng, number)
     return strike if late else replace(strike, answer_delay_s=(0.0, 0.0))
 
 
--- a/src/soak/judged_group.py
+++ b/src/soak/judged_group.py
@@ -27,6 +27,8 @@
         self.is_dark = False
         # Cut off from its peers and from the store, but not from hosts.
         self.is_cut = False
+        # While set, statements are received and run later.
+        self.hangs = False
         # While set, STATUS and PAUSE are answered BUSY.
         self.is_busy = False
         # Answers to commits leave so long after the acknowledgement, at least and most.
@@ -92,6 +94,9 @@
     async def _answer(self, session, request: str, text: str) -> str | None:
         await self._check_life(self._life)
         life = self._life
+        while self.hangs:
+            await asyncio.sleep(REPLICATION_RETRY_S)
+        await self._check_life(life)
         answer = await super()._answer(session, request, text)
         await self._check_life(life)
         return answer
@@ -143,7 +148,7 @@
         self.newest_term = 1
         self.promotion_delay_s = 0.3
         # The replica that was the first to receive the latest commit.
-        self.last_confirmer: JudgedInstance | None = None
+        self._confirmer: JudgedInstance | None = None
         # Called when an instance changes its role.
         self.on_change: Callable[[], None] = lambda: None
         self._numbers = itertools.count()
@@ -159,6 +164,12 @@
         self.instances[instance.name] = instance
         return instance
 
+    def find_confirmer(self) -> JudgedInstance:
+        """Return the replica that confirmed last, or else one that may confirm."""
+        replicas = [i for i in self.instances.values() if i is not self.primary]
+        replicas.sort(key=lambda i: (i.replication_blocked, i is not self._confirmer))
+        return replicas[0]
+
     def replicate(self, primary: JudgedInstance, entry: Entry) -> bool:
         """Send a commit to the replicas and return whether any of them has it."""
         if not primary.reaches_peers:
@@ -174,7 +185,7 @@
                 continue
             self._send_missing(primary, replica)
             if replica.reaches_peers and replica.holds(entry):
-                confirmed, self.last_confirmer = True, replica
+                confirmed, self._confirmer = True, replica
         return confirmed
 
     async def promote(self, group: str, instance: str, holder: str, fence: int) -> None:
--- a/src/soak/strikes.py
+++ b/src/soak/strikes.py
@@ -25,7 +25,7 @@
         primary: The fault of the primary.
         with_confirmer: Whether the replica that confirmed last goes with it.
         deaf_s: How long before the loss the other replica receives nothing; 0 if not.
-        stall_s: How long a primary that stalls or is isolated answers nothing.
+        stall_s: How long a primary that stalls, hangs or is isolated answers nothing.
     """
 
     primary: str
@@ -46,10 +46,13 @@
         groups: What happens to each group.
         host_fault: How the hosts fail.
         hosts: The indexes of the hosts that fail.
+        hosts_lead_s: How long before the loss the hosts fail.
+        hosts_away_s: The time from the loss until the hosts return.
         store_fault: How the store fails.
         busy_s: How long STATUS and PAUSE are answered BUSY after the loss.
         release: The role of the instance that drains before, or empty.
         release_group: The group of that instance.
+        drain_s: How long before the loss all primaries begin to drain; 0 if not.
         away_s: The time until everything returns, within another second.
         return_order: Seeds the moments of the returns.
     """
@@ -61,42 +64,33 @@
     groups: dict[str, GroupStrike]
     host_fault: str
     hosts: tuple[int, ...]
+    hosts_lead_s: float
+    hosts_away_s: float
     store_fault: str
     busy_s: float
     release: str
     release_group: str
+    drain_s: float
     away_s: float
     return_order: float = field(repr=False)
 
 
-def draw_strike(rng: random.Random) -> Strike:
-    """Draw a loss, and let two of five be those of answers that nobody reads.
+def draw_strike(rng: random.Random, number: int) -> Strike:
+    """Draw a loss; a seed fixes all of them.
 
-    In these, a replica falls behind shortly before all other instances fail, while the
-    answers to the last commits are still on their way.
+    Args:
+        rng: The source of all random choices.
+        number: The number of the loss within its run, from 0. Every other one is of
+            the kind of the incident.
     """
-    strike, is_late = _draw_any(rng), rng.random() < 0.4
-    groups = {
-        name: replace(
-            plan,
-            primary=rng.choice(("crash", "dark")),
-            with_confirmer=True,
-            deaf_s=rng.uniform(0.05, 0.3),
-        )
-        for name, plan in strike.groups.items()
-    }
-    keeps_hosts = rng.random() < 0.6
-    if not is_late:
-        return strike
-    late = replace(strike, groups=groups, answer_delay_s=(0.3, 0.4), release="")
-    return replace(late, hosts=()) if keeps_hosts else late
+    strike, kind = _draw_any(rng), rng.choice(KINDS)
+    return (kind if number % 2 else _lose_unread_answers)(strike, rng)
 
 
 def _draw_any(rng: random.Random) -> Strike:
     longest_s = rng.choice((0.0, rng.uniform(0.05, 0.4), 0.3, 0.4))
-    answer_delay_s = (longest_s * rng.choice((0.0, 0.8)), longest_s)
     # In half of the losses all primaries fail in the same way.
-    same = rng.choice((*PRIMARY_FAULTS, "", "", "", "", ""))
+    same = rng.choice((*PRIMARY_FAULTS, *("",) * len(PRIMARY_FAULTS)))
     groups = {}
     for name in GROUPS:
         fault = rng.choice(PRIMARY_FAULTS)
@@ -104,23 +98,128 @@
         with_confirmer, stall_s = rng.random() < 0.8, rng.uniform(*STALL_S)
         groups[name] = GroupStrike(same or fault, with_confirmer, deaf_s, stall_s)
     count = rng.choice((0, 0, rng.randint(1, HOST_COUNT - 1), HOST_COUNT))
+    away_s = rng.uniform(1.5, 5.0)
     return Strike(
         calm_s=rng.uniform(0.5, 1.5),
         lead_s=max(1.0, *(plan.deaf_s for plan in groups.values())),
-        answer_delay_s=answer_delay_s,
+        answer_delay_s=(longest_s * rng.choice((0.0, 0.8)), longest_s),
         promotion_delay_s=rng.choice((0.3, 0.3, rng.uniform(0.3, 0.9))),
         groups=groups,
         host_fault=rng.choice(HOST_FAULTS),
         hosts=tuple(sorted(rng.sample(range(HOST_COUNT), count))),
+        hosts_lead_s=0.0,
+        hosts_away_s=away_s,
         store_fault=rng.choice(STORE_FAULTS),
         busy_s=rng.choice((0.0, 0.0, rng.uniform(0.3, 2.0))),
         release=rng.choice(("", "", "primary", "replica")),
         release_group=rng.choice(GROUPS),
-        away_s=rng.uniform(1.5, 5.0),
+        drain_s=0.0,
+        away_s=away_s,
         return_order=rng.random(),
     )
 
 
+def _leave_as_drawn(strike: Strike, rng: random.Random) -> Strike:
+    return strike
+
+
+def _lose_unread_answers(strike: Strike, rng: random.Random) -> Strike:
+    """Lose the primaries while the answers to commits that a replica lacks are late."""
+    groups = _draw_dark(rng, (0.05, 0.3))
+    hosts = strike.hosts if rng.random() < 0.3 else ()
+    return replace(
+        strike, groups=groups, hosts=hosts, answer_delay_s=(0.3, 0.4), release=""
+    )
+
+
+def _lose_hosts(strike: Strike, rng: random.Random) -> Strike:
+    """Lose most hosts with the primaries; the hosts return first."""
+    hosts = tuple(sorted(rng.sample(range(HOST_COUNT), rng.choice((4, 5)))))
+    return replace(
+        strike,
+        groups=_draw_dark(rng, (0.05, 0.5)),
+        answer_delay_s=(0.0, 0.0),
+        hosts=hosts,
+        host_fault=rng.choice(("kill", "power")),
+        hosts_away_s=rng.uniform(0.3, 1.5),
+        store_fault="none",
+        release="",
+        away_s=rng.uniform(5.0, 8.0),
+    )
+
+
+def _lose_while_draining(strike: Strike, rng: random.Random) -> Strike:
+    """Lose primaries that drain, while a frozen host delays their replacement."""
+    drain_s = rng.uniform(0.4, 0.9)
+    return replace(
+        strike,
+        groups=_draw_dark(rng, (drain_s * 0.4, drain_s * 0.8)),
+        answer_delay_s=(0.0, 0.0),
+        hosts=(rng.randrange(HOST_COUNT),),
+        host_fault="freeze",
+        hosts_lead_s=drain_s + 0.05,
+        hosts_away_s=rng.uniform(3.0, 4.0),
+        store_fault="none",
+        release="",
+        drain_s=drain_s,
+        away_s=rng.uniform(4.0, 5.0),
+    )
+
+
+def _hang(strike: Strike, rng: random.Random) -> Strike:
+    """Let primaries run statements late, when another instance may be promoted."""
+    groups = {
+        name: GroupStrike("hang", False, 0.0, rng.uniform(0.6, 2.5)) for name in GROUPS
+    }
+    return replace(
+        strike,
+        groups=groups,
+        hosts=(),
+        store_fault="none",
+        promotion_delay_s=rng.uniform(0.6, 0.9),
+        release="",
+        away_s=4.0,
+    )
+
+
+def _thaw(strike: Strike, rng: random.Random) -> Strike:
+    """Let frozen hosts run again that still reach the replaced primaries."""
+    groups = {
+        name: GroupStrike("isolate", False, 0.0, rng.uniform(0.5, 1.0))
+        for name in GROUPS
+    }
+    return replace(
+        strike,
+        groups=groups,
+        hosts=tuple(sorted(rng.sample(range(HOST_COUNT), rng.randint(1, 3)))),
+        host_fault="freeze",
+        hosts_away_s=rng.uniform(3.5, 5.0),
+        store_fault=rng.choice(("none", "cut")),
+        release="",
+        away_s=7.0,
+    )
+
+
+KINDS = (
+    *(_leave_as_drawn,) * 3,
+    *(_lose_hosts,) * 2,
+    _lose_while_draining,
+    _hang,
+    _thaw,
+)
+
+
+def _draw_dark(
+    rng: random.Random, deaf_s: tuple[float, float]
+) -> dict[str, GroupStrike]:
+    return {
+        name: GroupStrike(
+            rng.choice(("crash", "dark")), True, rng.uniform(*deaf_s), 0.0
+        )
+        for name in GROUPS
+    }
+
+
 class StrikeRunner:
     """Carries out losses on a fleet.
 
@@ -152,9 +251,10 @@
                 returns_s = strike.away_s + rng.uniform(0.0, 1.0)
                 faults.create_task(self._fail_group(name, plan, strike, returns_s))
             for number in strike.hosts:
-                returns_s = strike.away_s + rng.uniform(0.0, 1.0)
+                returns_s = strike.hosts_away_s + rng.uniform(0.0, 1.0)
                 host = fleet.hosts[number]
                 faults.create_task(self._fail_host(host, strike, returns_s))
+            faults.create_task(self._drain(strike))
             faults.create_task(self._fail_store(strike))
             faults.create_task(self._keep_busy(strike))
         await release
@@ -182,10 +282,10 @@
     ) -> None:
         await asyncio.sleep(strike.lead_s)
         group = self._fleet.groups[name]
-        primary, confirmer = group.primary, group.last_confirmer
+        primary = group.primary
         failing = [primary]
-        if plan.with_confirmer and confirmer is not None and confirmer is not primary:
-            failing.append(confirmer)
+        if plan.with_confirmer:
+            failing.append(group.find_confirmer())
         ends = ", ".join(
             f"{n} {i.log_end[0]}.{i.log_end[1]}" for n, i in group.instances.items()
         )
@@ -196,12 +296,13 @@
             await asyncio.sleep(returns_s)
         else:
             # The confirmer loses power; the primary runs on.
-            primary.silent = True
+            primary.silent = plan.primary != "hang"
+            primary.hangs = plan.primary == "hang"
             primary.is_cut = plan.primary == "isolate"
             for instance in failing[1:]:
                 await self._lose(instance, "dark")
             await asyncio.sleep(min(plan.stall_s, returns_s))
-            primary.silent = False
+            primary.silent = primary.hangs = False
             await asyncio.sleep(max(returns_s - plan.stall_s, 0.0))
         for instance in failing:
             instance.is_cut = False
@@ -219,14 +320,14 @@
     async def _fail_host(
         self, host: HostProcess, strike: Strike, returns_s: float
     ) -> None:
-        await asyncio.sleep(strike.lead_s)
+        await asyncio.sleep(strike.lead_s - strike.hosts_lead_s)
         self.harmed.add(host.name)
         if strike.host_fault == "kill":
             await host.kill()
         else:
             # Without power, a host leaves its connections open, too.
             host.pause()
-        await asyncio.sleep(returns_s)
+        await asyncio.sleep(strike.hosts_lead_s + returns_s)
         if strike.host_fault == "power":
             host.send(signal.SIGKILL)
             await host.wait_exit()
@@ -234,6 +335,19 @@
         await host.start()
         self._log(f"{host.name} is back")
 
+    async def _drain(self, strike: Strike) -> None:
+        """Let all primaries drain; after the loss they stay."""
+        if not strike.drain_s:
+            return
+        fleet = self._fleet
+        await asyncio.sleep(strike.lead_s - strike.drain_s)
+        names = [group.primary.name for group in fleet.groups.values()]
+        fleet.leaving.update(names)
+        fleet.register_all()
+        self._log(f"{names} drain")
+        await asyncio.sleep(strike.drain_s + strike.away_s)
+        fleet.leaving.difference_update(names)
+
     async def _fail_store(self, strike: Strike) -> None:
         await asyncio.sleep(strike.lead_s)
         fleet, fault = self._fleet, strike.store_fault
--- a/tests/soak/test_judge.py
+++ b/tests/soak/test_judge.py
@@ -121,7 +121,7 @@
         self.group._send_missing(self.primary, self.deaf)
         self.deaf.replication_blocked = True
         await self.commit("2.w")
-        self.assertIs(self.group.last_confirmer, self.other)
+        self.assertIs(self.group.find_confirmer(), self.other)
         self.group._lead(self.deaf, Order(self.deaf.name, "host-1", 1, 0.0))
         self.assertEqual([v.promise for v in self.group.judge.violations], [LOST])
 
