Stamp late answers of the soak with the position at which they were composed

Cause: an answer that left late named the log's end of that moment, from which hosts learnt of commits whose answers they had not read.

--- a/src/soak/judged_group.py
+++ b/src/soak/judged_group.py
@@ -31,7 +31,7 @@
         self.hangs = False
         # While set, STATUS and PAUSE are answered BUSY.
         self.is_busy = False
-        # Answers to commits leave so long after the acknowledgement, at least and most.
+        # Answers leave so long after the end of their statement, at least and most.
         self.answer_delay_s = (0.0, 0.0)
         # Sessions of an earlier life of the instance answer nothing.
         self._life = 0
@@ -119,8 +119,16 @@
                 raise ConnectionResetError
         self.applied = len(self.log)
         self.group.judge.record_acknowledged(entry, now_s(), self.name)
-        if any(self.answer_delay_s):
+
+    async def _compose(self, session, request: str, answer: str | None) -> str:
+        # The position is that of the moment at which the statement ended.
+        life = self._life
+        message = f"{answer}READY {session.state} {self.position}\r\n"
+        if request != "-" and any(self.answer_delay_s):
             await asyncio.sleep(self.group.rng.uniform(*self.answer_delay_s))
+        await self._wait_while_silent()
+        await self._check_life(life)
+        return message
 
     async def _do_status(self, session, request, rest, text) -> str:
         if self.is_busy:
--- a/src/soak/strikes.py
+++ b/src/soak/strikes.py
@@ -41,7 +41,7 @@
     Args:
         calm_s: The time before anything happens.
         lead_s: The time from the first preceding fault to the loss.
-        answer_delay_s: The shortest and the longest delay of answers to commits.
+        answer_delay_s: The shortest and the longest delay of answers.
         promotion_delay_s: The time until a promotion takes effect.
         groups: What happens to each group.
         host_fault: How the hosts fail.
@@ -241,8 +241,7 @@
         self._log(f"{strike}")
         for group in fleet.groups.values():
             group.promotion_delay_s = strike.promotion_delay_s
-            for instance in group.instances.values():
-                instance.answer_delay_s = strike.answer_delay_s
+        self._delay_answers(strike.answer_delay_s)
         release = asyncio.ensure_future(self._release(strike, rng.uniform(2.0, 6.0)))
         async with asyncio.TaskGroup() as faults:
             for name, plan in strike.groups.items():
@@ -258,8 +257,14 @@
             faults.create_task(self._fail_store(strike))
             faults.create_task(self._keep_busy(strike))
         await release
+        self._delay_answers((0.0, 0.0))
         self._log("everything is back")
 
+    def _delay_answers(self, delay_s: tuple[float, float]) -> None:
+        for group in self._fleet.groups.values():
+            for instance in group.instances.values():
+                instance.answer_delay_s = delay_s
+
     async def _deafen(
         self, name: str, plan: GroupStrike, at_s: float, strike: Strike
     ) -> None:
--- a/src/standins/line_group.py
+++ b/src/standins/line_group.py
@@ -178,12 +178,19 @@
         while line := await reader.readline():
             _, request, text = line.decode().rstrip("\r\n").split(" ", 2)
             answer = await self._answer(session, request, text)
-            await self._wait_while_silent()
+            message = await self._compose(session, request, answer)
             if answer is None:
                 return
-            writer.write(f"{answer}READY {session.state} {self.position}\r\n".encode())
+            writer.write(message.encode())
             await writer.drain()
 
+    async def _compose(
+        self, session: _Session, request: str, answer: str | None
+    ) -> str:
+        """Return the message of an answer when it leaves."""
+        await self._wait_while_silent()
+        return f"{answer}READY {session.state} {self.position}\r\n"
+
     async def _wait_while_silent(self) -> None:
         while self.silent:
             await asyncio.sleep(0.01)
