Let callers of the incident form go on with new items after an uncertain write

Cause: a write without a definite answer may take effect after the next one of its caller. A read of it then counts as stale. Change: after an uncertain outcome a caller writes to new items.

--- a/src/soak/incident.py
+++ b/src/soak/incident.py
@@ -11,7 +11,7 @@
 from pathlib import Path
 
 from soak.callers import THINK_TIME_S, Caller, Connection, Database, Disconnected
-from soak.history import History, Report, Violation
+from soak.history import NOT_RUN_CODES, History, Report, Violation
 from soak.incident_fleet import GROUPS, KINDS, IncidentFleet, name_database
 from soak.strikes import Strike, StrikeRunner, draw_strike
 from wasabipitch.clock import now_s
@@ -32,10 +32,38 @@
 
 
 class IncidentCaller(Caller):
-    """A caller of one group that keeps its session until the host is gone."""
+    """A caller of one group that keeps its session until the host is gone.
+
+    A write without a definite answer may take effect after the next one. The caller
+    then goes on with new items, so that versions keep the order of the log.
+    """
+
+    _generation = 0
+
+    def _renew_items(self) -> None:
+        self._generation += 1
+        items = tuple(f"{self.name}-{part}{self._generation}" for part in "ab")
+        for old, new in zip(self.items, items, strict=True):
+            self._all_items[self._all_items.index(old)] = new
+        self.items = items
+
+    def _record_write(
+        self, session: str, items: tuple[str, ...], data: str, code: str
+    ) -> None:
+        super()._record_write(session, items, data, code)
+        if code != "ok" and code not in NOT_RUN_CODES:
+            self._renew_items()
 
     async def _run_session(self, conn: Connection, database: str) -> None:
         session = f"{self.name}/{self._rng.getrandbits(32):08x}"
+        try:
+            await self._run_statements(conn, session, database)
+        finally:
+            self._renew_items()
+
+    async def _run_statements(
+        self, conn: Connection, session: str, database: str
+    ) -> None:
         while True:
             work = self._rng.random()
             if work < 0.35:
