Decode client accounts, their keys and the resources of a host

Cause: the configuration's accounts and the settings' limits were ignored, so no part of the gateway could know whose statement it serves or what a host can bear.

Change: Account, Route.public and the index of keys in Configuration; the bounds on withdrawn keys and limits and the host's resources in GatewaySettings; the account in SessionContext, RunStatement and the startup to instances. The session's id and the text of a startup no longer contain the key.

--- a/src/wasabipitch/coordination/documents.py
+++ b/src/wasabipitch/coordination/documents.py
@@ -62,6 +62,7 @@
         timeout_s: The longest time for one statement, in seconds.
         objective_s: The response time that callers expect, in seconds.
         priority: The priority of requests; 0 is the highest.
+        public: Whether callers without a known key may use it.
     """
 
     database: str
@@ -71,6 +72,7 @@
     timeout_s: float
     objective_s: float
     priority: int
+    public: bool = False
 
 
 class GroupSettings(msgspec.Struct, frozen=True):
@@ -89,6 +91,20 @@
     acknowledged_by: int
 
 
+class Account(msgspec.Struct, frozen=True):
+    """A client account, whose callers share its limit on all hosts together.
+
+    Args:
+        name: The account's name, which instances are told.
+        rate_per_s: How many operations a second it may start, or None for no limit.
+        burst: How many operations it may start at once.
+    """
+
+    name: str
+    rate_per_s: float | None = None
+    burst: float = 0.0
+
+
 class Configuration(msgspec.Struct, frozen=True):
     """The operator's complete configuration.
 
@@ -98,6 +114,8 @@
         groups: The groups' settings, by name.
         idle_transaction_s: The idle timeout of a transaction, in seconds.
         max_message_bytes: The longest message that a caller may send, in bytes.
+        accounts: The client accounts, by name. Without any, callers need no key.
+        account_names: The name of the account that holds each key.
     """
 
     version: int
@@ -105,6 +123,12 @@
     groups: dict[str, GroupSettings] = msgspec.field(default_factory=dict)
     idle_transaction_s: float = 3.0
     max_message_bytes: int = 1 << 20
+    accounts: dict[str, Account] = msgspec.field(default_factory=dict)
+    account_names: dict[str, str] = msgspec.field(default_factory=dict)
+
+    def find_account(self, key: str) -> Account | None:
+        """Return the account that holds a key, or None if no account does."""
+        return self.accounts.get(self.account_names.get(key, ""))
 
 
 class InstanceEntry(msgspec.Struct, frozen=True):
@@ -210,12 +234,16 @@
         data_centre: The data centre that it runs in.
         incarnation: Identifies this run of the host, as ``name.`` and a suffix.
         links: The address that it accepts links from its peers at, as ``ip:port``.
+        cores: The processor time that it may use, in cores of normal speed.
+        link_mbps: The bandwidth of its network link, in Mbit/s, or 0 if unknown.
     """
 
     name: str
     data_centre: str
     incarnation: str
     links: str = ""
+    cores: float = 0.0
+    link_mbps: float = 0.0
 
 
 class RelinquishedRecord(msgspec.Struct, frozen=True):
--- a/src/wasabipitch/front/sessions.py
+++ b/src/wasabipitch/front/sessions.py
@@ -35,7 +35,7 @@
     Args:
         stream: The caller's connection.
         codec: Encodes and decodes the messages of callers.
-        startup: The first message, which names the database and the user.
+        startup: The first message, which names the database and the caller's key.
         read_configuration: Returns the configuration in force, or None.
         find_runner: Returns the runner of a group, or None if it is unknown.
         measures: Counts and times the statements.
@@ -56,7 +56,7 @@
         self._read_configuration = read_configuration
         self._find_runner = find_runner
         self._context = SessionContext(
-            f"{startup.user}-{next(_session_numbers)}", startup.database
+            f"session-{next(_session_numbers)}", startup.database
         )
         self._route: Route | None = None
         self._runner: Any = None
--- a/src/wasabipitch/gateway.py
+++ b/src/wasabipitch/gateway.py
@@ -79,6 +79,39 @@
 CLOSE_MARGIN_S = 0.8
 
 
+class QuotaTolerance(msgspec.Struct, frozen=True):
+    """How far the operations of a client account may exceed its limit.
+
+    In any window, at most ``(rate * window_s + burst) * (1 + excess) + slack`` of an
+    account's operations may reach instances.
+
+    Args:
+        window_s: The length of the window, in seconds.
+        excess: The share by which the limit may be exceeded.
+        slack: The number of operations by which it may be exceeded besides.
+    """
+
+    window_s: float = 5.0
+    excess: float = 0.0
+    slack: float = 0.0
+
+
+class HostResources(msgspec.Struct, frozen=True):
+    """What a host's machine allows its process.
+
+    Args:
+        cores: The processor time, in cores of normal speed.
+        link_mbps: The bandwidth of the network link, in Mbit/s, or 0 if unknown.
+        memory_bytes: The limit on the process's memory, or 0 if there is none.
+        max_descriptors: The limit on its open descriptors, or 0 if there is none.
+    """
+
+    cores: float = 0.0
+    link_mbps: float = 0.0
+    memory_bytes: int = 0
+    max_descriptors: int = 0
+
+
 class GatewaySettings(msgspec.Struct, frozen=True):
     """The settings of one host.
 
@@ -92,6 +125,10 @@
         store: The address of the platform's store.
         promoter: The address that takes orders to promote an instance.
         grace_s: The time from the order to stop until the process must have ended.
+        revocation_s: The time within which a withdrawn key must be refused, on every
+            host, or None if only hosts in touch with the store have to refuse it.
+        quota: How far a client account may exceed its limit.
+        resources: What the machine allows this process.
     """
 
     host: str
@@ -103,6 +140,9 @@
     store: Address
     promoter: Address
     grace_s: float
+    revocation_s: float | None = None
+    quota: QuotaTolerance = QuotaTolerance()
+    resources: HostResources = HostResources()
 
 
 class Adapters(msgspec.Struct, frozen=True):
@@ -141,7 +181,14 @@
         self.measures = Measures(self._read_gauges)
         self.decisions = DecisionLog(cfg.host, writer, self.measures)
         incarnation = f"{cfg.host}.{os.urandom(4).hex()}"
-        record = HostRecord(cfg.host, cfg.data_centre, incarnation, str(cfg.links))
+        record = HostRecord(
+            cfg.host,
+            cfg.data_centre,
+            incarnation,
+            str(cfg.links),
+            cfg.resources.cores,
+            cfg.resources.link_mbps,
+        )
         clock = Clock()
         host = Host(cfg.host, HOST_ROLE, str(cfg.links), cfg.data_centre)
         self.links = PeerLinks(Hello(host, incarnation), clock)
--- a/src/wasabipitch/group/remote.py
+++ b/src/wasabipitch/group/remote.py
@@ -213,6 +213,7 @@
             in_transaction=transaction is not None,
             read_only=transaction is not None and transaction.read_only,
             begins=transaction is not None and transaction.checkout is None,
+            account=session.account,
         )
 
     def _apply_reply(
@@ -292,7 +293,9 @@
         if context is None:
             if message.in_transaction and not message.begins:
                 return _refuse("the transaction has ended", aborted=True)
-            context = SessionContext(message.session, message.route.database)
+            context = SessionContext(
+                message.session, message.route.database, account=message.account
+            )
         runner = self._find_runner(message.route.group)
         if runner is None:
             context.drop_transaction()
--- a/src/wasabipitch/group/session.py
+++ b/src/wasabipitch/group/session.py
@@ -38,6 +38,7 @@
             the position of its last commit.
         transaction: The open transaction, or None.
         failed: Whether a transaction has failed that the caller has not ended yet.
+        account: The client account that the session belongs to, or an empty string.
     """
 
     session: str
@@ -47,6 +48,7 @@
     floor: Position = ORIGIN
     transaction: Transaction | None = None
     failed: bool = False
+    account: str = ""
 
     @property
     def state(self) -> SessionState:
--- a/src/wasabipitch/peer_messages.py
+++ b/src/wasabipitch/peer_messages.py
@@ -223,6 +223,7 @@
         in_transaction: Whether the session is in a transaction.
         read_only: Whether that transaction is read only.
         begins: Whether no statement of the transaction has run yet.
+        account: The client account that the session belongs to, or an empty string.
     """
 
     session: str
@@ -235,6 +236,7 @@
     in_transaction: bool
     read_only: bool
     begins: bool
+    account: str = ""
 
 
 class StatementReply(msgspec.Struct, frozen=True):
--- a/src/wasabipitch/wire/codecs.py
+++ b/src/wasabipitch/wire/codecs.py
@@ -44,8 +44,15 @@
     applied before it runs the statement. None sets no bound.
     """
 
-    def startup(self, group: str, instance: str) -> bytes:
-        """Encode the first message of a connection to the named instance."""
+    def startup(self, group: str, instance: str, account: str = "") -> bytes:
+        """Encode the first message of a connection to the named instance.
+
+        Args:
+            group: The name of the group.
+            instance: The name of the instance.
+            account: The client account whose statements the connection will carry, or
+                an empty string.
+        """
 
     def forward(self, statement: Statement, floor: Position | None) -> bytes:
         """Encode a caller's statement unchanged, with a floor."""
--- a/src/wasabipitch/wire/messages.py
+++ b/src/wasabipitch/wire/messages.py
@@ -37,6 +37,7 @@
     TOO_MANY_CONNECTIONS = "too many connections"
     NO_STATEMENT = "no such prepared statement"
     NO_DATABASE = "no such database"
+    NOT_AUTHENTICATED = "not authenticated"
     MALFORMED = "malformed"
     FAILED = "failed"
     TIMEOUT = "timeout"
@@ -101,10 +102,19 @@
 
 
 class Startup(msgspec.Struct, frozen=True):
-    """The first message of a caller's session."""
+    """The first message of a caller's session.
+
+    Args:
+        database: The database that the caller wants to use.
+        key: The caller's key, which identifies its account. It must not be logged.
+    """
 
     database: str
-    user: str
+    key: str
+
+    def __repr__(self) -> str:
+        """Return a text without the key."""
+        return f"Startup(database={self.database!r})"
 
 
 class Quit(msgspec.Struct, frozen=True):
