Run a forwarded statement only in the transaction of its number

Cause: an owner kept the context of a transaction under its link and session.

Change: a session numbers its transactions. An owner runs a statement only in the transaction of its number, any other statement of the session ends the old one, and the message that ends a transaction names the number. The forwarding host pins a transaction to its owner before it sends the first statement, so that the owner is told of the end also if no answer was read.

--- a/src/wasabipitch/front/sessions.py
+++ b/src/wasabipitch/front/sessions.py
@@ -8,7 +8,7 @@
 from wasabipitch.clock import now_s
 from wasabipitch.coordination.documents import Configuration, Route
 from wasabipitch.exceptions import MalformedMessage
-from wasabipitch.group.session import SessionContext, Transaction
+from wasabipitch.group.session import SessionContext
 from wasabipitch.operations.measures import Measures
 from wasabipitch.wire.codecs import CallerCodec
 from wasabipitch.wire.lines import LineStream
@@ -197,7 +197,7 @@
             )
         self._runner = None
         read_only = statement.verb is Verb.BEGIN_READ
-        self._context.transaction = Transaction(read_only, arrived_s)
+        self._context.begin(read_only, arrived_s)
         return Reply(state=self._context.state)
 
     async def _run_on_group(
--- a/src/wasabipitch/gateway.py
+++ b/src/wasabipitch/gateway.py
@@ -34,7 +34,7 @@
 from wasabipitch.group.assembly import HostGroups
 from wasabipitch.group.remote import StatementService
 from wasabipitch.linkserver import Exchange, LinkServer
-from wasabipitch.messages import Done, EndSession, Hello, Message
+from wasabipitch.messages import Done, Hello, Message
 from wasabipitch.models import Address, Host
 from wasabipitch.operations.decisions import DecisionLog
 from wasabipitch.operations.logwriter import LogWriter
@@ -49,6 +49,7 @@
     AskPosition,
     AskRecord,
     AskStoreHead,
+    EndTransaction,
     RunStatement,
     StoreCall,
 )
@@ -413,8 +414,8 @@
                 return Done()
             case RunStatement() as statement:
                 return await self._service.run(exchange.connection, statement)
-            case EndSession(session):
-                self._service.end(exchange.connection, session)
+            case EndTransaction(session, number):
+                self._service.end(exchange.connection, session, number)
                 return Done()
         return await self._answer_question(exchange.message)
 
--- a/src/wasabipitch/group/remote.py
+++ b/src/wasabipitch/group/remote.py
@@ -6,6 +6,8 @@
 import asyncio
 from collections.abc import Callable
 
+import msgspec
+
 from wasabipitch.clock import now_s
 from wasabipitch.coordination.documents import Route
 from wasabipitch.exceptions import LinkDown, LinkError, LinkLost
@@ -13,11 +15,10 @@
 from wasabipitch.group.runner import GroupRunner
 from wasabipitch.group.session import SessionContext, Transaction
 from wasabipitch.links import RemoteError
-from wasabipitch.messages import EndSession
 from wasabipitch.models import Host
 from wasabipitch.operations.decisions import DecisionLog
 from wasabipitch.peer_links import PeerLinks
-from wasabipitch.peer_messages import RunStatement, StatementReply
+from wasabipitch.peer_messages import EndTransaction, RunStatement, StatementReply
 from wasabipitch.wire.messages import (
     Code,
     Failure,
@@ -105,7 +106,7 @@
             unknown = message.statement.verb is Verb.COMMIT and transaction.wrote
             code = Code.UNKNOWN if unknown else Code.ABORTED
             return self._fail(session, message, code, str(exc))
-        return self._apply_reply(session, reply, owner)
+        return self._apply_reply(session, reply)
 
     async def _run_once(
         self,
@@ -116,9 +117,15 @@
         if transaction is not None:
             transaction.wrote = _writes(message)
         for owner in self._order_owners():
+            if transaction is not None:
+                # Set before the answer is known: an owner must be told of the end of
+                # a transaction, too, if its answer came too late or is never read.
+                transaction.checkout = self._pin(session, transaction, owner)
             try:
                 reply = await self._ask(owner, message)
             except LinkDown:
+                if transaction is not None:
+                    transaction.checkout = None
                 continue
             except LinkError as exc:
                 # The owner rolls back a transaction whose commit was not sent, so its
@@ -132,32 +139,34 @@
             if reply.text == NO_PRIMARY.encode():
                 # The statement did not run, and another owner may reach the primary.
                 self._avoid_until_s[owner.name] = now_s() + AVOID_OWNER_S
+                if transaction is not None:
+                    transaction.checkout = None
                 continue
-            return self._apply_reply(session, reply, owner)
+            return self._apply_reply(session, reply)
         return self._fail(session, message, Code.BUSY, "no owner can be reached")
 
     async def _run_read(
         self, session: SessionContext, message: RunStatement, route: Route
     ) -> Reply:
         hedge_after_s = route.objective_s * HEDGE_OBJECTIVE_SHARE
-        tasks: dict[asyncio.Task, Host] = {}
+        tasks: set[asyncio.Task[StatementReply]] = set()
         try:
             for owner in self._order_owners():
-                tasks[asyncio.ensure_future(self._ask(owner, message))] = owner
+                tasks.add(asyncio.ensure_future(self._ask(owner, message)))
                 reply = await self._await_first(tasks, hedge_after_s)
                 if reply is not None:
-                    return self._apply_reply(session, *reply)
+                    return self._apply_reply(session, reply)
             reply = await self._await_first(tasks, message.left_s)
             if reply is not None:
-                return self._apply_reply(session, *reply)
+                return self._apply_reply(session, reply)
         finally:
             for task in tasks:
                 task.cancel()
         return self._fail(session, message, Code.BUSY, "no owner answers")
 
     async def _await_first(
-        self, tasks: dict[asyncio.Task, Host], timeout_s: float
-    ) -> tuple[StatementReply, Host] | None:
+        self, tasks: set[asyncio.Task[StatementReply]], timeout_s: float
+    ) -> StatementReply | None:
         """Return the first answer, or None; removes finished tasks from ``tasks``."""
         until_s = now_s() + timeout_s
         while tasks:
@@ -169,9 +178,9 @@
             if not done:
                 return None
             for task in done:
-                owner = tasks.pop(task)
+                tasks.discard(task)
                 if task.exception() is None:
-                    return task.result(), owner
+                    return task.result()
         return None
 
     async def _ask(self, owner: Host, message: RunStatement) -> StatementReply:
@@ -213,20 +222,20 @@
             in_transaction=transaction is not None,
             read_only=transaction is not None and transaction.read_only,
             begins=transaction is not None and transaction.checkout is None,
+            transaction=transaction.number if transaction is not None else 0,
             account=session.account,
         )
 
-    def _apply_reply(
-        self, session: SessionContext, reply: StatementReply, owner: Host
-    ) -> Reply:
+    def _pin(
+        self, session: SessionContext, transaction: Transaction, owner: Host
+    ) -> RemoteTransaction:
+        end = EndTransaction(session.session, transaction.number)
+        return RemoteTransaction(owner, lambda host: self._notify_end(end, host))
+
+    def _apply_reply(self, session: SessionContext, reply: StatementReply) -> Reply:
         session.floor = max(session.floor, reply.floor)
         transaction = session.transaction
-        if reply.state is SessionState.IN_TRANSACTION and transaction is not None:
-            if transaction.checkout is None:
-                transaction.checkout = RemoteTransaction(
-                    owner, lambda host: self._notify_end(session, host)
-                )
-        elif transaction is not None:
+        if transaction is not None and reply.state is not SessionState.IN_TRANSACTION:
             # The owner has ended the transaction.
             session.transaction = None
             session.failed = reply.state is SessionState.FAILED_TRANSACTION
@@ -250,14 +259,14 @@
         failure = Failure(code, reason.encode("ascii", "replace"))
         return Reply(failure=failure, state=session.state)
 
-    def _notify_end(self, session: SessionContext, owner: Host) -> None:
-        task = asyncio.ensure_future(self._send_end_session(session.session, owner))
+    def _notify_end(self, end: EndTransaction, owner: Host) -> None:
+        task = asyncio.ensure_future(self._send_end(end, owner))
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
 
-    async def _send_end_session(self, session: str, owner: Host) -> None:
+    async def _send_end(self, end: EndTransaction, owner: Host) -> None:
         try:
-            await self._links.find(owner).call(EndSession(session))
+            await self._links.find(owner).call(end)
         except (LinkError, RemoteError) as exc:
             # The owner ends the transaction by itself when the link closes or the
             # transaction has been idle for too long.
@@ -270,16 +279,35 @@
     return message.statement.verb is Verb.WRITE
 
 
+class OwnedTransaction(msgspec.Struct, eq=False):
+    """A transaction that this host runs for a session of another host.
+
+    Args:
+        context: The state of the session that the transaction needs.
+        number: The number of the transaction in its session.
+        running: Whether one of its statements runs now.
+    """
+
+    context: SessionContext
+    number: int
+    running: bool = True
+
+
 class StatementService:
     """Runs statements that other hosts send to this host as an owner.
 
+    A host that forwards statements may give one up while it runs here, or after its
+    answer was sent. So a transaction goes on only with statements of its own number,
+    and any other statement of its session shows that it is over.
+
     Args:
         find_runner: Returns the runner of a group, or None if the group is unknown.
     """
 
     def __init__(self, find_runner: Callable[[str], GroupRunner | None]) -> None:
         self._find_runner = find_runner
-        self._open: dict[tuple[object, str], SessionContext] = {}
+        # The latest transaction of each session, by link and session id.
+        self._transactions: dict[tuple[object, str], OwnedTransaction] = {}
 
     async def run(self, connection: object, message: RunStatement) -> StatementReply:
         """Run a statement and return its answer.
@@ -289,33 +317,60 @@
             message: The statement with the state of its session.
         """
         key = (connection, message.session)
-        context = self._open.pop(key, None)
-        if context is None:
-            if message.in_transaction and not message.begins:
+        if not message.in_transaction:
+            self._end(key)
+            return await self._run(self._make_context(message), message)
+        owned = self._transactions.get(key)
+        if owned is not None and owned.number != message.transaction:
+            self._end(key)
+            owned = None
+        if owned is None:
+            if not message.begins:
                 return _refuse("the transaction has ended", aborted=True)
-            context = SessionContext(
-                message.session, message.route.database, account=message.account
+            context = self._make_context(message)
+            context.transaction = Transaction(
+                message.read_only, now_s(), number=message.transaction
             )
-        runner = self._find_runner(message.route.group)
-        if runner is None:
-            context.drop_transaction()
-            return _refuse("the group is not known", message.in_transaction)
-        return await self._run(key, context, message, runner)
-
-    async def _run(
+            owned = OwnedTransaction(context, message.transaction)
+            self._transactions[key] = owned
+        elif owned.running:
+            self._end(key)
+            return _refuse("a statement of the transaction still runs", aborted=True)
+        return await self._run_in_transaction(key, owned, message)
+
+    async def _run_in_transaction(
         self,
         key: tuple[object, str],
-        context: SessionContext,
+        owned: OwnedTransaction,
         message: RunStatement,
-        runner: GroupRunner,
     ) -> StatementReply:
+        owned.running = True
+        try:
+            return await self._run(owned.context, message)
+        finally:
+            owned.running = False
+            if self._transactions.get(key) is not owned:
+                # It was ended while the statement ran.
+                owned.context.drop_transaction()
+            elif owned.context.transaction is None:
+                del self._transactions[key]
+
+    def _make_context(self, message: RunStatement) -> SessionContext:
+        database, account = message.route.database, message.account
+        return SessionContext(message.session, database, account=account)
+
+    async def _run(
+        self, context: SessionContext, message: RunStatement
+    ) -> StatementReply:
+        runner = self._find_runner(message.route.group)
+        if runner is None:
+            context.drop_transaction()
+            return _refuse("the group is not known", message.in_transaction)
         arrived_s = now_s() - message.route.timeout_s + message.left_s
         context.values = message.values
         context.floor = max(context.floor, message.floor)
         if message.shape is not None:
             context.prepared[message.statement.name] = message.shape
-        if message.in_transaction and context.transaction is None:
-            context.transaction = Transaction(message.read_only, now_s())
         try:
             reply = await runner.run(
                 context, message.statement, message.route, arrived_s
@@ -323,8 +378,6 @@
         except asyncio.CancelledError:
             context.drop_transaction()
             raise
-        if context.transaction is not None:
-            self._open[key] = context
         return StatementReply(
             rows=reply.rows,
             signature=reply.signature,
@@ -334,16 +387,28 @@
             floor=context.floor,
         )
 
-    def end(self, connection: object, session: str) -> None:
-        """Roll back the open transaction of a session, if any."""
-        context = self._open.pop((connection, session), None)
-        if context is not None:
-            context.drop_transaction()
+    def end(self, connection: object, session: str, number: int) -> None:
+        """Roll back a transaction of a session, unless it is over.
+
+        Args:
+            connection: The link that its statements arrived over.
+            session: The session's id.
+            number: The number of the transaction in its session.
+        """
+        owned = self._transactions.get((connection, session))
+        if owned is not None and owned.number == number:
+            self._end((connection, session))
 
     async def end_all(self, connection: object) -> None:
         """Roll back all transactions that arrived over a link that has closed."""
-        for key in [key for key in self._open if key[0] is connection]:
-            self._open.pop(key).drop_transaction()
+        for key in [key for key in self._transactions if key[0] is connection]:
+            self._end(key)
+
+    def _end(self, key: tuple[object, str]) -> None:
+        owned = self._transactions.pop(key, None)
+        # A statement that still runs holds the connection; its end drops it.
+        if owned is not None and not owned.running:
+            owned.context.drop_transaction()
 
 
 def _refuse(reason: str, aborted: bool) -> StatementReply:
--- a/src/wasabipitch/group/session.py
+++ b/src/wasabipitch/group/session.py
@@ -17,6 +17,7 @@
             is sent. A ``RemoteTransaction`` if another host runs it.
         revision: The revision of the group record when it began on the instance.
         wrote: Whether it may have written.
+        number: Its number among the transactions of its session, from 1.
     """
 
     read_only: bool
@@ -24,6 +25,7 @@
     checkout: Checkout | None = None
     revision: int = 0
     wrote: bool = False
+    number: int = 0
 
 
 class SessionContext(msgspec.Struct, eq=False):
@@ -39,6 +41,7 @@
         transaction: The open transaction, or None.
         failed: Whether a transaction has failed that the caller has not ended yet.
         account: The client account that the session belongs to, or an empty string.
+        begun: The number of transactions that the session has begun.
     """
 
     session: str
@@ -49,6 +52,7 @@
     transaction: Transaction | None = None
     failed: bool = False
     account: str = ""
+    begun: int = 0
 
     @property
     def state(self) -> SessionState:
@@ -59,6 +63,11 @@
             return SessionState.IN_TRANSACTION
         return SessionState.IDLE
 
+    def begin(self, read_only: bool, arrived_s: float) -> None:
+        """Open the session's next transaction; see ``Transaction``."""
+        self.begun += 1
+        self.transaction = Transaction(read_only, arrived_s, number=self.begun)
+
     def drop_transaction(self) -> None:
         """Forget the transaction and return its connection to the pool.
 
--- a/src/wasabipitch/messages.py
+++ b/src/wasabipitch/messages.py
@@ -15,6 +15,7 @@
     AskRecord,
     AskStoreHead,
     ChangesReport,
+    EndTransaction,
     HeadReport,
     PositionReport,
     RecordReport,
@@ -368,6 +369,7 @@
     | PositionReport
     | RecordReport
     | RunStatement
+    | EndTransaction
     | StatementReply
 )
 Message = Execute | Result | Rows | Failure | Cancel | ControlMessage
--- a/src/wasabipitch/peer_messages.py
+++ b/src/wasabipitch/peer_messages.py
@@ -223,6 +223,7 @@
         in_transaction: Whether the session is in a transaction.
         read_only: Whether that transaction is read only.
         begins: Whether no statement of the transaction has run yet.
+        transaction: The number of the transaction in its session, or 0 outside one.
         account: The client account that the session belongs to, or an empty string.
     """
 
@@ -236,9 +237,22 @@
     in_transaction: bool
     read_only: bool
     begins: bool
+    transaction: int = 0
     account: str = ""
 
 
+class EndTransaction(msgspec.Struct, frozen=True):
+    """Tells an owner to roll back a transaction that a session will not continue.
+
+    Args:
+        session: The session's id.
+        number: The number of the transaction in its session.
+    """
+
+    session: str
+    number: int
+
+
 class StatementReply(msgspec.Struct, frozen=True):
     """The answer to a ``RunStatement``.
 
