Prefer strong hosts as owners, watchers and checkers

Cause: a fleet of 6 strong hosts (2.15 cores, 200 Mbit/s) and 122 weak ones (a third of a core, 10 Mbit/s) chose the hosts that serve all others by a hash alone, so that a weak host forwarded a group's statements, passed on every change of the store, or answered the reads of the head of the whole fleet (284 a second with 128 hosts).

Where hosts differ by a factor of two or more in processor time and in bandwidth, the strong ones are the owners as long as three are alive, with a weak one for each data centre that has none; watchers and the checker are chosen in the same order. Fleets of hosts that are alike choose as before.

--- a/src/wasabipitch/coordination/checks.py
+++ b/src/wasabipitch/coordination/checks.py
@@ -6,7 +6,7 @@
 """
 
 import asyncio
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Collection, Iterable
 
 from wasabipitch import tasks
 from wasabipitch.clock import now_s
@@ -33,6 +33,8 @@
         store: The store that the checker reads.
         links: The links to the peers.
         read_peers: Returns all other hosts that were registered recently.
+        read_strong_hosts: Returns the names of the strong hosts, which are preferred as
+            the checker, or none if the hosts are alike.
     """
 
     def __init__(
@@ -41,11 +43,13 @@
         store: CoordinationStore,
         links: PeerLinks,
         read_peers: Callable[[], Iterable[Host]],
+        read_strong_hosts: Callable[[], Collection[str]] = frozenset,
     ) -> None:
         self._own = own
         self._store = store
         self._links = links
         self._read_peers = read_peers
+        self._read_strong_hosts = read_strong_hosts
         self._backoff_until_s: dict[str, float] = {}
         self._read: asyncio.Task[tuple[int, int]] | None = None
         self._read_at_s = 0.0
@@ -86,7 +90,11 @@
 
     def _find_checker(self) -> Host:
         at_s = now_s()
-        hosts = sorted([self._own, *self._read_peers()], key=lambda host: host.name)
+        strong = self._read_strong_hosts()
+        hosts = sorted(
+            [self._own, *self._read_peers()],
+            key=lambda host: (host.name not in strong, host.name),
+        )
         for host in hosts:
             if self._backoff_until_s.get(host.name, 0.0) <= at_s:
                 return host
--- a/src/wasabipitch/coordination/following.py
+++ b/src/wasabipitch/coordination/following.py
@@ -10,7 +10,7 @@
 
 import asyncio
 from collections import deque
-from collections.abc import Callable, Mapping
+from collections.abc import Callable, Collection, Mapping
 
 from wasabipitch.clock import now_s
 from wasabipitch.coordination.revisions import find_epoch
@@ -125,6 +125,8 @@
         read_data_centres: Returns the data centre of each host that may be a
             watcher, by name.
         find_host: Returns a host by its name.
+        read_strong_hosts: Returns the names of the strong hosts, which are preferred as
+            watchers, or none if the hosts are alike.
         max_direct_watchers: A fleet of no more hosts than this has no followers:
             each host watches the store itself.
         decisions: The log of the choice of a watcher.
@@ -138,6 +140,7 @@
         links: PeerLinks,
         read_data_centres: Callable[[], Mapping[str, str]],
         find_host: Callable[[str], Host],
+        read_strong_hosts: Callable[[], Collection[str]],
         max_direct_watchers: int,
         decisions: DecisionLog,
     ) -> None:
@@ -147,6 +150,7 @@
         self._links = links
         self._read_data_centres = read_data_centres
         self._find_host = find_host
+        self._read_strong_hosts = read_strong_hosts
         self._max_direct_watchers = max_direct_watchers
         self._decisions = decisions
         self._backoff_until_s: dict[str, float] = {}
@@ -190,7 +194,12 @@
         centres = dict(self._read_data_centres())
         if len(centres) <= self._max_direct_watchers:
             return None
-        watchers = choose_owners(WATCHERS_HASH_KEY, centres, len(set(centres.values())))
+        watchers = choose_owners(
+            WATCHERS_HASH_KEY,
+            centres,
+            len(set(centres.values())),
+            self._read_strong_hosts(),
+        )
         self._is_watcher = self._own.name in watchers
         if self._is_watcher:
             # The watchers, too, follow the first of them.
--- a/src/wasabipitch/coordination/live_hosts.py
+++ b/src/wasabipitch/coordination/live_hosts.py
@@ -24,6 +24,7 @@
 from wasabipitch.coordination.store import Item
 from wasabipitch.exceptions import SettingsError
 from wasabipitch.models import ORIGIN, Address, Host, Position
+from wasabipitch.policy.ownership import Capacity, find_strong_hosts
 from wasabipitch.policy.quorum import (
     MAX_STORE_OUTAGE_S,
     READ_LEASE_MARGIN_S,
@@ -73,6 +74,8 @@
         self._on_change = on_change
         # The data centres of the hosts at the last call of ``on_change``.
         self._announced: dict[str, str] = {}
+        # The strong hosts among these.
+        self._strong_hosts: frozenset[str] = frozenset()
         self._left_at_s: dict[str, float] = {}
         self._last_seen_s: dict[str, float] = {}
         self._known: dict[str, HostRecord] = {}
@@ -104,6 +107,10 @@
         data_centres = self.find_data_centres()
         if data_centres != self._announced:
             self._announced = data_centres
+            known = {name: self._known[name] for name in data_centres}
+            self._strong_hosts = find_strong_hosts(
+                {n: Capacity(r.cores, r.link_mbps) for n, r in known.items()}
+            )
             self._on_change()
 
     def find_data_centres(self) -> dict[str, str]:
@@ -120,6 +127,13 @@
             if at_s - self._last_seen_s[name] < SHARE_RETENTION_S
         }
 
+    def find_strong_hosts(self) -> frozenset[str]:
+        """Return the names of the strong hosts among those registered recently.
+
+        Without any, the hosts are alike; see ``policy.ownership``.
+        """
+        return self._strong_hosts
+
     def find_host(self, name: str) -> Host:
         """Return a host that was registered recently."""
         return _make_host(self._known[name])
--- a/src/wasabipitch/gateway.py
+++ b/src/wasabipitch/gateway.py
@@ -230,6 +230,7 @@
             self._store,
             self.links,
             lambda: self._live_hosts.list_peers(self._cfg.host),
+            self._live_hosts.find_strong_hosts,
         )
         self._mirror.read_head_shared = self._shared_checks.read
         self._mirror.read_pause_s = self._get_watch_delay_s
@@ -241,6 +242,7 @@
             self.links,
             self._live_hosts.find_data_centres,
             self._live_hosts.find_host,
+            self._live_hosts.find_strong_hosts,
             MAX_WATCHING_HOSTS,
             self.decisions,
         )
--- a/src/wasabipitch/group/assembly.py
+++ b/src/wasabipitch/group/assembly.py
@@ -271,7 +271,12 @@
         centres = self._live_hosts.find_data_centres()
         centres.setdefault(self._host.name, self._host.data_centre)
         limit = state.settings.max_connections
-        state.owners = choose_owners(name, centres, count_owners(limit, len(centres)))
+        state.owners = choose_owners(
+            name,
+            centres,
+            count_owners(limit, len(centres)),
+            self._live_hosts.find_strong_hosts(),
+        )
         share = connections_per_owner(limit, len(state.owners))
         is_owner = self._host.name in state.owners
         owners = len(state.owners)
--- a/src/wasabipitch/policy/ownership.py
+++ b/src/wasabipitch/policy/ownership.py
@@ -5,10 +5,15 @@
 forward their statements to an owner. Where every host can hold at least
 ``MIN_CONNECTIONS_PER_HOST`` connections, all hosts are owners and no statement is
 forwarded. Owners are chosen by rendezvous hashing.
+
+Where a fleet has a few strong hosts among many weak ones, the strong ones are the
+owners: a weak host would delay the statements of all others at a load peak, and fewer
+owners with more connections each need fewer new ones.
 """
 
-from collections.abc import Iterable, Mapping
+from collections.abc import Collection, Iterable, Mapping
 
+import msgspec
 import xxhash
 
 # Reserved on each instance for hosts that replace its primary.
@@ -17,6 +22,45 @@
 MIN_CONNECTIONS_PER_HOST = 2
 # An owner with this many still has free ones while a few transactions pause.
 TARGET_CONNECTIONS_PER_OWNER = 6
+# A strong host has at least this share of the greatest capacity of the fleet, in
+# processor time and in bandwidth. Hosts that differ by less count as alike.
+STRONG_SHARE = 0.5
+# With fewer strong owners, the loss of one would move too many connections at once.
+MIN_STRONG_OWNERS = 3
+
+
+class Capacity(msgspec.Struct, frozen=True):
+    """What a host can bear.
+
+    Args:
+        cores: The processor time that it may use, in cores of normal speed.
+        link_mbps: The bandwidth of its network link, in Mbit/s.
+    """
+
+    cores: float
+    link_mbps: float
+
+
+def find_strong_hosts(capacities: Mapping[str, Capacity]) -> frozenset[str]:
+    """Return the strong hosts of a fleet, or none if its hosts are alike.
+
+    Args:
+        capacities: The capacity of each host, by name; 0 stands for an unknown one.
+    """
+    if not capacities:
+        return frozenset()
+    cores = STRONG_SHARE * max(c.cores for c in capacities.values())
+    link_mbps = STRONG_SHARE * max(c.link_mbps for c in capacities.values())
+    strong = frozenset(
+        host
+        for host, capacity in capacities.items()
+        if capacity.cores >= cores and capacity.link_mbps >= link_mbps
+    )
+    weak = [c for host, c in capacities.items() if host not in strong]
+    differ_in_both = weak and all(
+        c.cores < cores and c.link_mbps < link_mbps for c in weak
+    )
+    return strong if differ_in_both else frozenset()
 
 
 def rendezvous_weight(group: str, host: str) -> int:
@@ -49,20 +93,37 @@
 
 
 def choose_owners(
-    group: str, data_centres: Mapping[str, str], count: int
+    group: str,
+    data_centres: Mapping[str, str],
+    count: int,
+    strong: Collection[str] = (),
 ) -> frozenset[str]:
     """Return a group's owners, spread over the data centres.
 
     A host's weight doesn't depend on the other hosts, so few owners change when a
-    host joins or leaves the fleet.
+    host joins or leaves the fleet. With enough strong hosts these are the owners, and
+    the best weak one of each data centre that has no strong host.
 
     Args:
         group: The group's name.
         data_centres: The data centre of each host, by the host's name.
-        count: The number of owners to choose.
+        count: The greatest number of owners.
+        strong: The names of the strong hosts, or none if the hosts are alike.
     """
     if count >= len(data_centres):
         return frozenset(data_centres)
+    candidates = {host: data_centres[host] for host in strong if host in data_centres}
+    if len(candidates) >= MIN_STRONG_OWNERS:
+        served = set(candidates.values())
+        weak = {host: c for host, c in data_centres.items() if c not in served}
+        return _spread(group, candidates, count) | _spread(
+            group, weak, len(set(weak.values()))
+        )
+    return _spread(group, data_centres, count)
+
+
+def _spread(group: str, data_centres: Mapping[str, str], count: int) -> frozenset[str]:
+    """Return the hosts with the greatest weights, spread over the data centres."""
     by_centre: dict[str, list[str]] = {}
     for host, data_centre in data_centres.items():
         by_centre.setdefault(data_centre, []).append(host)
--- a/tests/wasabipitch/policy/test_ownership.py
+++ b/tests/wasabipitch/policy/test_ownership.py
@@ -1,9 +1,11 @@
 import unittest
 
 from wasabipitch.policy.ownership import (
+    Capacity,
     choose_owners,
     connections_per_owner,
     count_owners,
+    find_strong_hosts,
     order_owners,
 )
 
@@ -46,3 +48,39 @@
             self.assertEqual({owners[name] for name in order[:2]}, {"centre-1"})
             firsts.add(order[0])
         self.assertEqual(firsts, {"o-1", "o-4"})
+
+
+STRONG, WEAK = Capacity(2.15, 200), Capacity(0.36, 10)
+
+
+class StrongHostsTest(unittest.TestCase):
+    """Guards against a weak host that delays the statements of all others."""
+
+    def setUp(self):
+        self.hosts = fleet(128)
+        self.strong = {f"host-{n}" for n in range(6)}
+
+    def test_only_hosts_that_differ_in_both_capacities_are_told_apart(self):
+        fleet_of = {"a": STRONG, "b": STRONG, "c": WEAK}
+        self.assertEqual(find_strong_hosts(fleet_of), {"a", "b"})
+        for other in (STRONG, Capacity(1.1, 100), Capacity(2.15, 10)):
+            with self.subTest(other=other):
+                self.assertEqual(find_strong_hosts({"a": STRONG, "b": other}), set())
+        self.assertEqual(find_strong_hosts({"a": Capacity(0, 0)}), set())
+        self.assertEqual(find_strong_hosts({}), set())
+
+    def test_strong_hosts_are_the_owners(self):
+        owners = choose_owners("ledger", self.hosts, 11, self.strong)
+        self.assertEqual(owners, self.strong)
+        self.assertEqual(len(choose_owners("ledger", self.hosts, 3, self.strong)), 3)
+
+    def test_a_data_centre_without_a_strong_host_has_a_weak_owner(self):
+        strong = {name for name in self.strong if self.hosts[name] != "centre-2"}
+        owners = choose_owners("ledger", self.hosts, 11, strong)
+        self.assertEqual(len(owners - strong), 1)
+        self.assertEqual({self.hosts[name] for name in owners - strong}, {"centre-2"})
+
+    def test_too_few_strong_hosts_are_not_preferred(self):
+        plain = choose_owners("ledger", self.hosts, 11)
+        few = choose_owners("ledger", self.hosts, 11, {"host-0", "host-1"})
+        self.assertEqual(few, plain)
