--- a/src/wasabipitch/group/remote.py
+++ b/src/wasabipitch/group/remote.py
@@ -7,6 +7,7 @@
 from collections.abc import Callable
 
 import msgspec
+from msgspec.structs import replace
 
 from wasabipitch.clock import now_s
 from wasabipitch.coordination.documents import Route
@@ -211,6 +212,10 @@
         arrived_s: float,
     ) -> RunStatement:
         transaction = session.transaction
+        if statement.verb is Verb.EXECUTE:
+            # The owner executes its own name for the shape with these arguments, which
+            # the text would only repeat.
+            statement = replace(statement, text=b"")
         return RunStatement(
             session=session.session,
             statement=statement,
