Keep the time as of which the copy of the store is known to be complete

Cause: a withdrawn key must be refused within a bound on every host, but no host knew whether its copy lacks a change that the store has acknowledged. A confirmation of the group records says nothing about the configuration, and agreement among hosts neither.

Change: CopyCurrency dates the copy by the request of the latest read of the store whose revision the copy has reached, within one epoch. The mirror feeds it with each read of the head, each load and the progress of the watch.

--- a/src/wasabipitch/coordination/mirror.py
+++ b/src/wasabipitch/coordination/mirror.py
@@ -13,6 +13,7 @@
 
 from wasabipitch import tasks
 from wasabipitch.clock import now_s
+from wasabipitch.coordination.currency import CopyCurrency
 from wasabipitch.coordination.documents import HEAD_KEY, OWN_PREFIX
 from wasabipitch.coordination.following import ChangeFollower, ChangeHistory
 from wasabipitch.coordination.revisions import find_epoch, make_revision
@@ -44,9 +45,16 @@
     Args:
         store: The store that it copies.
         decisions: The log of losing and regaining the store.
+        currency: Told of each read of the store and of the copy's progress.
     """
 
-    def __init__(self, store: CoordinationStore, decisions: DecisionLog) -> None:
+    def __init__(
+        self,
+        store: CoordinationStore,
+        decisions: DecisionLog,
+        currency: CopyCurrency | None = None,
+    ) -> None:
+        self.currency = currency or CopyCurrency()
         self.items: dict[str, Item] = {}
         self.revision = 0
         # All group records up to this revision are in the copy. The head in the copy
@@ -220,6 +228,7 @@
         self._record_answer()
         if not self.observe(store_revision):
             return False
+        self.currency.record_read(sent_at_s, store_revision)
         self._check_watch(store_revision)
         if head > self._group_records_revision and not await self._fetch_records(head):
             return False
@@ -335,6 +344,7 @@
         else:
             self.history.begin(listing.revision)
         self._advance_revision(listing.revision)
+        self.currency.record_read(sent_at_s, listing.revision)
         self.loaded.set()
         if not is_restored:
             return
@@ -424,6 +434,7 @@
         self.revision = max(self.revision, revision)
         self._group_records_revision = max(self._group_records_revision, revision)
         self.history.advance(self.revision)
+        self.currency.advance(self.revision)
 
     def _apply_all(self, events: Iterable[Item | Removal]) -> None:
         for event in events:
