Authenticate callers by their keys, for each statement

Cause: every caller was served whatever its key, and a key that the operator had withdrawn would have been accepted for as long as its session lasted.

Change: policy/authorization.py decides from the configuration in force, the caller's key, the age of the proof and the account of the open transaction; accounts/ feeds and reports it; front asks it at a session's start and before each statement. An unknown key gets NOAUTH and its connection is closed. If the proof is older than the bound less 0.5 s, callers with keys get BUSY, the host reports not ready, and it closes its idle sessions once. Hosts tell each other the version of the configuration with reads of the head; one that has just started, or whose store came back from an older copy, asks up to 12 peers before its reads count. Refusals name the account, the version and the age of the proof, at most 20 lines a second; new are account_refusals, configuration_version and configuration_proof_age_seconds.

--- a/src/wasabipitch/coordination/currency.py
+++ b/src/wasabipitch/coordination/currency.py
@@ -64,6 +64,10 @@
         """Whether the peers were asked for their versions in the copy's epoch."""
         return self._is_surveyed
 
+    def is_surveyed_in(self, epoch: int) -> bool:
+        """Return whether the peers were asked in an epoch, which is the copy's."""
+        return self._is_surveyed and epoch == find_epoch(self._revision)
+
     def record_read(self, requested_at_s: float, store_revision: int) -> None:
         """Record a read of the store.
 
--- a/src/wasabipitch/front/server.py
+++ b/src/wasabipitch/front/server.py
@@ -6,6 +6,7 @@
 from typing import Protocol
 
 from wasabipitch import tasks
+from wasabipitch.accounts.authentication import Authentication
 from wasabipitch.clock import now_s
 from wasabipitch.coordination.documents import Configuration, Route
 from wasabipitch.exceptions import MalformedMessage
@@ -13,6 +14,7 @@
 from wasabipitch.group.session import SessionContext
 from wasabipitch.operations.decisions import DecisionLog
 from wasabipitch.operations.measures import Measures
+from wasabipitch.policy.authorization import Refused
 from wasabipitch.wire.codecs import CallerCodec
 from wasabipitch.wire.lines import LineStream
 from wasabipitch.wire.messages import (
@@ -62,6 +64,7 @@
             as the host has none.
         find_runner: Returns the runner of a group, or None if it is unknown.
         measures: Counts refused sessions and times the statements.
+        authentication: Decides which account each statement is served for.
     """
 
     def __init__(
@@ -71,8 +74,10 @@
         read_configuration: Callable[[], Configuration | None],
         find_runner: Callable[[str], StatementRunner | None],
         measures: Measures,
+        authentication: Authentication,
     ) -> None:
         self._measures = measures
+        self._authentication = authentication
         self.sessions: set[CallerSession] = set()
         self._codec = codec
         self._decisions = decisions
@@ -158,6 +163,10 @@
         if configuration is None or startup.database not in configuration.routes:
             self._refuse_database(stream, startup, configuration)
             return
+        refusal = self._authentication.check(startup)
+        if isinstance(refusal, Refused):
+            self._refuse_caller(stream, startup, refusal)
+            return
         session = CallerSession(
             stream,
             self._codec,
@@ -165,6 +174,7 @@
             self._read_configuration,
             self._find_runner,
             self._measures,
+            self._authentication,
         )
         self.sessions.add(session)
         try:
@@ -174,10 +184,22 @@
 
     async def _wait_for_configuration(self) -> Configuration | None:
         until_s = now_s() + CONFIGURATION_WAIT_S
-        while self._read_configuration() is None and now_s() < until_s:
+        while now_s() < until_s and (
+            self._read_configuration() is None or self._authentication.is_awaiting_proof
+        ):
             await asyncio.sleep(CONFIGURATION_POLL_S)
         return self._read_configuration()
 
+    def _refuse_caller(
+        self, stream: LineStream, startup: Startup, refusal: Refused
+    ) -> None:
+        self._measures.count("sessions_refused", reason=refusal.code.value)
+        self._authentication.report(
+            "session refused", refusal, database=startup.database
+        )
+        text = refusal.reason.encode("ascii", "replace")
+        stream.write(self._codec.encode_failure(Failure(refusal.code, text)))
+
     def _refuse_database(
         self,
         stream: LineStream,
--- a/src/wasabipitch/front/sessions.py
+++ b/src/wasabipitch/front/sessions.py
@@ -5,11 +5,13 @@
 from itertools import count
 from typing import Any
 
+from wasabipitch.accounts.authentication import Authentication
 from wasabipitch.clock import now_s
 from wasabipitch.coordination.documents import Configuration, Route
 from wasabipitch.exceptions import MalformedMessage
 from wasabipitch.group.session import SessionContext, Transaction
 from wasabipitch.operations.measures import Measures
+from wasabipitch.policy.authorization import Refused
 from wasabipitch.wire.codecs import CallerCodec
 from wasabipitch.wire.lines import LineStream
 from wasabipitch.wire.messages import (
@@ -39,6 +41,7 @@
         read_configuration: Returns the configuration in force, or None.
         find_runner: Returns the runner of a group, or None if it is unknown.
         measures: Counts and times the statements.
+        authentication: Decides which account each statement is served for.
     """
 
     def __init__(
@@ -49,8 +52,11 @@
         read_configuration: Callable[[], Configuration | None],
         find_runner: Callable[[str], Any],
         measures: Measures,
+        authentication: Authentication,
     ) -> None:
         self._measures = measures
+        self._startup = startup
+        self._authentication = authentication
         self._stream = stream
         self._codec = codec
         self._read_configuration = read_configuration
@@ -64,6 +70,8 @@
         # True once this host has rolled a transaction back, until a statement of the
         # caller has failed with ``Code.ABORTED`` for it.
         self._abort_unreported = False
+        # Whether the caller's key was refused, which ends the session.
+        self._unauthenticated = False
 
     @property
     def is_idle(self) -> bool:
@@ -132,13 +140,45 @@
         if isinstance(message, Startup):
             self._write_failure(Code.MALFORMED, "the session has already started")
             return False
-        reply = await self._run_statement(message, arrived_s)
+        reply = self._refuse_unauthorized(message)
+        if reply is None:
+            reply = await self._run_statement(message, arrived_s)
         if reply is None:
             self._measures.count("statements_abandoned", verb=message.verb.value)
             return False
         self._record_latency(message, reply, now_s() - arrived_s)
         self._stream.write(self._codec.encode_reply(reply))
-        return True
+        return not self._unauthenticated
+
+    def _refuse_unauthorized(self, statement: Statement) -> Reply | None:
+        """Return the answer to a statement that its caller may not run, or None.
+
+        The account of the session changes only between operations, since a transaction
+        runs on a connection that belongs to its account.
+        """
+        context = self._context
+        in_transaction = context.transaction is not None
+        decision = self._authentication.check(
+            self._startup, context.account if in_transaction else None
+        )
+        if not isinstance(decision, Refused):
+            context.account = decision.account
+            return None
+        self._unauthenticated = decision.code is Code.NOT_AUTHENTICATED
+        context.drop_transaction()
+        if self._unauthenticated or statement.verb in _TRANSACTION_END_VERBS:
+            context.failed = False
+        else:
+            context.failed = context.failed or in_transaction
+        self._authentication.report(
+            "request failed",
+            decision,
+            request=statement.request_id.decode("ascii", "replace"),
+            session=context.session,
+            database=context.database,
+            verb=statement.verb.value,
+        )
+        return self._make_failure_reply(decision.code, decision.reason)
 
     def _record_latency(
         self, statement: Statement, reply: Reply, seconds: float
--- a/src/wasabipitch/gateway.py
+++ b/src/wasabipitch/gateway.py
@@ -10,11 +10,14 @@
 from collections.abc import Callable, Coroutine
 
 import msgspec
+from msgspec.structs import replace
 
 from wasabipitch import tasks
+from wasabipitch.accounts.authentication import Authentication
 from wasabipitch.clock import now_s
 from wasabipitch.coordination.agreement import RecordAgreement
 from wasabipitch.coordination.checks import SharedChecks
+from wasabipitch.coordination.currency import CopyCurrency
 from wasabipitch.coordination.directory import Directory
 from wasabipitch.coordination.documents import (
     NAMED_KEY,
@@ -212,7 +215,8 @@
         self._store = RelayedStore(
             self._adapters.store, self.links, self._list_peers, self.decisions
         )
-        self._mirror = StoreMirror(self._store, self.decisions)
+        self._currency = CopyCurrency(self._cfg.revocation_s is not None)
+        self._mirror = StoreMirror(self._store, self.decisions, self._currency)
         self.registration = HostRegistration(self._store, self._mirror, record)
         self._live_hosts = LiveHosts(
             self._mirror, lambda: self.groups.rebalance_connections()
@@ -230,6 +234,8 @@
             self._store,
             self.links,
             lambda: self._live_hosts.list_peers(self._cfg.host),
+            self._currency,
+            self._list_peers,
         )
         self._mirror.read_head_shared = self._shared_checks.read
         self._mirror.read_pause_s = self._get_watch_delay_s
@@ -249,7 +255,7 @@
             self._mirror,
             self._adapters.documents,
             self.decisions,
-            lambda configuration: self.groups.apply_configuration(configuration),
+            self._apply_configuration,
             lambda name: self.groups.update_group(name),
         )
 
@@ -267,16 +273,28 @@
             self.decisions,
             self._directory.list_instances,
         )
+        self._authentication = Authentication(
+            lambda: self._directory.configuration,
+            self._currency,
+            self._cfg.revocation_s,
+            self.decisions,
+            self.measures,
+        )
         self._caller_server = CallerServer(
             self._adapters.callers,
             self.decisions,
             lambda: self._directory.configuration,
             self.groups.find_runner,
             self.measures,
+            self._authentication,
         )
         self._status_server = make_status_server(self._is_ready)
         self._metrics_server = make_metrics_server(self.measures.render)
 
+    def _apply_configuration(self, configuration: Configuration) -> None:
+        self._currency.hold_version(configuration.version)
+        self.groups.apply_configuration(configuration)
+
     async def start(self, callers: socket.socket) -> None:
         """Start serving; callers are answered once the store has been read.
 
@@ -371,12 +389,15 @@
         """Close idle sessions once, if this host is isolated from the store and peers.
 
         An isolated host can serve almost nothing, and a session can't move to another
-        host while it is open. The sessions are closed only after the entry has taken
-        the host out of rotation. Callers that connect afterwards are kept, because the
-        entry has no other host for them.
+        host while it is open. The same holds for a host that refuses all callers with
+        keys. The sessions are closed only after the entry has taken the host out of
+        rotation. Callers that connect afterwards are kept, because the entry has no
+        other host for them.
         """
         confirmed_s = self._mirror.confirmed_at_s
         confirmed = now_s() - confirmed_s < MAX_READY_AGE_S + OUT_OF_ROTATION_S
+        if self._authentication.is_refusing_longer_than(OUT_OF_ROTATION_S):
+            confirmed = False
         if confirmed or not confirmed_s or self._stopping:
             # The host can serve, has never read the store, or is draining already.
             self._closed_while_isolated = False
@@ -426,11 +447,12 @@
                     self._adapters.store, call, self._mirror.is_reachable
                 )
             case AskHead():
-                return self._agreement.answer_head()
+                version = self._currency.known_version
+                return replace(self._agreement.answer_head(), version=version)
             case AskAgreement() as ask:
                 return await self._agreement.answer(ask)
-            case AskStoreHead():
-                return await self._shared_checks.answer()
+            case AskStoreHead() as ask:
+                return await self._shared_checks.answer(ask)
             case AskChanges() as ask:
                 return await self._follower.answer(ask)
             case AskPosition(group):
@@ -447,12 +469,16 @@
             Gauge("loop_delay_seconds", (), self._loop_delay_s),
             Gauge("store_epoch", (), self._mirror.epoch),
             Gauge("records_confirmed_age_seconds", (), confirmed_s),
+            Gauge("configuration_version", (), self._currency.version),
+            Gauge("configuration_proof_age_seconds", (), self._currency.age_s),
             *self.groups.read_gauges(),
         ]
 
     def _is_ready(self) -> bool:
         if self._stopping or self._directory.configuration is None:
             return False
+        if self._authentication.is_refusing:
+            return False
         confirmed = now_s() - self._mirror.confirmed_at_s < MAX_READY_AGE_S
         return self.groups.have_records and confirmed
 
--- a/src/wasabipitch/group/remote.py
+++ b/src/wasabipitch/group/remote.py
@@ -243,6 +243,7 @@
             "request failed",
             request=message.statement.request_id.decode("ascii", "replace"),
             session=session.session,
+            account=session.account,
             group=self._group,
             code=code.value,
             reason=reason,
--- a/src/wasabipitch/group/runner.py
+++ b/src/wasabipitch/group/runner.py
@@ -83,6 +83,7 @@
         return {
             "request": req.statement.request_id.decode("ascii", "replace"),
             "session": req.session.session,
+            "account": req.session.account,
             "group": self._state.name,
             "verb": req.statement.verb.value,
             "instance": req.instance,
--- a/src/wasabipitch/operations/decisions.py
+++ b/src/wasabipitch/operations/decisions.py
@@ -14,6 +14,8 @@
 # More lines of late requests in one second are only counted, so that logging them
 # costs an overloaded host little.
 LATE_LINES_PER_S = 20
+# The same for lines of refused keys: a caller with a withdrawn key may go on trying.
+REFUSAL_LINES_PER_S = 20
 FORMAT = "%(asctime)s %(levelname)s %(message)s"
 
 
@@ -29,6 +31,23 @@
         self._writer.write(self.format(record), record.getMessage(), routine)
 
 
+class _LineLimit:
+    """Admits a number of lines in each second."""
+
+    def __init__(self, lines_per_s: int) -> None:
+        self._lines_per_s = lines_per_s
+        self._count = 0
+        self._window_start_s = 0.0
+
+    def admit(self) -> bool:
+        """Count a line and return whether it may be logged."""
+        at_s = now_s()
+        if at_s - self._window_start_s >= 1.0:
+            self._window_start_s, self._count = at_s, 0
+        self._count += 1
+        return self._count <= self._lines_per_s
+
+
 class DecisionLog:
     """Logs decisions on requests and changes of the host's state as JSON lines.
 
@@ -49,8 +68,8 @@
         self._measures = measures or Measures()
         self._logger = logging.Logger(f"wasabipitch.{host}", logging.DEBUG)
         self._routine_count = 0
-        self._late_count = 0
-        self._late_window_start_s = 0.0
+        self._late_limit = _LineLimit(LATE_LINES_PER_S)
+        self._refusal_limit = _LineLimit(REFUSAL_LINES_PER_S)
         self._reported_dropped: dict[str, int] = {}
         self._writer = writer
         if writer is None:
@@ -85,11 +104,13 @@
     def late(self, event: str, **fields: Any) -> None:
         """Log a request that was served late, at most ``LATE_LINES_PER_S``."""
         self._measures.count("decisions", event=event)
-        at_s = now_s()
-        if at_s - self._late_window_start_s >= 1.0:
-            self._late_window_start_s, self._late_count = at_s, 0
-        self._late_count += 1
-        if self._late_count <= LATE_LINES_PER_S:
+        if self._late_limit.admit():
+            self._log(logging.INFO, event, fields)
+
+    def refusal(self, event: str, **fields: Any) -> None:
+        """Log the refusal of a key, at most ``REFUSAL_LINES_PER_S``."""
+        self._measures.count("decisions", event=event)
+        if self._refusal_limit.admit():
             self._log(logging.INFO, event, fields)
 
     def routine(self, event: str, **fields: Any) -> None:
--- a/src/wasabipitch/operations/explanations.py
+++ b/src/wasabipitch/operations/explanations.py
@@ -197,6 +197,31 @@
     return f"{load}, while {found}" if found else load
 
 
+def _explain_unproven(last: LogLine, context: Sequence[LogLine]) -> str:
+    age_s, version = last.fields.get("proof_age_s"), last.fields.get("version")
+    text = f"{last.host} had configuration {version}, which was "
+    if age_s is None:
+        text += "not known to be current since its start"
+    else:
+        text += f"last known to be current {age_s} s before"
+    found = _explain_unconfirmed(last, context)
+    return f"{text}; {found}" if found else text
+
+
+def _explain_key(last: LogLine, context: Sequence[LogLine]) -> str:
+    account, version = last.fields.get("account"), last.fields.get("version")
+    in_force = _last(context, "configuration in force", last.host)
+    text = f"the caller's key belongs to no account in configuration {version}"
+    if account:
+        text = (
+            f"the caller's key belongs to account {account} in configuration {version},"
+            " and to another one when the transaction began"
+        )
+    if in_force is None or in_force.fields.get("version") != version:
+        return text
+    return f"{text}, which {last.host} put in force at {in_force.time}"
+
+
 def _first(lines: Sequence[LogLine], event: str) -> LogLine | None:
     return next((line for line in lines if line.event == event), None)
 
@@ -208,6 +233,9 @@
 
 # The first pair whose text is part of a failure's reason explains the failure.
 _CAUSE_EXPLAINERS = (
+    ("not known to be current", _explain_unproven),
+    ("key is not known", _explain_key),
+    ("key no longer belongs", _explain_key),
     ("not confirmed in time", _explain_unconfirmed),
     ("has no primary", _explain_failover),
     ("primary was replaced", _explain_failover),
--- a/src/wasabipitch/peer_messages.py
+++ b/src/wasabipitch/peer_messages.py
@@ -84,10 +84,12 @@
     Args:
         revision: The revision of the newest group record that the host knows.
         known: Whether the host has read the store since its start.
+        version: The greatest version of the configuration that the host knows of.
     """
 
     revision: int
     known: bool = True
+    version: int = 0
 
 
 class AskAgreement(msgspec.Struct, frozen=True):
@@ -112,7 +114,13 @@
 
 
 class AskStoreHead(msgspec.Struct, frozen=True):
-    """Asks a peer to read the revision of the newest group record from the store."""
+    """Asks a peer to read the revision of the newest group record from the store.
+
+    Args:
+        version: The greatest version of the configuration that the sender knows of.
+    """
+
+    version: int = 0
 
 
 class StoreHead(msgspec.Struct, frozen=True):
@@ -123,12 +131,17 @@
         revision: The revision of the newest group record.
         store_revision: The revision of the whole store.
         age_s: The time since the peer asked the store, in seconds.
+        version: The greatest version of the configuration that the peer knows of.
+        surveyed: Whether the peer has asked other hosts for theirs in the epoch of
+            ``store_revision``.
     """
 
     confirmed: bool
     revision: int = 0
     store_revision: int = 0
     age_s: float = 0.0
+    version: int = 0
+    surveyed: bool = False
 
 
 class AskChanges(msgspec.Struct, frozen=True):
--- a/tests/wasabipitch/gateway_fixture.py
+++ b/tests/wasabipitch/gateway_fixture.py
@@ -6,10 +6,13 @@
 import os
 import socket
 
+from msgspec.structs import replace
+
 from standins.line_group import HOST, LineGroup
 from standins.memory_store import MemoryStore
 from tests.adapter import PLATFORM  # noqa: F401 (puts the adapter on the path)
 from wasabipitch.coordination.documents import (
+    Account,
     Configuration,
     Consistency,
     GroupSettings,
@@ -48,11 +51,18 @@
     def decode_configuration(self, item):
         fields = json.loads(item.value)
         routes = [r for r in ROUTES if r.database not in fields.get("dropped", ())]
+        public = fields.get("public", ())
+        # The keys of each account, by the account's name.
+        accounts = fields.get("accounts", {})
         return Configuration(
             fields["version"],
-            {route.database: route for route in routes},
+            {r.database: replace(r, public=r.database in public) for r in routes},
             {GROUP: GroupSettings(GROUP, fields.get("connections", 16), 1)},
             fields.get("idle_s", 3.0),
+            accounts={name: Account(name) for name in accounts},
+            account_names={
+                key: name for name, keys in accounts.items() for key in keys
+            },
         )
 
     def decode_instance(self, item):
@@ -98,10 +108,10 @@
         self._reader, self._writer = reader, writer
 
     @classmethod
-    async def connect(cls, port, database):
+    async def connect(cls, port, database, key="tester"):
         reader, writer = await asyncio.open_connection(HOST, port)
         caller = cls(reader, writer)
-        writer.write(f"STARTUP {database} tester\r\n".encode())
+        writer.write(f"STARTUP {database} {key}\r\n".encode())
         return caller, (await reader.readline()).decode().strip()
 
     def send(self, text, request="5c0e"):
@@ -130,9 +140,14 @@
 
 
 class Fleet:
-    """A group, a store and some hosts."""
+    """A group, a store and some hosts.
+
+    Args:
+        revocation_s: The time within which the hosts must refuse a withdrawn key.
+    """
 
-    def __init__(self):
+    def __init__(self, revocation_s=None):
+        self.revocation_s = revocation_s
         self.store = MemoryStore()
         self.group = LineGroup(GROUP)
         self.hosts = {}
@@ -165,6 +180,7 @@
             store=Address(HOST, 1),
             promoter=Address(HOST, 1),
             grace_s=4.0,
+            revocation_s=self.revocation_s,
         )
         store = HostStore(self.store)
         adapters = Adapters(
@@ -215,8 +231,8 @@
     def dispatcher(self, host="host-0"):
         return self.hosts[host].groups._groups[GROUP].dispatcher
 
-    async def connect(self, database, host="host-0"):
-        caller, greeting = await Caller.connect(self.ports[host], database)
+    async def connect(self, database, host="host-0", key="tester"):
+        caller, greeting = await Caller.connect(self.ports[host], database, key)
         self._callers.append(caller)
         return caller, greeting
 
