Keep the connections to instances of each client account apart

An instance is told an account at the start of a connection, which may then run statements of this account only. The pool gave any idle connection to any request.

The pool keeps idle connections by account, and a request names its account. policy/connection_use.py decides whether a request without an idle connection has one opened, closes another account's idle connection for it, or waits for one of its account's own. Accounts are ordered fairly within a priority. With accounts a host opens no connections above its share, closed connections count until the instance can have seen their end, and a larger share is used only after its former holder has had time to close. Without accounts the pool behaves as before.

--- a/src/standins/line_group.py
+++ b/src/standins/line_group.py
@@ -34,7 +34,8 @@
 class _Session:
     """The state of a connection to an instance."""
 
-    def __init__(self) -> None:
+    def __init__(self, account: str) -> None:
+        self.account = account
         self.values: dict[str, str] = {}
         self.prepared: dict[str, tuple[str, str]] = {}
         self.transaction: list[tuple[str, str]] | None = None
@@ -82,6 +83,14 @@
         self.lost_answers = 0
         self.max_connections = 16
         self.ran: list[tuple[str, str]] = []
+        # The account of the connection that each of these ran on.
+        self.ran_as: list[str] = []
+        # The accounts in the order in which their connections were opened, and the
+        # greatest number of connections at any time.
+        self.started_as: list[str] = []
+        self.most_connections = 0
+        self.refused_connections = 0
+        self.handshake_s = 0.0
         self.port = 0
         self._server: asyncio.Server | None = None
         self._writers: set[asyncio.StreamWriter] = set()
@@ -151,10 +160,12 @@
 
     async def _serve(self, reader, writer) -> None:
         if len(self._writers) >= self.max_connections:
+            self.refused_connections += 1
             writer.write(b"ERROR TOOMANY -\r\n")
             writer.close()
             return
         self._writers.add(writer)
+        self.most_connections = max(self.most_connections, len(self._writers))
         try:
             await self._run_session(reader, writer)
         except (OSError, asyncio.IncompleteReadError, asyncio.CancelledError):
@@ -172,7 +183,9 @@
         ):
             writer.write(b"ERROR MISROUTED -\r\n")
             return
-        session = _Session()
+        session = _Session(words[2])
+        self.started_as.append(session.account)
+        await asyncio.sleep(self.handshake_s)
         await self._wait_while_silent()
         writer.write(f"READY I {self.position}\r\n".encode())
         while line := await reader.readline():
@@ -243,15 +256,19 @@
         session.end_transaction()
         return "COMPLETE -\r\n"
 
-    async def _do_read(self, session, request, rest, text) -> str:
+    def _record_run(self, session: _Session, request: str, text: str) -> None:
         self.ran.append((request, text))
+        self.ran_as.append(session.account)
+
+    async def _do_read(self, session, request, rest, text) -> str:
+        self._record_run(session, request, text)
         values = "".join(f" {k}={v}" for k, v in sorted(session.values.items()))
         return f"ROW {self.read(rest[0])}{values}\r\n{self._complete(request)}"
 
     async def _do_write(self, session, request, rest, text) -> str:
         if not self.is_primary:
             return self._fail(session, "READONLY")
-        self.ran.append((request, text))
+        self._record_run(session, request, text)
         write = (rest[0], rest[1] if len(rest) > 1 else "")
         if session.transaction is not None:
             session.transaction.append(write)
--- a/src/wasabipitch/group/assembly.py
+++ b/src/wasabipitch/group/assembly.py
@@ -110,6 +110,7 @@
         self._decisions = decisions
         self._read_instances = read_instances
         self._groups: dict[str, Group] = {}
+        self._has_accounts = False
         # The states of all groups that this host ever had. The store goes on to list it
         # as a writer of a group that the configuration lacks for a while.
         self._states: dict[str, GroupState] = {}
@@ -150,6 +151,7 @@
 
     def apply_configuration(self, configuration: Configuration) -> None:
         """Apply a newer configuration: add, change and remove groups."""
+        self._has_accounts = bool(configuration.accounts)
         for name in set(self._groups) - set(configuration.groups):
             self._groups.pop(name).close()
         for settings in configuration.groups.values():
@@ -275,7 +277,9 @@
         share = connections_per_owner(limit, len(state.owners))
         is_owner = self._host.name in state.owners
         owners = len(state.owners)
-        group.dispatcher.update(state.entries, share if is_owner else 0, owners)
+        group.dispatcher.update(
+            state.entries, share if is_owner else 0, owners, self._has_accounts
+        )
         self._registration.serve(
             found.state.name
             for found in self._groups.values()
--- a/src/wasabipitch/group/reads.py
+++ b/src/wasabipitch/group/reads.py
@@ -139,7 +139,8 @@
         """Send the read to another instance; return False if there is none for it."""
         asked = {pool.name for pool in attempts.asked}
         others = self._selector.find_readable(decision) - asked
-        idle = [n for n in others if self._dispatcher.pools[n].has_idle()]
+        account, pools = req.session.account, self._dispatcher.pools
+        idle = [n for n in others if pools[n].can_serve(account)]
         if len(asked) >= MAX_ASKED or not idle or not self._hedges.try_spend():
             return False
         self._decisions.request(
@@ -165,6 +166,7 @@
             req.route.priority,
             req.deadline_s,
             req.deadline_s,
+            account=req.session.account,
         )
         try:
             checkout = await self._dispatcher.acquire(need)
--- a/src/wasabipitch/group/selection.py
+++ b/src/wasabipitch/group/selection.py
@@ -168,6 +168,7 @@
             min(req.deadline_s, now_s() + max_wait_s(req.route.objective_s)),
             req.deadline_s,
             set(req.avoid),
+            req.session.account,
         )
         started_s = now_s()
         try:
--- a/src/wasabipitch/instances/connection.py
+++ b/src/wasabipitch/instances/connection.py
@@ -44,12 +44,15 @@
         state: The session's transaction state by the last answer.
         values: The session variables set on the connection.
         prepared: The names of the statements prepared on it.
+        ended_busy: Whether it was closed with a statement unanswered.
 
     Args:
         stream: A connected stream on which the startup is complete.
         codec: The codec of the instance's protocol.
         entry: The instance's registration when the connection was opened.
         position: The instance's log position at that time.
+        account: The client account that the instance was told; the connection runs
+            statements of this account only. Empty for statements of no account.
     """
 
     def __init__(
@@ -58,8 +61,11 @@
         codec: InstanceCodec,
         entry: InstanceEntry,
         position: Position | None,
+        account: str = "",
     ) -> None:
         self.entry = entry
+        self.account = account
+        self.ended_busy = False
         self.position = position
         self.state = SessionState.IDLE
         self.opened_at_s = now_s()
@@ -106,6 +112,7 @@
 
     def close(self) -> None:
         """Close the connection at once; the instance rolls back an open transaction."""
+        self.ended_busy = self.ended_busy or bool(self._pending)
         self._stream.abort()
         self._reader.cancel()
         self._fail_pending("connection closed")
@@ -155,12 +162,16 @@
                 fut.set_exception(InstanceLost(f"{self.entry.name}: {reason}"))
 
 
-async def connect(entry: InstanceEntry, codec: InstanceCodec) -> InstanceConnection:
+async def connect(
+    entry: InstanceEntry, codec: InstanceCodec, account: str = ""
+) -> InstanceConnection:
     """Open a connection to a registered instance.
 
     Args:
         entry: The instance's registration.
         codec: The codec of the instance's protocol.
+        account: The client account whose statements the connection will carry, or an
+            empty string.
 
     Raises:
         ConnectionRefused: No process listens at the address.
@@ -172,7 +183,7 @@
     started_s = now_s()
     stream = await open_stream(entry.address, CONNECT_TIMEOUT_S)
     try:
-        stream.write(codec.startup(entry.group, entry.name))
+        stream.write(codec.startup(entry.group, entry.name, account))
         left_s = CONNECT_TIMEOUT_S - (now_s() - started_s)
         async with asyncio.timeout(max(0.05, left_s)):
             message = codec.decode(await read_message(stream))
@@ -183,7 +194,7 @@
         stream.abort()
         raise
     if isinstance(message, Ready):
-        return InstanceConnection(stream, codec, entry, message.position)
+        return InstanceConnection(stream, codec, entry, message.position, account)
     stream.abort()
     raise _startup_error(entry, message)
 
--- a/src/wasabipitch/instances/dispatcher.py
+++ b/src/wasabipitch/instances/dispatcher.py
@@ -1,6 +1,7 @@
 """Assignment of a group's connections to the requests that need one."""
 
 import asyncio
+from collections import Counter
 from collections.abc import Callable, Collection
 from itertools import count
 
@@ -10,10 +11,11 @@
 from wasabipitch.coordination.documents import InstanceEntry
 from wasabipitch.exceptions import NoTarget, Overloaded
 from wasabipitch.instances.connection import InstanceConnection
-from wasabipitch.instances.pool import MIN_IDLE_CONNECTIONS, InstancePool
+from wasabipitch.instances.pool import InstancePool
 from wasabipitch.operations.decisions import DecisionLog
 from wasabipitch.operations.measures import Gauge
-from wasabipitch.policy import placement, waiting
+from wasabipitch.policy import connection_use, placement, waiting
+from wasabipitch.policy.connection_use import Use
 from wasabipitch.policy.placement import ServiceTimes
 from wasabipitch.policy.window import window_limit
 from wasabipitch.wire.codecs import InstanceCodec
@@ -23,6 +25,8 @@
 OVERFLOW_CONNECTIONS = 2
 INITIAL_CHECKOUT_S = 0.02
 CHECKOUT_EWMA_WEIGHT = 0.05
+# Longer than any checkout delays an account's next request.
+FORGET_PLACE_S = 5.0
 _arrivals = count()
 
 
@@ -59,6 +63,9 @@
         deadline_s: The time at which its time limit ends.
         avoid: The names of instances that have just failed the request; they are
             used only if no other instance is allowed.
+        account: The client account that the request belongs to, or an empty string.
+            Only connections of this account serve it.
+        placed_s: The time by which it is ordered within its priority, set on arrival.
         arrival: The sequence number of its arrival, set automatically.
         granted: The future of its checkout, set automatically.
     """
@@ -69,13 +76,15 @@
     wait_until_s: float
     deadline_s: float
     avoid: set[str] = msgspec.field(default_factory=set)
+    account: str = ""
+    placed_s: float = 0.0
     arrival: int = msgspec.field(default_factory=lambda: next(_arrivals))
     granted: asyncio.Future = msgspec.field(default_factory=asyncio.Future)
 
     @property
-    def order(self) -> tuple[int, int]:
-        """The sort key in the queue: priority, then arrival."""
-        return (self.priority, self.arrival)
+    def order(self) -> tuple[int, float, int]:
+        """The sort key in the queue: priority, place among accounts, then arrival."""
+        return (self.priority, self.placed_s, self.arrival)
 
 
 class Dispatcher:
@@ -110,11 +119,17 @@
         self._is_primary = is_primary
         self._on_connection_limit = on_connection_limit
         self._waiting: list[ConnectionRequest] = []
+        self._has_accounts = False
+        self._fair_order = connection_use.FairOrder()
         # Mean duration of a checkout, including the pauses of transactions.
         self._checkout_s = INITIAL_CHECKOUT_S
 
     def update(
-        self, entries: dict[str, InstanceEntry], own_share: int, hosts: int = 1
+        self,
+        entries: dict[str, InstanceEntry],
+        own_share: int,
+        hosts: int = 1,
+        has_accounts: bool = False,
     ) -> None:
         """Update the pools to the registered instances and the host's share.
 
@@ -123,7 +138,13 @@
             own_share: The number of connections that this host may hold to each
                 instance; 0 for a host that isn't an owner.
             hosts: The number of hosts that hold connections to the instances.
+            has_accounts: Whether the configuration has client accounts. Connections
+                are scarce then, and none is opened above the share: the shares of all
+                hosts together are what an instance accepts.
         """
+        self._has_accounts = has_accounts
+        overflow = 0 if has_accounts else OVERFLOW_CONNECTIONS
+        overflow_limit = own_share + overflow if own_share else 0
         for name in set(self.pools) - set(entries):
             self.pools.pop(name).close()
         for name, entry in entries.items():
@@ -141,8 +162,7 @@
                 )
                 self.pools[name] = pool
             pool.entry = entry
-            pool.limit = own_share
-            pool.overflow_limit = own_share + OVERFLOW_CONNECTIONS if own_share else 0
+            pool.resize(own_share, overflow_limit, has_accounts)
             pool.window.resize(window_limit(pool.overflow_limit, entry.slots, hosts))
         self.dispatch()
 
@@ -185,7 +205,12 @@
         for pool in self.pools.values():
             pool.close_idle()
             if not pool.entry.leaving:
-                pool.open_up_to(min(MIN_IDLE_CONNECTIONS, pool.limit))
+                pool.open_minimum()
+        if self._has_accounts:
+            self._fair_order.forget_before(now_s() - FORGET_PLACE_S)
+            if self._waiting:
+                # A share that has grown is used from some time on.
+                self.dispatch()
 
     def release_unused(self, instance: str) -> None:
         """Close unused connections to an instance so that another host can connect.
@@ -211,6 +236,10 @@
         checkout = self._try_check_out(request)
         if checkout is not None:
             return checkout
+        if self._has_accounts:
+            request.placed_s = self._fair_order.place(
+                request.priority, request.account, now_s(), self._checkout_s
+            )
         self._admit(request)
         self._waiting.append(request)
         self._waiting.sort(key=lambda other: other.order)
@@ -231,6 +260,7 @@
         This is to be called whenever a connection may have become free or the set
         of allowed instances may have changed.
         """
+        queued: Counter[str] = Counter()
         for request in list(self._waiting):
             if request.granted.done():
                 self._waiting.remove(request)
@@ -239,6 +269,10 @@
             if checkout is not None:
                 self._waiting.remove(request)
                 request.granted.set_result(checkout)
+                continue
+            queued[request.account] += 1
+            if self._has_accounts or request.account:
+                self._open_for_account(request, queued[request.account])
             else:
                 self._open_for(request)
 
@@ -249,15 +283,17 @@
         return untried or allowed
 
     def _try_check_out(self, request: ConnectionRequest) -> Checkout | None:
-        at_s = now_s()
-        suitable = [pool for pool in self._suitable_pools(request) if pool.has_idle()]
+        at_s, account = now_s(), request.account
+        suitable = [
+            pool for pool in self._suitable_pools(request) if pool.has_idle(account)
+        ]
         responsive = [pool for pool in suitable if pool.silent_since_s is None]
         loads = [self._load(pool, at_s) for pool in responsive or suitable]
         best = placement.choose_instance(loads, self.service_times.read(request.kind))
         if best is None:
             return None
         pool = self.pools[best.name]
-        return Checkout(pool, pool.check_out(), at_s, self._record_checkout)
+        return Checkout(pool, pool.check_out(account), at_s, self._record_checkout)
 
     def _load(self, pool: InstancePool, at_s: float) -> placement.Load:
         return placement.Load(
@@ -274,6 +310,41 @@
         for pool in self._suitable_pools(request):
             pool.open_up_to(pool.overflow_limit)
 
+    def _open_for_account(self, request: ConnectionRequest, position: int) -> None:
+        """Open a connection for a waiting request if that is better than to wait.
+
+        Args:
+            request: The request; no connection of its account can be checked out.
+            position: Its place among the account's waiting requests.
+        """
+        account = request.account
+        pools = self._suitable_pools(request)
+        demand = connection_use.Demand(
+            position,
+            sum(pool.count_used(account) for pool in pools),
+            sum(pool.count_opening(account) for pool in pools),
+            self._checkout_s,
+        )
+        others_waiting = any(other.account != account for other in self._waiting)
+        options: dict[Use, list[InstancePool]] = {}
+        for pool in pools:
+            if pool.may_open:
+                state = pool.describe_use(account, others_waiting)
+                decision = connection_use.decide(demand, state)
+                options.setdefault(decision.use, []).append(pool)
+        if Use.OPEN in options:
+            self._choose_pool(options[Use.OPEN], request).open_for(account)
+        elif Use.REPLACE in options:
+            self._choose_pool(options[Use.REPLACE], request).replace_for(account)
+
+    def _choose_pool(
+        self, pools: list[InstancePool], request: ConnectionRequest
+    ) -> InstancePool:
+        at_s = now_s()
+        loads = [self._load(pool, at_s) for pool in pools]
+        best = placement.choose_instance(loads, self.service_times.read(request.kind))
+        return self.pools[best.name]
+
     def _admit(self, request: ConnectionRequest) -> None:
         suitable = self._suitable_pools(request)
         queue = waiting.QueueState(
--- a/src/wasabipitch/instances/pool.py
+++ b/src/wasabipitch/instances/pool.py
@@ -1,7 +1,7 @@
 """Connection pool of one instance, with the measurements taken on it."""
 
 import asyncio
-from collections import deque
+from collections import Counter, deque
 from collections.abc import Callable
 
 from wasabipitch import tasks
@@ -16,6 +16,12 @@
 )
 from wasabipitch.instances.connection import InstanceConnection, connect
 from wasabipitch.operations.decisions import DecisionLog
+from wasabipitch.policy.connection_use import (
+    ACTIVE_S,
+    IdleConnection,
+    PoolUse,
+    choose_closed,
+)
 from wasabipitch.policy.placement import FailureShare, LaggingBackoff, Slowness
 from wasabipitch.policy.window import ConcurrencyWindow
 from wasabipitch.wire.codecs import InstanceCodec
@@ -36,8 +42,21 @@
 # those above the host's own share, have the shorter one.
 IDLE_TIMEOUT_S = 1.0
 OVERFLOW_IDLE_TIMEOUT_S = 0.3
+# Idle timeout where connections belong to accounts. An account that needs the room
+# closes another's idle connection, so that one kept for long blocks nobody and saves
+# its account a handshake.
+ACCOUNT_IDLE_TIMEOUT_S = 15.0
 # Time that an abandoned statement has to end before its connection is closed.
 ABANDONED_TIMEOUT_S = 3.0
+# A closed connection counts against the limit until the instance can have seen its
+# end, which takes one way of a round trip of up to 1 ms.
+CLOSE_SETTLE_S = 0.005
+# An instance may see the end only after the statement that runs on the connection.
+BUSY_CLOSE_SETTLE_S = 0.25
+# A share that has grown is used after this time. The owner that lost it learns of the
+# change by a watch that lags at most 0.6 s, or by a check of the store's head after
+# 0.45 s, and closes its idle connections within 0.1 s.
+SHARE_TAKEOVER_S = 1.2
 
 
 class InstancePool:
@@ -47,6 +66,7 @@
         entry: The instance's registration.
         limit: The host's own share of the instance's connections.
         overflow_limit: The share plus the permitted overflow connections.
+        has_accounts: Whether the configuration has client accounts.
         slowness: The ratio of its service times to the group's mean.
         lagging: The backoff after it rejected a read because it lags.
         failures: The share of its recent statements that failed.
@@ -79,6 +99,7 @@
         self.entry = entry
         self.limit = 1
         self.overflow_limit = 1
+        self.has_accounts = False
         self.slowness = Slowness()
         self.lagging = LaggingBackoff()
         self.failures = FailureShare()
@@ -92,10 +113,26 @@
         self._on_change = on_change
         self._on_connection_limit = on_connection_limit
         self._overflow_paused_until_s = 0.0
-        self._idle: deque[InstanceConnection] = deque()
+        # The idle connections by account, and all of them; the least recently used one
+        # comes first in each.
+        self._idle: dict[str, deque[InstanceConnection]] = {}
+        self._idle_order: dict[InstanceConnection, None] = {}
         self._checked_out: set[InstanceConnection] = set()
         self._tasks: set[asyncio.Task] = set()
         self._opening = 0
+        # The number of connections that are closed and still count.
+        self._closing = 0
+        # The number of connections by account: open or being opened, checked out, and
+        # being opened.
+        self._held_by: Counter[str] = Counter()
+        self._used_by: Counter[str] = Counter()
+        self._opening_by: Counter[str] = Counter()
+        self._last_account = ""
+        # Whether the share was set; the limit until a larger one may be used, and when
+        # that is.
+        self._is_sized = False
+        self._limit_before = 0
+        self._grows_at_s = 0.0
         self._retry_at_s = 0.0
         self._retry_s = MIN_RETRY_S
         self._closed = False
@@ -108,7 +145,29 @@
     @property
     def open(self) -> int:
         """The number of connections that are open or being opened."""
-        return len(self._idle) + len(self._checked_out) + self._opening
+        return len(self._idle_order) + len(self._checked_out) + self._opening
+
+    @property
+    def held(self) -> int:
+        """The number of connections that count against the limit.
+
+        These are the open ones, those being opened, and those whose end the instance
+        may not have seen yet.
+        """
+        return self.open + self._closing
+
+    @property
+    def allowed(self) -> int:
+        """The number of connections that this host may hold now."""
+        at_s = now_s()
+        paused = at_s < self._overflow_paused_until_s
+        limit = self.limit if paused else self.overflow_limit
+        return min(limit, self._limit_before) if at_s < self._grows_at_s else limit
+
+    @property
+    def may_open(self) -> bool:
+        """Whether an attempt to open a connection may be made now."""
+        return not self._closed and now_s() >= self._retry_at_s
 
     @property
     def checked_out(self) -> int:
@@ -123,20 +182,50 @@
     @property
     def connections(self) -> list[InstanceConnection]:
         """All open connections, idle and checked out."""
-        return [*self._idle, *self._checked_out]
+        return [*self._idle_order, *self._checked_out]
+
+    def resize(self, limit: int, overflow_limit: int, has_accounts: bool) -> None:
+        """Update the number of connections that this host may hold.
 
-    def has_idle(self) -> bool:
-        """Return whether a connection can be checked out at once."""
-        if self.running >= self.window.size:
+        With accounts, a larger share is used only after ``SHARE_TAKEOVER_S``, when the
+        host that lost it has closed its connections. Up to then a new owner holds one
+        connection.
+        """
+        before = self.allowed
+        if has_accounts and self._is_sized and overflow_limit > before:
+            self._limit_before = max(1, before)
+            self._grows_at_s = now_s() + SHARE_TAKEOVER_S
+        self._is_sized = True
+        self.limit, self.overflow_limit = limit, overflow_limit
+        self.has_accounts = has_accounts
+
+    def has_idle(self, account: str = "") -> bool:
+        """Return whether an account's connection can be checked out at once."""
+        idle = self._idle.get(account)
+        if idle is None or self.running >= self.window.size:
+            return False
+        while idle and not idle[-1].is_clean:
+            self._close_idle(idle[-1])
+        return bool(idle)
+
+    def can_serve(self, account: str = "") -> bool:
+        """Return whether an account's connection is idle or can be opened at once."""
+        if self.has_idle(account):
+            return True
+        if not self.has_accounts or not self.may_open:
             return False
-        while self._idle and not self._idle[-1].is_clean:
-            self._idle.pop().close()
-        return bool(self._idle)
+        return self.held < self.allowed or len(self._idle_order) > 0
+
+    def check_out(self, account: str = "") -> InstanceConnection:
+        """Check out an account's idle connection.
 
-    def check_out(self) -> InstanceConnection:
-        """Check out an idle connection; ``has_idle`` must have returned True."""
-        conn = self._idle.pop()
+        ``has_idle`` must have returned True.
+        """
+        conn = self._idle[account][-1]
+        self._remove_idle(conn)
         self._checked_out.add(conn)
+        self._used_by[account] += 1
+        self._last_account = account
         return conn
 
     def release(self, conn: InstanceConnection) -> None:
@@ -152,42 +241,120 @@
             return
         self._return_to_pool(conn)
 
-    def open_up_to(self, count: int) -> None:
+    def count_used(self, account: str) -> int:
+        """Return how many of an account's connections are checked out."""
+        return self._used_by.get(account, 0)
+
+    def count_opening(self, account: str) -> int:
+        """Return how many connections are being opened for an account."""
+        return self._opening_by.get(account, 0)
+
+    def describe_use(self, account: str, others_waiting: bool) -> PoolUse:
+        """Return the state of the pool as an account's request sees it.
+
+        Args:
+            account: The account of the request.
+            others_waiting: Whether requests of other accounts wait.
+        """
+        own_idle = len(self._idle.get(account, ()))
+        return PoolUse(
+            limit=self.allowed,
+            held=self.held,
+            opening=self._opening,
+            max_opening=max(1, min(self.entry.slots, self.window.size)),
+            own=self._held_by.get(account, 0),
+            own_idle=own_idle,
+            others_idle=len(self._idle_order) - own_idle,
+            others_active=others_waiting or self._are_others_active(account),
+        )
+
+    def _are_others_active(self, account: str) -> bool:
+        used = len(self._checked_out) - self.count_used(account)
+        if used or self._opening > self.count_opening(account):
+            return True
+        active_s = now_s() - ACTIVE_S
+        return any(
+            idle[-1].used_at_s > active_s
+            for other, idle in self._idle.items()
+            if other != account
+        )
+
+    def open_up_to(self, count: int, account: str = "") -> None:
         """Open connections in the background, up to a number of open connections.
 
         One connection is opened at a time, and none before the next retry is due
         after a failure.
         """
-        if self._closed or now_s() < self._retry_at_s:
+        if not self.may_open:
             return
         if now_s() < self._overflow_paused_until_s:
             count = min(count, self.limit)
         while self.open < count and not self._opening:
-            self._opening += 1
-            self._spawn(self._open())
+            self._start_opening(account)
+
+    def open_for(self, account: str) -> None:
+        """Open a connection for an account in the background; there must be room."""
+        self._start_opening(account)
+
+    def replace_for(self, account: str) -> str:
+        """Close another account's idle connection and open one for an account.
+
+        There must be an idle connection of another account.
+
+        Returns:
+            The account whose connection is closed.
+        """
+        at_s = now_s()
+        others = [conn for conn in self._idle_order if conn.account != account]
+        idle = [
+            IdleConnection(self._held_by[conn.account], at_s - conn.used_at_s)
+            for conn in others
+        ]
+        closed = others[choose_closed(idle, ACCOUNT_IDLE_TIMEOUT_S)]
+        self._remove_idle(closed)
+        self._forget(closed.account)
+        closed.close()
+        # The new connection takes the place of the closed one in the count.
+        self._start_opening(account, CLOSE_SETTLE_S)
+        return closed.account
+
+    def open_minimum(self) -> None:
+        """Open a connection if there is none, which also shows a lost instance."""
+        if not self.has_accounts:
+            self.open_up_to(min(MIN_IDLE_CONNECTIONS, self.limit))
+        elif not self.held:
+            self.open_up_to(min(MIN_IDLE_CONNECTIONS, self.limit), self._last_account)
 
     def close_idle(self) -> None:
         """Close broken connections and those past their idle timeout."""
         at_s = now_s()
-        for conn in [conn for conn in self._idle if not conn.is_clean]:
-            self._idle.remove(conn)
-            conn.close()
-        while self.open > min(MIN_IDLE_CONNECTIONS, self.limit) and self._idle:
-            limit_s = (
-                OVERFLOW_IDLE_TIMEOUT_S if self.open > self.limit else IDLE_TIMEOUT_S
-            )
-            if at_s - self._idle[0].used_at_s < limit_s:
+        for conn in [conn for conn in self._idle_order if not conn.is_clean]:
+            self._close_idle(conn)
+        while self.open > min(MIN_IDLE_CONNECTIONS, self.limit) and self._idle_order:
+            conn = next(iter(self._idle_order))
+            if at_s - conn.used_at_s < self._idle_timeout_s:
                 return
-            self._idle.popleft().close()
+            self._close_idle(conn)
+
+    @property
+    def _idle_timeout_s(self) -> float:
+        if self.has_accounts:
+            return ACCOUNT_IDLE_TIMEOUT_S if self.held <= self.allowed else 0.0
+        return OVERFLOW_IDLE_TIMEOUT_S if self.open > self.limit else IDLE_TIMEOUT_S
 
     def release_unused(self) -> None:
         """Close unused connections so that another host can connect.
 
-        Overflow connections are not opened for ``OVERFLOW_PAUSE_S`` afterwards.
+        Overflow connections are not opened for ``OVERFLOW_PAUSE_S`` afterwards. With
+        accounts, a connection that was used within ``IDLE_TIMEOUT_S`` is in use.
         """
-        self._overflow_paused_until_s = now_s() + OVERFLOW_PAUSE_S
-        while self.open > MIN_IDLE_CONNECTIONS and self._idle:
-            self._idle.popleft().close()
+        at_s = now_s()
+        self._overflow_paused_until_s = at_s + OVERFLOW_PAUSE_S
+        while self.open > MIN_IDLE_CONNECTIONS and self._idle_order:
+            conn = next(iter(self._idle_order))
+            if self.has_accounts and at_s - conn.used_at_s < IDLE_TIMEOUT_S:
+                return
+            self._close_idle(conn)
 
     def record_answer(self) -> None:
         """Record that the instance has answered, which ends a silence."""
@@ -211,6 +378,7 @@
         for conn in self.connections:
             conn.close()
         self._idle.clear()
+        self._idle_order.clear()
         self._checked_out.clear()
 
     def _spawn(self, coro) -> None:
@@ -219,17 +387,61 @@
         task.add_done_callback(self._tasks.discard)
 
     def _return_to_pool(self, conn: InstanceConnection) -> None:
+        if conn not in self._checked_out:
+            # The pool was closed.
+            return
         self._checked_out.discard(conn)
+        self._used_by[conn.account] -= 1
+        if not self._used_by[conn.account]:
+            del self._used_by[conn.account]
         if (
             self._closed
             or not conn.is_clean
             or conn.entry.born_ms != self.entry.born_ms
+            or (self.has_accounts and self.held >= self.allowed)
         ):
-            conn.close()
+            self._close(conn)
         else:
-            self._idle.append(conn)
+            self._add_idle(conn)
         self._on_change()
 
+    def _add_idle(self, conn: InstanceConnection) -> None:
+        self._idle.setdefault(conn.account, deque()).append(conn)
+        self._idle_order[conn] = None
+
+    def _remove_idle(self, conn: InstanceConnection) -> None:
+        idle = self._idle[conn.account]
+        if idle[-1] is conn:
+            idle.pop()
+        else:
+            idle.remove(conn)
+        if not idle:
+            del self._idle[conn.account]
+        del self._idle_order[conn]
+
+    def _close_idle(self, conn: InstanceConnection) -> None:
+        self._remove_idle(conn)
+        self._close(conn)
+
+    def _close(self, conn: InstanceConnection) -> None:
+        """Close a connection that is neither idle nor checked out any more."""
+        conn.close()
+        self._forget(conn.account)
+        if self.has_accounts and not self._closed:
+            self._closing += 1
+            settle_s = BUSY_CLOSE_SETTLE_S if conn.ended_busy else CLOSE_SETTLE_S
+            asyncio.get_running_loop().call_later(settle_s, self._end_closing)
+
+    def _end_closing(self) -> None:
+        self._closing -= 1
+        if not self._closed:
+            self._on_change()
+
+    def _forget(self, account: str) -> None:
+        self._held_by[account] -= 1
+        if not self._held_by[account]:
+            del self._held_by[account]
+
     async def _clean(self, conn: InstanceConnection) -> None:
         try:
             async with asyncio.timeout(ABANDONED_TIMEOUT_S):
@@ -243,21 +455,39 @@
         finally:
             self._return_to_pool(conn)
 
-    async def _open(self) -> None:
+    def _start_opening(self, account: str, delay_s: float = 0.0) -> None:
+        self._opening += 1
+        self._opening_by[account] += 1
+        self._held_by[account] += 1
+        self._spawn(self._open(account, delay_s))
+
+    async def _open(self, account: str, delay_s: float) -> None:
+        conn = None
         try:
-            conn = await connect(self.entry, self._codec)
+            if delay_s:
+                await asyncio.sleep(delay_s)
+            conn = await connect(self.entry, self._codec, account)
         except TargetDown as exc:
             self._record_failure(exc)
         else:
             self._record_opened()
-            if self._closed:
-                conn.close()
-                return
-            self._idle.append(conn)
         finally:
             self._opening -= 1
+            self._opening_by[account] -= 1
+            if not self._opening_by[account]:
+                del self._opening_by[account]
+            self._add_opened(account, conn)
             self._on_change()
 
+    def _add_opened(self, account: str, conn: InstanceConnection | None) -> None:
+        if conn is None:
+            self._forget(account)
+        elif self._closed or (self.has_accounts and self.held >= self.allowed):
+            # The pool was closed, or its share became smaller, meanwhile.
+            self._close(conn)
+        else:
+            self._add_idle(conn)
+
     def _record_opened(self) -> None:
         if self.failing_since_s is not None:
             self._decisions.belief(
@@ -272,7 +502,7 @@
         at_s = now_s()
         if isinstance(exc, NoConnectionLeft):
             self._retry_at_s = at_s + LIMIT_RETRY_S
-            if not self._idle and not self._checked_out:
+            if not self._idle_order and not self._checked_out:
                 self._on_connection_limit(self.name)
             return
         if self.failing_since_s is None:
