Limit the operations of accounts over all hosts

Cause: an account's RatePerS and Burst were decoded and ignored.

Change: the first live host of an account's order counts its operations; other hosts ask it for tokens, in batches, and the second host while it is silent. A host grants from the whole limit only with a recent proof that its copy of the store is current, and once every other host that counts must have it in its copy. A host that starts again counts at once if its earlier run had been registered for long enough, which the registration's mark shows. Otherwise two hosts grant from a reserve.

--- a/src/wasabipitch/coordination/documents.py
+++ b/src/wasabipitch/coordination/documents.py
@@ -226,7 +226,7 @@
         )
 
 
-class HostRecord(msgspec.Struct, frozen=True):
+class HostRecord(msgspec.Struct, frozen=True, omit_defaults=True):
     """The registration of a host, under its lease.
 
     Args:
@@ -236,6 +236,8 @@
         links: The address that it accepts links from its peers at, as ``ip:port``.
         cores: The processor time that it may use, in cores of normal speed.
         link_mbps: The bandwidth of its network link, in Mbit/s, or 0 if unknown.
+        settled_epoch: The store's epoch in which it had been registered for long
+            enough that every host that counts operations knows it, or None.
     """
 
     name: str
@@ -244,6 +246,7 @@
     links: str = ""
     cores: float = 0.0
     link_mbps: float = 0.0
+    settled_epoch: int | None = None
 
 
 class RelinquishedRecord(msgspec.Struct, frozen=True):
--- a/src/wasabipitch/coordination/registration.py
+++ b/src/wasabipitch/coordination/registration.py
@@ -3,7 +3,10 @@
 import asyncio
 import logging
 import math
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
+
+import msgspec
+from msgspec.structs import replace
 
 from wasabipitch.clock import now_s
 from wasabipitch.coordination.documents import (
@@ -14,16 +17,20 @@
     WRITERS_PREFIX,
     HostRecord,
     WriterRecord,
+    decode,
     encode,
 )
 from wasabipitch.coordination.mirror import StoreMirror
 from wasabipitch.coordination.store import CoordinationStore, Item
-from wasabipitch.exceptions import LeaseEnded, StoreError
+from wasabipitch.exceptions import LeaseEnded, RecordConflict, StoreError
 from wasabipitch.policy.quorum import MAX_STORE_OUTAGE_S
 
 # The registration lapses after three failed renewals.
 HOST_LEASE_S = 6.0
 RENEW_INTERVAL_S = 2.0
+# A registration is marked as settled after this time without interruption. By then no
+# host counts operations any more on a copy that lacks it, see ``accounts.limits``.
+SETTLE_S = 2.5
 # A host whose registration was renewed longer ago than this uses no primary. Others
 # that can't see it take it for ended 32 s after the renewal at the earliest, and answer
 # for the commits that it sent before.
@@ -64,6 +71,13 @@
         # The time of the first registration, or of the first one after a gap longer
         # than ``MAX_STORE_OUTAGE_S``.
         self.registered_since_s = math.inf
+        # Since when the store has listed this host without interruption.
+        self._listed_since_s = math.inf
+        # Whether this run took over the settled registration of an earlier one, and
+        # has been listed ever since.
+        self._is_successor = False
+        # Whether registrations are marked as settled, which takes a call for each run.
+        self.needs_settling: Callable[[], bool] = lambda: False
         self._store = store
         self._mirror = mirror
         self._name_key = NAMES_PREFIX + record.name
@@ -194,6 +208,69 @@
         serving_since_s = self._serving_since_s.get(group, math.inf)
         return at_s if at_s >= max(self.registered_since_s, serving_since_s) else 0.0
 
+    @property
+    def listed_since_s(self) -> float:
+        """Since when the store has listed this host without interruption.
+
+        Infinity while it may not be listed.
+        """
+        if self._needs_lease or self._leaving or self.key not in self._mirror.items:
+            return math.inf
+        return self._listed_since_s
+
+    @property
+    def listed_until_s(self) -> float:
+        """Until when the lease of the registration can't end."""
+        return self._registered_at_s + HOST_LEASE_S if self._registered_at_s else 0.0
+
+    @property
+    def is_successor(self) -> bool:
+        """Whether this host was listed before its start, without interruption."""
+        return self._is_successor and self.listed_since_s < math.inf
+
+    def _find_predecessor(self) -> Item | None:
+        """Return the settled registration of an earlier run, or None.
+
+        The mark of another epoch came back with a copy of the store, and a host of
+        another strength has another rank.
+        """
+        for key, item in self._mirror.items.items():
+            if not self._is_of_earlier_run(key):
+                continue
+            try:
+                record = decode(item.value, HostRecord)
+            except msgspec.MsgspecError:
+                continue
+            strength = (record.cores, record.link_mbps)
+            if record.settled_epoch == self._mirror.epoch and strength == (
+                self.record.cores,
+                self.record.link_mbps,
+            ):
+                return item
+        return None
+
+    async def _settle(self) -> None:
+        """Mark the registration as settled, once in each epoch."""
+        epoch, own = self._mirror.epoch, self._mirror.items.get(self.key)
+        is_due = now_s() - self.listed_since_s >= SETTLE_S and own is not None
+        if (
+            not is_due
+            or self.record.settled_epoch == epoch
+            or not self.needs_settling()
+        ):
+            return
+        record = replace(self.record, settled_epoch=epoch)
+        expected = {self.key: own.revision}
+        writes = {self.key: encode(record)}
+        try:
+            revision = await self._store.commit(expected, writes, (), self.lease)
+        except RecordConflict:
+            # The store was restored or the key was written by another program; a later
+            # call finds the new revision.
+            return
+        self.record = record
+        self._mirror.apply_writes(writes, revision)
+
     def _serving_key(self, group: str) -> str:
         return f"{SERVING_PREFIX}{group}/{self.record.incarnation}"
 
@@ -205,6 +282,7 @@
 
     def _replace_lease(self) -> None:
         """Take a new lease, since a restored store may give the old one to others."""
+        self._end_listing()
         self._needs_lease = True
         self._incomplete.set()
 
@@ -220,12 +298,23 @@
         try:
             await self._write()
         except LeaseEnded:
+            self._end_listing()
             self._needs_lease = True
             raise
 
+    def _end_listing(self) -> None:
+        """Record that the store may not list this host any more."""
+        self._listed_since_s = math.inf
+        self._is_successor = False
+        self.record = replace(self.record, settled_epoch=None)
+
     async def _write(self) -> None:
         started_s = now_s()
         lease = self.lease
+        if self.key not in self._mirror.items:
+            self._end_listing()
+        is_first = not self._written_lease
+        predecessor = self._find_predecessor() if is_first else None
         lasting = {}
         if self._name_key not in self._mirror.items:
             name = encode(self.record.name)
@@ -237,6 +326,7 @@
         for start in range(0, max(1, len(groups)), MAX_GROUPS_PER_COMMIT):
             chunk = groups[start : start + MAX_GROUPS_PER_COMMIT]
             writes = {self._serving_key(group): encode(group) for group in chunk}
+            expected = {}
             for group in chunk:
                 if not self._is_writer(group):
                     lasting[self._writer_key(group)] = ACTIVE_WRITER
@@ -244,13 +334,26 @@
                 # The host's own key comes last: where it exists, the groups are
                 # registered.
                 writes[self.key] = encode(self.record)
-            revision = await self._store.commit({}, writes, (), lease, lasting)
+                # The earlier run is listed until this one is.
+                if predecessor is not None:
+                    expected[predecessor.key] = predecessor.revision
+            try:
+                revision = await self._store.commit(
+                    expected, writes, (), lease, lasting
+                )
+            except RecordConflict:
+                predecessor = None
+                revision = await self._store.commit({}, writes, (), lease, lasting)
             # The read leases need not wait until a watch returns the keys.
             self._mirror.apply_writes(writes | lasting, revision)
             lasting = {}
         self._written_lease = lease
         self._record_registration(started_s)
         at_s = now_s()
+        self._listed_since_s = min(self._listed_since_s, at_s)
+        self._is_successor = self._is_successor or (
+            is_first and predecessor is not None
+        )
         self._serving_since_s.update(dict.fromkeys(missing, at_s))
 
     async def _remove_dropped(self) -> None:
@@ -335,9 +438,11 @@
             try:
                 await self._store.renew_lease(self.lease)
             except LeaseEnded:
+                self._end_listing()
                 self._needs_lease = True
                 raise
             self._record_registration(started_s)
+            await self._settle()
             if not self._is_complete():
                 # The store may remove a key although its lease has not ended.
                 return
--- a/src/wasabipitch/front/server.py
+++ b/src/wasabipitch/front/server.py
@@ -9,7 +9,7 @@
 from wasabipitch.clock import now_s
 from wasabipitch.coordination.documents import Configuration, Route
 from wasabipitch.exceptions import MalformedMessage
-from wasabipitch.front.sessions import CallerSession
+from wasabipitch.front.sessions import CallerSession, OperationLimits
 from wasabipitch.group.session import SessionContext
 from wasabipitch.operations.decisions import DecisionLog
 from wasabipitch.operations.measures import Measures
@@ -62,6 +62,7 @@
             as the host has none.
         find_runner: Returns the runner of a group, or None if it is unknown.
         measures: Counts refused sessions and times the statements.
+        limits: Admits the operations of accounts, or None to admit all.
     """
 
     def __init__(
@@ -71,8 +72,10 @@
         read_configuration: Callable[[], Configuration | None],
         find_runner: Callable[[str], StatementRunner | None],
         measures: Measures,
+        limits: OperationLimits | None = None,
     ) -> None:
         self._measures = measures
+        self._limits = limits
         self.sessions: set[CallerSession] = set()
         self._codec = codec
         self._decisions = decisions
@@ -165,6 +168,7 @@
             self._read_configuration,
             self._find_runner,
             self._measures,
+            self._limits,
         )
         self.sessions.add(session)
         try:
--- a/src/wasabipitch/front/sessions.py
+++ b/src/wasabipitch/front/sessions.py
@@ -3,10 +3,10 @@
 import asyncio
 from collections.abc import Callable
 from itertools import count
-from typing import Any
+from typing import Any, Protocol
 
 from wasabipitch.clock import now_s
-from wasabipitch.coordination.documents import Configuration, Route
+from wasabipitch.coordination.documents import Account, Configuration, Route
 from wasabipitch.exceptions import MalformedMessage
 from wasabipitch.group.session import SessionContext, Transaction
 from wasabipitch.operations.measures import Measures
@@ -29,6 +29,13 @@
 _TRANSACTION_END_VERBS = (Verb.COMMIT, Verb.ROLLBACK)
 
 
+class OperationLimits(Protocol):
+    """Admits the operations of accounts within their limits."""
+
+    async def acquire(self, account: Account) -> str | None:
+        """Return None if an operation may start, or the reason why it may not."""
+
+
 class CallerSession:
     """Serves a caller's connection after its startup message.
 
@@ -39,6 +46,7 @@
         read_configuration: Returns the configuration in force, or None.
         find_runner: Returns the runner of a group, or None if it is unknown.
         measures: Counts and times the statements.
+        limits: Admits the operations of accounts, or None to admit all.
     """
 
     def __init__(
@@ -49,8 +57,10 @@
         read_configuration: Callable[[], Configuration | None],
         find_runner: Callable[[str], Any],
         measures: Measures,
+        limits: OperationLimits | None = None,
     ) -> None:
         self._measures = measures
+        self._limits = limits
         self._stream = stream
         self._codec = codec
         self._read_configuration = read_configuration
@@ -218,10 +228,43 @@
         # A transaction keeps its runner, even if the group gets another owner.
         self._runner = runner if in_transaction else None
         run_task = asyncio.ensure_future(
-            runner.run(self._context, statement, route, arrived_s)
+            self._run_within_limit(runner, statement, route, arrived_s)
         )
         return await self._wait_unless_closed(run_task)
 
+    async def _run_within_limit(
+        self, runner: Any, statement: Statement, route: Route, arrived_s: float
+    ) -> Reply:
+        """Run a statement, unless it begins an operation above its account's limit."""
+        context = self._context
+        reason = await self._admit(statement)
+        if reason is None:
+            return await runner.run(context, statement, route, arrived_s)
+        if context.transaction is not None:
+            context.drop_transaction()
+            context.failed = True
+        return self._make_failure_reply(Code.BUSY, reason)
+
+    async def _admit(self, statement: Statement) -> str | None:
+        """Take a token for the statement if it begins an operation with a limit.
+
+        Returns:
+            None if the statement may run, or the reason why it may not.
+        """
+        transaction = self._context.transaction
+        configuration = self._read_configuration()
+        if self._limits is None or configuration is None:
+            return None
+        account = configuration.accounts.get(self._context.account)
+        if account is None or account.rate_per_s is None:
+            return None
+        if transaction is not None:
+            # An empty transaction's COMMIT reaches no instance.
+            if transaction.is_admitted or statement.verb is Verb.COMMIT:
+                return None
+            transaction.is_admitted = True
+        return await self._limits.acquire(account)
+
     async def _wait_unless_closed(self, run_task: asyncio.Task) -> Reply | None:
         closed = asyncio.ensure_future(self._stream.closed.wait())
         try:
--- a/src/wasabipitch/gateway.py
+++ b/src/wasabipitch/gateway.py
@@ -12,6 +12,8 @@
 import msgspec
 
 from wasabipitch import tasks
+from wasabipitch.accounts.counting import TokenCounter
+from wasabipitch.accounts.limits import AccountLimits
 from wasabipitch.clock import now_s
 from wasabipitch.coordination.agreement import RecordAgreement
 from wasabipitch.coordination.checks import SharedChecks
@@ -49,9 +51,11 @@
     AskPosition,
     AskRecord,
     AskStoreHead,
+    AskTokens,
     RunStatement,
     StoreCall,
 )
+from wasabipitch.policy.token_bucket import QuotaTolerance
 from wasabipitch.wire.codecs import CallerCodec, InstanceCodec
 
 # With up to this many hosts, changes are rare and each host reads them at once.
@@ -79,23 +83,6 @@
 CLOSE_MARGIN_S = 0.8
 
 
-class QuotaTolerance(msgspec.Struct, frozen=True):
-    """How far the operations of a client account may exceed its limit.
-
-    In any window, at most ``(rate * window_s + burst) * (1 + excess) + slack`` of an
-    account's operations may reach instances.
-
-    Args:
-        window_s: The length of the window, in seconds.
-        excess: The share by which the limit may be exceeded.
-        slack: The number of operations by which it may be exceeded besides.
-    """
-
-    window_s: float = 5.0
-    excess: float = 0.0
-    slack: float = 0.0
-
-
 class HostResources(msgspec.Struct, frozen=True):
     """What a host's machine allows its process.
 
@@ -245,6 +232,7 @@
             self.decisions,
         )
         self._mirror.follower = self._follower
+        self._build_limits()
         self._directory = Directory(
             self._mirror,
             self._adapters.documents,
@@ -253,6 +241,33 @@
             lambda name: self.groups.update_group(name),
         )
 
+    def _build_limits(self) -> None:
+        """Create the components that count the operations of accounts."""
+        counter = TokenCounter(
+            self._cfg.host, self.registration, self._mirror.currency, self._cfg.quota
+        )
+        self._limits = AccountLimits(
+            self._cfg.host,
+            counter,
+            self.links,
+            self._live_hosts.find_host,
+            lambda: self._directory.configuration,
+            self.decisions,
+            self.measures,
+        )
+        self._mirror.on_applied(
+            lambda: self._limits.update_hosts(self._live_hosts.hosts)
+        )
+        self._mirror.on_confirmed(self._limits.observe_proof)
+        self.registration.needs_settling = self._has_limits
+
+    def _has_limits(self) -> bool:
+        configuration = self._directory.configuration
+        return configuration is not None and any(
+            account.rate_per_s is not None
+            for account in configuration.accounts.values()
+        )
+
     def _build_service(self, host: Host) -> None:
         """Create the components that serve callers, health checks and metrics."""
         self.groups = HostGroups(
@@ -273,6 +288,7 @@
             lambda: self._directory.configuration,
             self.groups.find_runner,
             self.measures,
+            self._limits,
         )
         self._status_server = make_status_server(self._is_ready)
         self._metrics_server = make_metrics_server(self.measures.render)
@@ -361,6 +377,7 @@
         while True:
             self._directory.drop_missing()
             self._live_hosts.announce_changes()
+            self._limits.drop_unused()
             self._close_idle_if_isolated()
             await self._prune_names()
             started_s = now_s()
@@ -437,6 +454,8 @@
                 return self.groups.report_position(group)
             case AskRecord(group):
                 return self.groups.report_record(group)
+            case AskTokens() as ask:
+                return await self._limits.answer(ask)
         raise LinkError(f"unexpected message {type(message).__name__}")
 
     def _read_gauges(self) -> list[Gauge]:
@@ -448,6 +467,7 @@
             Gauge("store_epoch", (), self._mirror.epoch),
             Gauge("records_confirmed_age_seconds", (), confirmed_s),
             *self.groups.read_gauges(),
+            *self._limits.read_gauges(),
         ]
 
     def _is_ready(self) -> bool:
--- a/src/wasabipitch/group/session.py
+++ b/src/wasabipitch/group/session.py
@@ -17,6 +17,7 @@
             is sent. A ``RemoteTransaction`` if another host runs it.
         revision: The revision of the group record when it began on the instance.
         wrote: Whether it may have written.
+        is_admitted: Whether it was counted against its account's limit.
     """
 
     read_only: bool
@@ -24,6 +25,7 @@
     checkout: Checkout | None = None
     revision: int = 0
     wrote: bool = False
+    is_admitted: bool = False
 
 
 class SessionContext(msgspec.Struct, eq=False):
--- a/src/wasabipitch/group/transactions.py
+++ b/src/wasabipitch/group/transactions.py
@@ -62,7 +62,9 @@
                 )
             # No statement of the transaction has run, so it may begin elsewhere.
             session.transaction = transaction = Transaction(
-                transaction.read_only, transaction.arrived_s
+                transaction.read_only,
+                transaction.arrived_s,
+                is_admitted=transaction.is_admitted,
             )
             await self._exchange.wait_before_retry(req)
         if req.statement.verb is Verb.COMMIT:
--- a/src/wasabipitch/messages.py
+++ b/src/wasabipitch/messages.py
@@ -14,6 +14,7 @@
     AskPosition,
     AskRecord,
     AskStoreHead,
+    AskTokens,
     ChangesReport,
     HeadReport,
     PositionReport,
@@ -23,6 +24,7 @@
     StoreAnswer,
     StoreCall,
     StoreHead,
+    TokensReport,
 )
 from wasabipitch.verdict import Verdict
 
@@ -369,5 +371,7 @@
     | RecordReport
     | RunStatement
     | StatementReply
+    | AskTokens
+    | TokensReport
 )
 Message = Execute | Result | Rows | Failure | Cancel | ControlMessage
--- a/src/wasabipitch/peer_messages.py
+++ b/src/wasabipitch/peer_messages.py
@@ -209,6 +209,35 @@
     instance: str
 
 
+class AskTokens(msgspec.Struct, frozen=True):
+    """Asks a host for tokens, one for each operation that waits at the sender.
+
+    Args:
+        account: The name of the account.
+        count: The number of operations.
+    """
+
+    account: str
+    count: int
+
+
+class TokensReport(msgspec.Struct, frozen=True, omit_defaults=True):
+    """The answer to ``AskTokens``.
+
+    Args:
+        granted: How many of the operations may start.
+        counts: Whether the host decided from the whole limit. Otherwise it granted
+            from its reserve, and another host may grant more.
+        version: The version of the configuration that it decided by.
+        age_s: The age of its proof that its copy of the store is current, in seconds.
+    """
+
+    granted: int = 0
+    counts: bool = False
+    version: int = 0
+    age_s: float = 0.0
+
+
 class RunStatement(msgspec.Struct, frozen=True):
     """A caller's statement, forwarded by the session's host to an owner of the group.
 
