--- a/src/wasabipitch/front/server.py
+++ b/src/wasabipitch/front/server.py
@@ -10,7 +10,7 @@
 from wasabipitch.clock import now_s
 from wasabipitch.coordination.documents import Configuration, Route
 from wasabipitch.exceptions import MalformedMessage
-from wasabipitch.front.sessions import CallerSession
+from wasabipitch.front.sessions import CallerSession, OperationLimits
 from wasabipitch.group.session import SessionContext
 from wasabipitch.operations.decisions import DecisionLog
 from wasabipitch.operations.measures import Measures
@@ -65,6 +65,7 @@
         find_runner: Returns the runner of a group, or None if it is unknown.
         measures: Counts refused sessions and times the statements.
         authentication: Decides which account each statement is served for.
+        limits: Admits the operations of accounts, or None to admit all.
     """
 
     def __init__(
@@ -75,9 +76,11 @@
         find_runner: Callable[[str], StatementRunner | None],
         measures: Measures,
         authentication: Authentication,
+        limits: OperationLimits | None = None,
     ) -> None:
         self._measures = measures
         self._authentication = authentication
+        self._limits = limits
         self.sessions: set[CallerSession] = set()
         self._codec = codec
         self._decisions = decisions
@@ -175,6 +178,7 @@
             self._find_runner,
             self._measures,
             self._authentication,
+            self._limits,
         )
         self.sessions.add(session)
         try:
--- a/src/wasabipitch/group/session.py
+++ b/src/wasabipitch/group/session.py
@@ -18,6 +18,7 @@
         revision: The revision of the group record when it began on the instance.
         wrote: Whether it may have written.
         number: Its number among the transactions of its session, from 1.
+        is_admitted: Whether it was counted against its account's limit.
     """
 
     read_only: bool
@@ -26,6 +27,7 @@
     revision: int = 0
     wrote: bool = False
     number: int = 0
+    is_admitted: bool = False
 
 
 class SessionContext(msgspec.Struct, eq=False):
--- a/src/wasabipitch/group/transactions.py
+++ b/src/wasabipitch/group/transactions.py
@@ -62,7 +62,10 @@
                 )
             # No statement of the transaction has run, so it may begin elsewhere.
             session.transaction = transaction = Transaction(
-                transaction.read_only, transaction.arrived_s, number=transaction.number
+                transaction.read_only,
+                transaction.arrived_s,
+                number=transaction.number,
+                is_admitted=transaction.is_admitted,
             )
             await self._exchange.wait_before_retry(req)
         if req.statement.verb is Verb.COMMIT:
--- a/src/wasabipitch/messages.py
+++ b/src/wasabipitch/messages.py
@@ -14,6 +14,7 @@
     AskPosition,
     AskRecord,
     AskStoreHead,
+    AskTokens,
     ChangesReport,
     EndTransaction,
     HeadReport,
@@ -24,6 +25,7 @@
     StoreAnswer,
     StoreCall,
     StoreHead,
+    TokensReport,
 )
 from wasabipitch.verdict import Verdict
 
@@ -371,5 +373,7 @@
     | RunStatement
     | EndTransaction
     | StatementReply
+    | AskTokens
+    | TokensReport
 )
 Message = Execute | Result | Rows | Failure | Cancel | ControlMessage
