Keep reads in their data centre while their callers lose little

Cause: a read left its data centre as soon as this host had one statement running at the near instance, since the expected response time counted each running statement as a queue although the instance runs four at once.

Change: policy/locality.py compares the expected response times here and elsewhere, the way included. The share that leaves grows in steps and falls in smaller ones.

--- a/src/wasabipitch/gateway.py
+++ b/src/wasabipitch/gateway.py
@@ -59,6 +59,7 @@
     RunStatement,
     StoreCall,
 )
+from wasabipitch.policy.locality import DEFAULT_CROSSING_COST_S
 from wasabipitch.policy.token_bucket import QuotaTolerance
 from wasabipitch.wire.codecs import CallerCodec, InstanceCodec
 
@@ -120,6 +121,8 @@
             host, or None if only hosts in touch with the store have to refuse it.
         quota: How far a client account may exceed its limit.
         resources: What the machine allows this process.
+        crossing_cost_s: The response time that a caller gives up to save a crossing
+            between data centres; see ``policy.locality``.
     """
 
     host: str
@@ -134,6 +137,7 @@
     revocation_s: float | None = None
     quota: QuotaTolerance = QuotaTolerance()
     resources: HostResources = HostResources()
+    crossing_cost_s: float = DEFAULT_CROSSING_COST_S
 
 
 class Adapters(msgspec.Struct, frozen=True):
@@ -290,6 +294,7 @@
             self.links,
             self.decisions,
             self._directory.list_instances,
+            self._cfg.crossing_cost_s,
         )
         self._authentication = Authentication(
             lambda: self._directory.configuration,
--- a/src/wasabipitch/group/assembly.py
+++ b/src/wasabipitch/group/assembly.py
@@ -39,6 +39,7 @@
 from wasabipitch.operations.measures import Gauge
 from wasabipitch.peer_links import PeerLinks
 from wasabipitch.peer_messages import PositionReport, RecordReport
+from wasabipitch.policy.locality import DEFAULT_CROSSING_COST_S
 from wasabipitch.policy.ownership import (
     choose_owners,
     connections_per_owner,
@@ -82,6 +83,8 @@
         links: The links to the peers.
         decisions: The log of decisions.
         read_instances: Returns a group's registered instances, by name.
+        crossing_cost_s: What a crossing between data centres is worth; see
+            ``policy.locality``.
     """
 
     def __init__(
@@ -96,6 +99,7 @@
         links: PeerLinks,
         decisions: DecisionLog,
         read_instances: Callable[[str], dict[str, InstanceEntry]],
+        crossing_cost_s: float = DEFAULT_CROSSING_COST_S,
     ) -> None:
         self._host = host
         self._codec = codec
@@ -109,6 +113,7 @@
         self._links = links
         self._decisions = decisions
         self._read_instances = read_instances
+        self._crossing_cost_s = crossing_cost_s
         self._groups: dict[str, Group] = {}
         self._has_accounts = False
         # The states of all groups that this host ever had. The store goes on to list it
@@ -196,6 +201,7 @@
             self._host.data_centre,
             state.is_primary,
             peers.request_connections,
+            self._crossing_cost_s,
         )
         peers.on_position_added = dispatcher.dispatch
         runner = GroupRunner(state, dispatcher, self._codec, peers, self._decisions)
--- a/src/wasabipitch/group/selection.py
+++ b/src/wasabipitch/group/selection.py
@@ -169,6 +169,7 @@
             req.deadline_s,
             set(req.avoid),
             req.session.account,
+            req.route.objective_s,
         )
         started_s = now_s()
         try:
--- a/src/wasabipitch/instances/dispatcher.py
+++ b/src/wasabipitch/instances/dispatcher.py
@@ -12,10 +12,12 @@
 from wasabipitch.exceptions import NoTarget, Overloaded
 from wasabipitch.instances.connection import InstanceConnection
 from wasabipitch.instances.pool import InstancePool
+from wasabipitch.instances.read_locality import ReadLocality
 from wasabipitch.operations.decisions import DecisionLog
 from wasabipitch.operations.measures import Gauge
 from wasabipitch.policy import connection_use, placement, waiting
 from wasabipitch.policy.connection_use import Use
+from wasabipitch.policy.locality import DEFAULT_CROSSING_COST_S
 from wasabipitch.policy.placement import ServiceTimes
 from wasabipitch.policy.window import window_limit
 from wasabipitch.wire.codecs import InstanceCodec
@@ -65,7 +67,11 @@
             used only if no other instance is allowed.
         account: The client account that the request belongs to, or an empty string.
             Only connections of this account serve it.
+        objective_s: The response-time objective of a read that is kept in the host's
+            data centre while that costs its caller little, or 0 for other requests.
         placed_s: The time by which it is ordered within its priority, set on arrival.
+        leaves: Whether it may leave the data centre; set by ``ReadLocality``.
+        compared_at_s: When that was last decided.
         arrival: The sequence number of its arrival, set automatically.
         granted: The future of its checkout, set automatically.
     """
@@ -77,7 +83,10 @@
     deadline_s: float
     avoid: set[str] = msgspec.field(default_factory=set)
     account: str = ""
+    objective_s: float = 0.0
     placed_s: float = 0.0
+    leaves: bool = False
+    compared_at_s: float = 0.0
     arrival: int = msgspec.field(default_factory=lambda: next(_arrivals))
     granted: asyncio.Future = msgspec.field(default_factory=asyncio.Future)
 
@@ -101,6 +110,8 @@
         is_primary: Returns whether the instance of a name is the group's primary.
         on_connection_limit: Called with the name of an instance that is at its
             connection limit while this host has no connection to it.
+        crossing_cost_s: What a crossing between data centres is worth; see
+            ``policy.locality``.
     """
 
     def __init__(
@@ -110,6 +121,7 @@
         data_centre: str,
         is_primary: Callable[[str], bool],
         on_connection_limit: Callable[[str], None],
+        crossing_cost_s: float = DEFAULT_CROSSING_COST_S,
     ) -> None:
         self.pools: dict[str, InstancePool] = {}
         self.service_times = ServiceTimes()
@@ -123,6 +135,9 @@
         self._fair_order = connection_use.FairOrder()
         # Mean duration of a checkout, including the pauses of transactions.
         self._checkout_s = INITIAL_CHECKOUT_S
+        self._locality = ReadLocality(
+            data_centre, crossing_cost_s, self._load, self.service_times
+        )
 
     def update(
         self,
@@ -177,7 +192,9 @@
         Args:
             group: The value of the label ``group``.
         """
-        gauges, at_s = [], now_s()
+        share = self._locality.read_share()
+        gauges = [Gauge("reads_leaving_share", (("group", group),), share)]
+        at_s = now_s()
         for name, pool in self.pools.items():
             labels = (("group", group), ("instance", name))
             gauges += [
@@ -280,7 +297,14 @@
         names = request.find_allowed()
         allowed = [pool for name, pool in self.pools.items() if name in names]
         untried = [pool for pool in allowed if pool.name not in request.avoid]
-        return untried or allowed
+        return self._locality.restrict(request, untried or allowed, self._queue_s)
+
+    def _queue_s(self, pools: Collection[InstancePool]) -> float:
+        """Return the expected wait of a new request for a connection of some pools."""
+        if any(pool.running < pool.window.size for pool in pools):
+            return 0.0
+        connections = sum(pool.window.size for pool in pools)
+        return (len(self._waiting) + 1) * self._checkout_s / max(1, connections)
 
     def _try_check_out(self, request: ConnectionRequest) -> Checkout | None:
         at_s, account = now_s(), request.account
--- a/src/wasabipitch/policy/placement.py
+++ b/src/wasabipitch/policy/placement.py
@@ -71,6 +71,25 @@
     return expected if load.near else expected + CROSS_DATA_CENTRE_S
 
 
+def queued_response_s(load: Load, service_s: float) -> float:
+    """Return the expected response time, with a queue only above the slots.
+
+    This compares data centres, where a statement that finds a free slot is as fast as
+    the first one. The way to another data centre is included.
+
+    Args:
+        load: The state of the instance.
+        service_s: The group's mean service time for this kind of statement.
+    """
+    rounds = max(1.0, (load.running + 1) / max(1, load.slots))
+    expected = (
+        service_s * load.slowness * rounds * (1 + FAILURE_COST * load.failure_share)
+    )
+    if load.is_primary:
+        expected *= PRIMARY_FACTOR
+    return expected if load.near else expected + CROSS_DATA_CENTRE_S
+
+
 def choose_instance(loads: Iterable[Load], service_s: float) -> Load | None:
     """Return the instance with the lowest expected response time.
 
--- a/tests/adapter/test_settings.py
+++ b/tests/adapter/test_settings.py
@@ -4,6 +4,7 @@
 import sys
 import tempfile
 import unittest
+import unittest.mock
 from pathlib import Path
 
 from adapter import settings
@@ -66,3 +67,16 @@
                 self.assertEqual(done.returncode, 2)
                 self.assertEqual(len(done.stderr.splitlines()), 1, done.stderr)
                 self.assertIn(reason, done.stderr)
+
+    def test_the_cost_of_a_crossing_is_read_from_the_environment(self):
+        path = self.write(json.dumps(FIELDS))
+        variable = settings.CROSSING_COST_VARIABLE
+        with unittest.mock.patch.dict(os.environ, {variable: "20"}):
+            self.assertEqual(settings.load(path).crossing_cost_s, 0.02)
+        for text in ("-1", "nan", "inf", "much"):
+            with (
+                self.subTest(text=text),
+                unittest.mock.patch.dict(os.environ, {variable: text}),
+                self.assertRaisesRegex(SettingsError, variable),
+            ):
+                settings.load(path)
