--- a/src/wasabipitch/accounts/limits.py
+++ b/src/wasabipitch/accounts/limits.py
@@ -160,11 +160,8 @@
                 del self._avoid_until_s[host]
 
     def read_gauges(self) -> list[Gauge]:
-        """Return the number of accounts with state here, and the proof's age."""
-        return [
-            Gauge("counted_accounts", (), self._counter.accounts),
-            Gauge("counting_proof_age_seconds", (), self._counter.proof_age_s),
-        ]
+        """Return the number of accounts for which this host was asked lately."""
+        return [Gauge("counted_accounts", (), self._counter.accounts)]
 
     def _find_asker(self, name: str) -> _Asker:
         asker = self._askers.get(name)
