--- a/tests/wasabipitch/instances/test_read_locality.py
+++ b/tests/wasabipitch/instances/test_read_locality.py
@@ -7,7 +7,6 @@
 from wasabipitch.policy.locality import DEFAULT_CROSSING_COST_S, STEP_INTERVAL_S
 from wasabipitch.policy.placement import Load, ServiceTimes
 
-
 CLOCK = "wasabipitch.instances.read_locality.now_s"
 
 
