Let a large value of the store arrive in full

Cause: a configuration of 1,900 routes (0.56 MB on the store's wire) takes 0.9 s on a link of 5 Mbit/s. A listing was given up after 0.8 s, and was made twice more meanwhile on the same link; a watch that was delivering the value was cancelled after 0.6 s, and everything was listed again. So a host never ended either.

The time limit of a call to the store now counts from the last part of the answer (0.8 s, at most 30 s in all), no other attempt starts while parts arrive, and a watch or a watcher that is delivering is not late. Links count the parts of a long frame as signs of life.

--- a/src/standins/memory_store.py
+++ b/src/standins/memory_store.py
@@ -47,11 +47,17 @@
         # The number of next commits whose replies are lost after they took effect.
         self.lost_answers = 0
         self.compacted_revision = 0
+        # What ``read_progress_s`` returns.
+        self.progressed_at_s = 0.0
         self._history: list[Item | Removal] = []
         self._leases: set[int] = set()
         self._next_lease = 100
         self._changed = asyncio.Event()
 
+    def read_progress_s(self) -> float:
+        """Return when a part of an answer last arrived, as a test has set it."""
+        return self.progressed_at_s
+
     async def get(self, key: str) -> Item | None:
         """Return the item of a key, or None."""
         self._begin_call("get")
--- a/src/wasabipitch/coordination/following.py
+++ b/src/wasabipitch/coordination/following.py
@@ -170,6 +170,12 @@
             self.avoid_watcher()
         return await self._store.watch(prefix, after, wait_s)
 
+    def read_progress_s(self) -> float:
+        """Return when a part of an answer to ``watch`` last arrived, or 0."""
+        if self._followed is None:
+            return self._store.read_progress_s()
+        return self._links.find(self._find_host(self._followed)).read_progress_s()
+
     def avoid_watcher(self) -> None:
         """Stop following a silent or late watcher for ``WATCHER_BACKOFF_S``."""
         if self._followed is not None:
--- a/src/wasabipitch/coordination/mirror.py
+++ b/src/wasabipitch/coordination/mirror.py
@@ -315,11 +315,20 @@
         """
         if self._awaited_revision <= self.revision:
             self._awaited_revision, self._awaited_since_s = store_revision, now_s()
-        elif now_s() - self._awaited_since_s > MAX_WATCH_LAG_S:
+        elif now_s() - self._find_watch_progress_s() > MAX_WATCH_LAG_S:
             self._awaited_revision = 0
             if self._watch is not None:
                 self._watch.cancel()
 
+    def _find_watch_progress_s(self) -> float:
+        """Return since when nothing that is awaited from the watch has arrived.
+
+        A large value takes longer than ``MAX_WATCH_LAG_S`` on a slow link. While its
+        parts arrive, a restarted watch would only begin to read it again.
+        """
+        source = self._store if self.follower is None else self.follower
+        return max(self._awaited_since_s, source.read_progress_s())
+
     async def _load(self) -> None:
         sent_at_s = now_s()
         listing = await self._store.list(ALL_KEYS)
--- a/src/wasabipitch/coordination/relay.py
+++ b/src/wasabipitch/coordination/relay.py
@@ -1,6 +1,5 @@
 """Relays store calls through a peer, for a host that can't reach the store."""
 
-import asyncio
 import random
 from collections.abc import Callable, Iterable, Mapping, Sequence
 
@@ -36,6 +35,8 @@
 RACED_CALLS = frozenset({"get", "read_revision", "list", "renew_lease", "open_lease"})
 # Longer than a call at a store that is sixty times slower than usual.
 REPEAT_AFTER_S = 0.3
+# An answer of which a part arrived within this time is on its way.
+PROGRESS_AGE_S = 0.5
 
 
 async def answer(
@@ -122,6 +123,13 @@
         self._peer_backoff_until_s: dict[str, float] = {}
         self._relaying = False
 
+    def read_progress_s(self) -> float:
+        """Return when a part of an answer of the store last arrived, or 0."""
+        return self._direct.read_progress_s()
+
+    def _is_receiving(self) -> bool:
+        return now_s() - self.read_progress_s() < PROGRESS_AGE_S
+
     async def get(self, key: str) -> Item | None:
         """Return a key's item, or None if the key is absent."""
         reply = await self._call(StoreCall("get", key))
@@ -217,7 +225,9 @@
         attempts = [call_direct, call_peers, call_direct]
         if now_s() < self._direct_backoff_until_s:
             attempts = [call_peers, call_direct]
-        return await tasks.race(attempts, REPEAT_AFTER_S, StoreUnavailable)
+        return await tasks.race(
+            attempts, REPEAT_AFTER_S, StoreUnavailable, self._is_receiving
+        )
 
     async def _call_direct(self, call: StoreCall) -> StoreAnswer:
         started_s = now_s()
@@ -258,8 +268,12 @@
     ) -> StoreAnswer | None:
         try:
             link = self._links.find(peer)
-            async with asyncio.timeout(PEER_TIMEOUT_S + wait_s):
-                return await link.call(call, PEER_TIMEOUT_S + wait_s)
+            timeout_s = PEER_TIMEOUT_S + wait_s
+            return await tasks.wait_while_progressing(
+                link.call(call, timeout_s + tasks.MAX_PROGRESS_S),
+                timeout_s,
+                link.read_progress_s,
+            )
         except (LinkError, RemoteError, TimeoutError) as exc:
             self._decisions.routine("peer did not relay", peer=peer.name, why=str(exc))
             return None
--- a/src/wasabipitch/coordination/store.py
+++ b/src/wasabipitch/coordination/store.py
@@ -57,6 +57,12 @@
     still do so.
     """
 
+    def read_progress_s(self) -> float:
+        """Return when a part of an incomplete answer last arrived, or 0.
+
+        An answer that is late because of its size is no sign of a failure.
+        """
+
     async def get(self, key: str) -> Item | None:
         """Return a key's item, or None if the key is absent."""
 
--- a/src/wasabipitch/http/client.py
+++ b/src/wasabipitch/http/client.py
@@ -3,7 +3,7 @@
 import asyncio
 import json
 import re
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 from typing import Any
 
 import httptools
@@ -18,6 +18,12 @@
 MAX_RESPONSE_BYTES = 16 * 1024 * 1024
 # Query parameters of these characters alone need no escapes.
 _UNESCAPED = re.compile(r"[A-Za-z0-9_.~-]*\Z")
+# Once a response has begun, the call fails when no more of it arrives for this long. A
+# response of 1 MB takes 1.6 s on a link of 5 Mbit/s, longer than a silent server is
+# waited for.
+STALL_TIMEOUT_S = 0.8
+# The longest time that a response may take after the time limit of the call.
+MAX_TRANSFER_S = 30.0
 # A watch doesn't count here: its connection is in use while it waits.
 MAX_IDLE_CONNECTIONS = 4
 
@@ -41,6 +47,8 @@
 
     def __init__(self) -> None:
         self.reusable = False
+        # Called when a part of a response has arrived that is not complete.
+        self.on_progress: Callable[[], None] | None = None
         self._transport: asyncio.Transport | None = None
         self._parser: httptools.HttpResponseParser | None = None
         self._body = bytearray()
@@ -67,6 +75,9 @@
             self._parser.feed_data(data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade) as exc:
             self.abort(f"malformed response: {exc}")
+            return
+        if self._parser is not None and self.on_progress is not None:
+            self.on_progress()
 
     def on_header(self, name: bytes, value: bytes) -> None:
         self._headers[name.lower()] = value
@@ -108,6 +119,8 @@
     def __init__(self, address: Address) -> None:
         self._address = address
         self._idle: list[_Connection] = []
+        # When a part of a response last arrived that was not complete by then, or 0.
+        self.progressed_at_s = 0.0
 
     async def request(
         self,
@@ -124,7 +137,9 @@
         Args:
             method: The HTTP method.
             path: The path without the query string.
-            timeout_s: The time limit of the whole call, including connecting.
+            timeout_s: The time limit of the whole call, including connecting. Once a
+                part of the response has arrived, ``STALL_TIMEOUT_S`` from the last
+                part on takes its place.
             params: The parameters of the query string.
             body: A value to send as JSON, or None for an empty body.
             headers: Headers to add to those that every request has.
@@ -137,18 +152,21 @@
         data = self._encode_request(method, path, params, body, headers)
         until_s = now_s() + timeout_s
         try:
-            async with asyncio.timeout(timeout_s):
+            async with asyncio.timeout(timeout_s) as limit:
                 conn = await self._connect()
                 if now_s() > until_s:
                     # The timeout does not count the time for which a machine is
                     # suspended.
                     conn.abort()
                     raise ConnectError(f"not sent within {timeout_s:g} s")
+                conn.on_progress = lambda: self._extend(limit, until_s)
                 try:
                     response = await conn.send(data)
                 except asyncio.CancelledError:
                     conn.abort()
                     raise
+                finally:
+                    conn.on_progress = None
         except TimeoutError as exc:
             raise HttpError(f"no response within {timeout_s:g} s") from exc
         if conn.reusable and len(self._idle) < MAX_IDLE_CONNECTIONS:
@@ -157,6 +175,19 @@
             conn.abort()
         return response
 
+    def _extend(self, limit: asyncio.Timeout, until_s: float) -> None:
+        """Allow more time for a response of which a part has arrived.
+
+        Args:
+            limit: The timeout of the call.
+            until_s: When the time limit of the call would have passed.
+        """
+        at_s = self.progressed_at_s = now_s()
+        if limit.expired():
+            return
+        left_s = min(STALL_TIMEOUT_S, until_s + MAX_TRANSFER_S - at_s)
+        limit.reschedule(asyncio.get_running_loop().time() + max(0.0, left_s))
+
     async def close(self) -> None:
         """Close the idle connections."""
         while self._idle:
--- a/src/wasabipitch/links.py
+++ b/src/wasabipitch/links.py
@@ -8,9 +8,10 @@
 import contextlib
 import itertools
 import logging
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Callable
 
 from wasabipitch import contracts
+from wasabipitch.clock import now_s
 from wasabipitch.contracts import FRAME_HEADER, MAX_FRAME_BYTES, Envelope
 from wasabipitch.events import Clock
 from wasabipitch.exceptions import LinkDown, LinkError, LinkLost, WasabipitchError
@@ -40,13 +41,21 @@
 REPLY_WINDOW_MESSAGES = 8
 CONTINUE_EVERY_MESSAGES = 4
 WRITE_HIGH_WATER_BYTES = 1024 * 1024
+# A frame longer than this is read in parts, each of which shows that the peer is alive.
+PART_BYTES = 16 * 1024
 
 logger = logging.getLogger(__name__)
 
 
-async def read_envelope(reader: asyncio.StreamReader) -> Envelope:
+async def read_envelope(
+    reader: asyncio.StreamReader, on_part: Callable[[], None] | None = None
+) -> Envelope:
     """Read one frame and return its envelope.
 
+    Args:
+        reader: The stream.
+        on_part: Called after each part of a frame longer than ``PART_BYTES``.
+
     Raises:
         asyncio.IncompleteReadError: If the peer closed the connection.
         LinkError: If the frame is malformed or too long.
@@ -55,7 +64,16 @@
     (size,) = FRAME_HEADER.unpack(header)
     if size > MAX_FRAME_BYTES:
         raise LinkError(f"frame of {size} bytes exceeds the limit {MAX_FRAME_BYTES}")
-    return contracts.unpack(await reader.readexactly(size))
+    if on_part is None or size <= PART_BYTES:
+        return contracts.unpack(await reader.readexactly(size))
+    body = bytearray()
+    while len(body) < size:
+        part = await reader.read(min(PART_BYTES, size - len(body)))
+        if not part:
+            raise asyncio.IncompleteReadError(bytes(body), size)
+        body += part
+        on_part()
+    return contracts.unpack(bytes(body))
 
 
 def raise_failure(failure: Failure) -> None:
@@ -137,6 +155,8 @@
         self._writer: asyncio.StreamWriter | None = None
         self._reader_task: asyncio.Task | None = None
         self._last_received_s = 0.0
+        # When a part of a long frame last arrived, by ``now_s``.
+        self._progressed_at_s = 0.0
         self._connect_lock = asyncio.Lock()
         self._retry_at_s = 0.0
         self.generation = 0
@@ -263,7 +283,7 @@
     async def _read_replies(self, reader: asyncio.StreamReader) -> None:
         loop = asyncio.get_running_loop()
         while True:
-            envelope = await read_envelope(reader)
+            envelope = await read_envelope(reader, self._record_part)
             if self._cuts.drops(self.peer):
                 continue
             self._last_received_s = loop.time()
@@ -272,6 +292,15 @@
             if inbox is not None:
                 inbox.put_nowait(envelope)
 
+    def read_progress_s(self) -> float:
+        """Return when a part of a long frame last arrived, or 0."""
+        return self._progressed_at_s
+
+    def _record_part(self) -> None:
+        if not self._cuts.drops(self.peer):
+            self._last_received_s = asyncio.get_running_loop().time()
+            self._progressed_at_s = now_s()
+
     async def _check_silence(self, writer: asyncio.StreamWriter) -> None:
         loop = asyncio.get_running_loop()
         checked_at_s = 0.0
--- a/src/wasabipitch/tasks.py
+++ b/src/wasabipitch/tasks.py
@@ -4,9 +4,13 @@
 import logging
 from collections.abc import Callable, Coroutine, Sequence
 
+from wasabipitch.clock import now_s
+
 # Keeps a task that fails at once on each start from filling the log and using all
 # of a CPU.
 RESTART_DELAY_S = 0.5
+# An answer that goes on to arrive is waited for at most this much longer.
+MAX_PROGRESS_S = 30.0
 
 logger = logging.getLogger(__name__)
 
@@ -48,6 +52,7 @@
     attempts: Sequence[Callable[[], Coroutine]],
     stagger_s: float,
     retry_on: type[Exception],
+    is_progressing: Callable[[], bool] = lambda: False,
 ):
     """Return the result of the first attempt that succeeds.
 
@@ -59,6 +64,8 @@
         stagger_s: The time in seconds from one attempt to the next.
         retry_on: The exception after which the others count. Any other one ends the
             race.
+        is_progressing: Returns whether a part of an answer has arrived lately. Then
+            no other attempt starts, since it would share the link with the answer.
 
     Raises:
         Exception: The first failure, if every attempt failed.
@@ -68,7 +75,7 @@
     failure: Exception | None = None
     try:
         while waiting or running:
-            if waiting:
+            if waiting and not (running and is_progressing()):
                 running.add(asyncio.ensure_future(waiting.pop(0)()))
             done, running = await asyncio.wait(
                 running,
@@ -86,6 +93,37 @@
     raise failure
 
 
+async def wait_while_progressing(
+    call: Coroutine, timeout_s: float, read_progress_s: Callable[[], float]
+):
+    """Return the result of a call whose answer may be long.
+
+    Args:
+        call: The call.
+        timeout_s: The time limit in seconds for the first part of the answer, and
+            from each part to the next.
+        read_progress_s: Returns when a part of an incomplete answer last arrived.
+
+    Raises:
+        TimeoutError: No part of the answer arrived in time, or the whole one took
+            longer than ``MAX_PROGRESS_S``.
+    """
+    task = asyncio.ensure_future(call)
+    started_s = now_s()
+    try:
+        while True:
+            since_s = max(started_s, read_progress_s())
+            left_s = min(since_s + timeout_s, started_s + timeout_s + MAX_PROGRESS_S)
+            left_s -= now_s()
+            if left_s <= 0:
+                raise TimeoutError(f"nothing arrived for {timeout_s:g} s")
+            done, _ = await asyncio.wait([task], timeout=left_s)
+            if done:
+                return task.result()
+    finally:
+        task.cancel()
+
+
 async def cancel(task: asyncio.Task) -> None:
     """Cancel a task and wait until it has ended; its outcome is ignored."""
     task.cancel()
--- a/tests/wasabipitch/gateway_fixture.py
+++ b/tests/wasabipitch/gateway_fixture.py
@@ -74,6 +74,9 @@
         self.cut = False
         self._store = store
 
+    def read_progress_s(self):
+        return self._store.read_progress_s()
+
     def __getattr__(self, name):
         method = getattr(self._store, name)
 
