Pass large configurations on as differences between hosts

Cause: a watcher sent the raw value of a changed configuration to each follower, 0.42 MB for 1,908 routes; 40 followers need 27 s of a link of 5 Mbit/s, all statements behind it.

A watcher now passes on that the value has changed, if it has 32 KB or more. The result's digest is checked before it comes into force, and only a greater version does.

`StoreMirror.revision` stays below the revision of a configuration until it is in force; all other changes are applied meanwhile, up to `received_revision`.

On a link of up to 20 Mbit/s a first listing of more than 384 KB is broken off and made without the configuration. Small configurations and small fleets read as before.

--- a/src/standins/memory_store.py
+++ b/src/standins/memory_store.py
@@ -11,6 +11,7 @@
 from wasabipitch.exceptions import (
     HistoryLost,
     LeaseEnded,
+    ListingTooLarge,
     RecordConflict,
     StoreUnavailable,
 )
@@ -69,10 +70,17 @@
         item = self.items.get(key)
         return (item.revision if item else ABSENT), self.revision
 
-    async def list(self, prefix: str) -> Listing:
-        """Return the items whose keys start with a prefix."""
+    async def list(self, prefix: str, max_bytes: int = 0) -> Listing:
+        """Return the items whose keys start with a prefix.
+
+        Raises:
+            ListingTooLarge: The values have more bytes than a limit other than 0.
+        """
         self._begin_call("list")
         items = [item for key, item in self.items.items() if key.startswith(prefix)]
+        size = sum(len(item.value) for item in items)
+        if max_bytes and size > max_bytes:
+            raise ListingTooLarge(f"{size} bytes", verdict=Verdict.NOT_RUN)
         return Listing(tuple(items), self.revision)
 
     async def watch(self, prefix: str, after: int, wait_s: float) -> Changes:
--- a/src/wasabipitch/coordination/directory.py
+++ b/src/wasabipitch/coordination/directory.py
@@ -10,7 +10,7 @@
     DocumentDecoder,
     InstanceEntry,
 )
-from wasabipitch.coordination.mirror import StoreMirror
+from wasabipitch.coordination.mirror import LARGE_VALUE_BYTES, StoreMirror
 from wasabipitch.coordination.store import Item
 from wasabipitch.exceptions import SettingsError
 from wasabipitch.operations.decisions import DecisionLog
@@ -42,6 +42,9 @@
         on_instances: Callable[[str], None],
     ) -> None:
         self.configuration: Configuration | None = None
+        # Decodes a large configuration in steps and calls ``put_in_force``; without
+        # it, every configuration is decoded at once.
+        self.on_large_configuration: Callable[[Item], None] | None = None
         self._instances: dict[str, InstanceEntry] = {}
         # The last registrations of instances that are gone.
         self._gone: dict[str, InstanceEntry] = {}
@@ -79,7 +82,11 @@
 
     def _update(self, key: str, item: Item | None) -> None:
         if key == self._decoder.configuration_key and item is not None:
-            self._update_configuration(item)
+            is_large = len(item.value) >= LARGE_VALUE_BYTES
+            if is_large and self.on_large_configuration is not None:
+                self.on_large_configuration(item)
+            else:
+                self._update_configuration(item)
         elif key.startswith(self._decoder.instances_prefix):
             name = key.removeprefix(self._decoder.instances_prefix)
             self._update_instance(name, item)
@@ -92,6 +99,15 @@
                 "configuration kept", reason=str(exc), revision=item.revision
             )
             return
+        self.put_in_force(configuration, item.revision)
+
+    def put_in_force(self, configuration: Configuration, revision: int) -> None:
+        """Put a configuration in force, unless its version is not greater.
+
+        Args:
+            configuration: The configuration.
+            revision: A revision at which the store had it.
+        """
         known = self.configuration
         if known is not None and configuration.version <= known.version:
             return
@@ -99,7 +115,7 @@
         self._decisions.belief(
             "configuration in force",
             version=configuration.version,
-            revision=item.revision,
+            revision=revision,
             routes=len(configuration.routes),
         )
         self._on_configuration(configuration)
--- a/src/wasabipitch/coordination/documents.py
+++ b/src/wasabipitch/coordination/documents.py
@@ -10,6 +10,7 @@
 
 import msgspec
 
+from wasabipitch.coordination.steps import Steps
 from wasabipitch.coordination.store import Item
 from wasabipitch.decoding import decode_json
 from wasabipitch.models import ORIGIN, Address, Position
@@ -174,6 +175,9 @@
     def decode_configuration(self, item: Item) -> Configuration:
         """Return the configuration; raises ``SettingsError`` if it is malformed."""
 
+    def decode_configuration_steps(self, item: Item) -> Steps[Configuration]:
+        """Return the configuration, as ``decode_configuration`` does, in steps."""
+
     def decode_instance(self, item: Item) -> InstanceEntry | None:
         """Return an instance, or None if the item is no valid registration."""
 
--- a/src/wasabipitch/coordination/following.py
+++ b/src/wasabipitch/coordination/following.py
@@ -14,7 +14,13 @@
 
 from wasabipitch.clock import now_s
 from wasabipitch.coordination.revisions import find_epoch
-from wasabipitch.coordination.store import Changes, CoordinationStore, Item, Removal
+from wasabipitch.coordination.store import (
+    Changes,
+    CoordinationStore,
+    Item,
+    Omission,
+    Removal,
+)
 from wasabipitch.exceptions import HistoryLost, LinkError
 from wasabipitch.links import RemoteError
 from wasabipitch.models import Host
@@ -33,15 +39,19 @@
 WATCHER_BACKOFF_S = 5.0
 
 
-def pack(event: Item | Removal) -> StoredItem:
+def pack(event: Item | Removal | Omission) -> StoredItem:
     """Return a change as a message to another host."""
+    if isinstance(event, Omission):
+        return StoredItem(event.key, None, event.revision, omitted=True)
     if isinstance(event, Removal):
         return StoredItem(event.key, None, event.revision)
     return StoredItem(event.key, event.value, event.revision, event.lease)
 
 
-def unpack(item: StoredItem) -> Item | Removal:
+def unpack(item: StoredItem) -> Item | Removal | Omission:
     """Return the change that ``pack`` made a message of."""
+    if item.omitted:
+        return Omission(item.key, item.revision)
     if item.value is None:
         return Removal(item.key, item.revision)
     return Item(item.key, item.value, item.revision, item.lease)
@@ -51,7 +61,7 @@
     """The latest changes of the local copy, in the order in which they were applied."""
 
     def __init__(self) -> None:
-        self._events: deque[Item | Removal] = deque()
+        self._events: deque[Item | Removal | Omission] = deque()
         # Changes up to this revision may be missing; None before the copy is loaded.
         self._forgotten_revision: int | None = None
         # All changes up to this revision were added.
@@ -70,7 +80,7 @@
         self._forgotten_revision = revision
         self.advance(revision)
 
-    def add(self, event: Item | Removal) -> None:
+    def add(self, event: Item | Removal | Omission) -> None:
         """Add a change.
 
         Changes may be added out of order: records that were read directly come
@@ -188,39 +198,45 @@
             # A longer chain of followers would add the delay of each of them.
             return ChangesReport(False)
         changes = await self._history.wait(ask.after, ask.wait_s)
-        if changes is None:
+        if changes is None or not (ask.takes_omissions or _is_complete(changes)):
             return ChangesReport(False, (), self._history.revision)
         return ChangesReport(True, tuple(map(pack, changes.events)), changes.revision)
 
+    def list_watchers(self) -> list[Host]:
+        """Return the hosts that this one may follow, the best first."""
+        return [self._find_host(name) for name in self._order_watchers()]
+
     def _find_watcher(self) -> Host | None:
+        at_s = now_s()
+        for name in self._order_watchers():
+            if self._backoff_until_s.get(name, 0.0) <= at_s:
+                return self._find_host(name)
+        return None
+
+    def _order_watchers(self) -> list[str]:
         centres = dict(self._read_data_centres())
         if len(centres) <= self._max_direct_watchers:
-            return None
+            return []
         watchers = choose_owners(WATCHERS_HASH_KEY, centres, len(set(centres.values())))
         self._is_watcher = self._own.name in watchers
         if self._is_watcher:
             # The watchers, too, follow the first of them.
             order = sorted(watchers)
-            order = order[: order.index(self._own.name)]
-        else:
-            order = order_owners(
-                WATCHERS_HASH_KEY,
-                self._own.name,
-                self._own.data_centre,
-                {name: centres[name] for name in watchers},
-            )
-        at_s = now_s()
-        for name in order:
-            if self._backoff_until_s.get(name, 0.0) <= at_s:
-                return self._find_host(name)
-        return None
+            return order[: order.index(self._own.name)]
+        return order_owners(
+            WATCHERS_HASH_KEY,
+            self._own.name,
+            self._own.data_centre,
+            {name: centres[name] for name in watchers},
+        )
 
     async def _ask(self, watcher: Host, after: int, wait_s: float) -> Changes | None:
         timeout_s = wait_s + ANSWER_MARGIN_S
         try:
             async with asyncio.timeout(timeout_s):
                 link = self._links.find(watcher)
-                report = await link.call(AskChanges(after, wait_s), timeout_s)
+                ask = AskChanges(after, wait_s, takes_omissions=True)
+                report = await link.call(ask, timeout_s)
         except (LinkError, RemoteError, TimeoutError) as exc:
             self._decisions.routine(
                 "peer did not help", peer=watcher.name, reason=str(exc)
@@ -240,3 +256,7 @@
             self._decisions.belief("store watched itself")
         else:
             self._decisions.belief("changes followed at a peer", peer=name)
+
+
+def _is_complete(changes: Changes) -> bool:
+    return not any(isinstance(event, Omission) for event in changes.events)
--- a/src/wasabipitch/coordination/live_hosts.py
+++ b/src/wasabipitch/coordination/live_hosts.py
@@ -156,7 +156,7 @@
             group: The group whose primary is replaced.
             revision: The revision of the group record that began the replacement.
         """
-        if self._mirror.revision < revision:
+        if self._mirror.received_revision < revision:
             return False
         at_s = now_s()
         recent = {
--- a/src/wasabipitch/coordination/mirror.py
+++ b/src/wasabipitch/coordination/mirror.py
@@ -5,6 +5,13 @@
 
 If the store returns from an older copy, an epoch begins, and all items are read again.
 What was confirmed in the epoch before says nothing about the records of this one.
+
+A large configuration may arrive later than the changes around it, from a peer or by a
+read of its own. ``received_revision`` is the revision up to which all other changes
+were applied. ``revision`` stays below the revision of a configuration until that one,
+or a greater one, is in force here. So a host whose ``revision`` has reached that of a
+read holds everything that the store acknowledged before the read, the configuration
+too.
 """
 
 import asyncio
@@ -16,8 +23,19 @@
 from wasabipitch.coordination.documents import HEAD_KEY, OWN_PREFIX
 from wasabipitch.coordination.following import ChangeFollower, ChangeHistory
 from wasabipitch.coordination.revisions import find_epoch, make_revision
-from wasabipitch.coordination.store import CoordinationStore, Item, Listing, Removal
-from wasabipitch.exceptions import HistoryLost, StoreError, StoreUnavailable
+from wasabipitch.coordination.store import (
+    CoordinationStore,
+    Item,
+    Listing,
+    Omission,
+    Removal,
+)
+from wasabipitch.exceptions import (
+    HistoryLost,
+    ListingTooLarge,
+    StoreError,
+    StoreUnavailable,
+)
 from wasabipitch.operations.decisions import DecisionLog
 
 ALL_KEYS = ""
@@ -34,6 +52,9 @@
 # Followers get a change after their watcher and the first one have each collected
 # others for a batch, and before the next read of the head.
 FOLLOWER_PATIENCE_S = 0.3
+# A configuration of this size or more is decoded in steps, and passed on to followers
+# as a difference. Up to some 150 routes nothing is gained by that.
+LARGE_VALUE_BYTES = 32 * 1024
 
 logger = logging.getLogger(__name__)
 
@@ -48,7 +69,24 @@
 
     def __init__(self, store: CoordinationStore, decisions: DecisionLog) -> None:
         self.items: dict[str, Item] = {}
+        # All changes up to this revision were applied, and a configuration of this
+        # revision or a later one is in force.
         self.revision = 0
+        # All changes up to this revision were applied, except for configurations.
+        self.received_revision = 0
+        # The key of the operator's configuration, and the prefixes of all other keys
+        # that are needed here. Without them, configurations are items like others.
+        self.configuration_key = ""
+        self.other_prefixes: tuple[str, ...] = ()
+        # A first listing longer than this is broken off, and the configuration is read
+        # apart from the other items; 0 for no limit.
+        self.max_listing_bytes = 0
+        # Set while a configuration is not in force here that the store had at
+        # ``awaited_revision``.
+        self.configuration_awaited = asyncio.Event()
+        self.awaited_revision = 0
+        # The first revision at which that configuration may have been written.
+        self._awaited_from = 0
         # All group records up to this revision are in the copy. The head in the copy
         # may be newer: pages of a listing are read at different times.
         self._group_records_revision = 0
@@ -92,11 +130,14 @@
         self._applied_listeners: list[Callable[[], None]] = []
         self._confirm_listeners: list[Callable[[], None]] = []
         self._restore_listeners: list[Callable[[], None]] = []
+        self._advance_listeners: list[Callable[[], None]] = []
         self._watch: asyncio.Task | None = None
         # The revision that the watch has to return next, and since when.
-        self._awaited_revision = 0
-        self._awaited_since_s = 0.0
+        self._lagging_revision = 0
+        self._lagging_since_s = 0.0
         self._reachable = False
+        # Whether the newest configuration that was heard of is large.
+        self._is_large_known = False
 
     @property
     def is_reachable(self) -> bool:
@@ -111,6 +152,10 @@
         """Call a listener after the items that arrived together were applied."""
         self._applied_listeners.append(listener)
 
+    def on_advanced(self, listener: Callable[[], None]) -> None:
+        """Call a listener after each advance of ``revision``."""
+        self._advance_listeners.append(listener)
+
     def on_confirmed(self, listener: Callable[[], None]) -> None:
         """Call a listener after each confirmation of the copy."""
         self._confirm_listeners.append(listener)
@@ -122,7 +167,7 @@
     @property
     def epoch(self) -> int:
         """The store's epoch in which the copy was loaded."""
-        return find_epoch(self.revision)
+        return find_epoch(self.received_revision)
 
     def is_current(self, revision: int) -> bool:
         """Return whether a revision belongs to the epoch of the copy."""
@@ -256,7 +301,9 @@
         self._group_records_revision = max(
             self._group_records_revision, listing.revision
         )
-        self._decisions.belief("records read", head=head, revision=self.revision)
+        self._decisions.belief(
+            "records read", head=head, revision=self.received_revision
+        )
         return self._group_records_revision >= head
 
     async def _check_without_store(self) -> bool:
@@ -313,10 +360,10 @@
         Args:
             store_revision: The store's present revision.
         """
-        if self._awaited_revision <= self.revision:
-            self._awaited_revision, self._awaited_since_s = store_revision, now_s()
+        if self._lagging_revision <= self.received_revision:
+            self._lagging_revision, self._lagging_since_s = store_revision, now_s()
         elif now_s() - self._find_watch_progress_s() > MAX_WATCH_LAG_S:
-            self._awaited_revision = 0
+            self._lagging_revision = 0
             if self._watch is not None:
                 self._watch.cancel()
 
@@ -327,17 +374,19 @@
         parts arrive, a restarted watch would only begin to read it again.
         """
         source = self._store if self.follower is None else self.follower
-        return max(self._awaited_since_s, source.read_progress_s())
+        return max(self._lagging_since_s, source.read_progress_s())
 
     async def _load(self) -> None:
         sent_at_s = now_s()
-        listing = await self._store.list(ALL_KEYS)
+        listing, is_whole = await self._list_items()
         self._record_answer()
         if find_epoch(listing.revision) < find_epoch(self._newest_revision):
             raise StoreUnavailable("the items are those before the store was restored")
+        if not is_whole:
+            self.await_configuration(self.revision + 1, listing.revision)
         is_restored = self._begin_epoch(listing.revision)
         self.is_restoring = is_restored
-        self._replace_items(listing)
+        self._replace_items(listing, is_whole)
         self.is_restoring = False
         if is_restored:
             self.history.restart(listing.revision)
@@ -353,12 +402,35 @@
         for listener in self._restore_listeners:
             listener()
 
-    def _replace_items(self, listing: Listing) -> None:
-        known_revision, ignored = self.revision, 0
+    async def _list_items(self) -> tuple[Listing, bool]:
+        """Return the items, and whether the configuration is among them.
+
+        On a slow link a large configuration would hold up all other items.
+        """
+        if not self._has_large_configuration:
+            try:
+                return await self._store.list(ALL_KEYS, self.max_listing_bytes), True
+            except ListingTooLarge as exc:
+                self._decisions.belief("listing split", reason=str(exc))
+        listings = await asyncio.gather(*map(self._store.list, self.other_prefixes))
+        revision = min(listing.revision for listing in listings)
+        if find_epoch(revision) != find_epoch(max(each.revision for each in listings)):
+            raise StoreUnavailable("the store was restored during the listings")
+        items = tuple(item for listing in listings for item in listing.items)
+        return Listing(items, revision), False
+
+    @property
+    def _has_large_configuration(self) -> bool:
+        """Whether a link that takes no long listing need not carry it again."""
+        return self._is_large_known and self.max_listing_bytes > 0
+
+    def _replace_items(self, listing: Listing, is_whole: bool = True) -> None:
+        known_revision, ignored = self.received_revision, 0
         present = {item.key: item for item in listing.items}
         self.is_loading = True
         for key in set(self.items) - set(present):
-            self._apply(Removal(key, listing.revision))
+            if is_whole or key != self.configuration_key:
+                self._apply(Removal(key, listing.revision))
         for item in listing.items:
             known = self.items.get(item.key)
             if known is None or known.revision < item.revision:
@@ -366,6 +438,8 @@
             elif known.value != item.value:
                 ignored += 1
         self.is_loading = False
+        if is_whole:
+            self._await_listed_configuration(listing.revision)
         self._end_batch()
         self._decisions.belief(
             "store read",
@@ -392,7 +466,7 @@
             "store restored",
             epoch=find_epoch(revision),
             revision=revision,
-            known_revision=self.revision,
+            known_revision=self.received_revision,
         )
         # Advanced before the items are applied, so that their listeners see the epoch.
         self._advance_revision(make_revision(find_epoch(revision), 0))
@@ -401,7 +475,7 @@
     async def _follow(self) -> None:
         while True:
             watch = self._store.watch if self.follower is None else self.follower.watch
-            call = watch(ALL_KEYS, self.revision, WATCH_TIMEOUT_S)
+            call = watch(ALL_KEYS, self.received_revision, WATCH_TIMEOUT_S)
             self._watch = asyncio.ensure_future(call)
             try:
                 # ``_check_watch`` cancels the watch if it lags behind the store.
@@ -413,7 +487,8 @@
                         self.follower.avoid_watcher()
                         continue
                     raise HistoryLost(
-                        f"watch lags behind the store at revision {self.revision}"
+                        "watch lags behind the store at revision"
+                        f" {self.received_revision}"
                     )
                 changes = self._watch.result()
             except StoreUnavailable as exc:
@@ -430,11 +505,63 @@
             await asyncio.sleep(self.read_pause_s())
 
     def _advance_revision(self, revision: int) -> None:
-        self.revision = max(self.revision, revision)
+        self.received_revision = max(self.received_revision, revision)
         self._group_records_revision = max(self._group_records_revision, revision)
-        self.history.advance(self.revision)
+        self.history.advance(self.received_revision)
+        self._advance_complete_revision()
+
+    def _advance_complete_revision(self) -> None:
+        """Advance ``revision`` up to the first configuration that is not in force."""
+        complete = self.received_revision
+        if self.configuration_awaited.is_set():
+            complete = min(complete, self._awaited_from - 1)
+        if complete <= self.revision:
+            return
+        self.revision = complete
+        for listener in self._advance_listeners:
+            listener()
 
-    def _apply_all(self, events: Iterable[Item | Removal]) -> None:
+    def await_configuration(self, first: int, last: int) -> None:
+        """Hold ``revision`` back until a configuration of the store is in force.
+
+        Args:
+            first: The first revision at which it may have been written.
+            last: A revision at which the store had it.
+        """
+        if self.configuration_awaited.is_set():
+            first = min(first, self._awaited_from)
+            last = max(last, self.awaited_revision)
+        self._awaited_from, self.awaited_revision = first, last
+        self.configuration_awaited.set()
+
+    def record_configuration(self, revision: int) -> None:
+        """Record that a revision's configuration, or a greater one, is in force.
+
+        A malformed one counts as well, since no host puts it in force.
+        """
+        if not self.configuration_awaited.is_set() or revision < self._awaited_from:
+            return
+        if revision >= self.awaited_revision:
+            self.configuration_awaited.clear()
+        else:
+            self._awaited_from = revision + 1
+        self._advance_complete_revision()
+
+    def _await_listed_configuration(self, revision: int) -> None:
+        """Wait for no configuration that a whole listing shows to be replaced.
+
+        Args:
+            revision: The revision of the listing.
+        """
+        if not self.configuration_awaited.is_set() or self.awaited_revision > revision:
+            return
+        item = self.items.get(self.configuration_key)
+        if item is None or item.revision < self._awaited_from:
+            self.record_configuration(self.awaited_revision)
+        else:
+            self.awaited_revision = item.revision
+
+    def _apply_all(self, events: Iterable[Item | Removal | Omission]) -> None:
         for event in events:
             self._apply(event)
         self._end_batch()
@@ -443,7 +570,10 @@
         for listener in self._applied_listeners:
             listener()
 
-    def _apply(self, event: Item | Removal) -> None:
+    def _apply(self, event: Item | Removal | Omission) -> None:
+        if isinstance(event, Omission):
+            self._apply_omission(event)
+            return
         if isinstance(event, Removal):
             known = self.items.get(event.key)
             if known is None or known.revision > event.revision:
@@ -456,9 +586,33 @@
         if known is not None and known.revision >= event.revision:
             return
         self.items[event.key] = event
+        if event.key == self.configuration_key:
+            self._apply_configuration(event)
+            return
         self.history.add(event)
         self._publish(event.key, event)
 
+    def _apply_omission(self, event: Omission) -> None:
+        known = self.items.get(event.key)
+        if known is not None and known.revision >= event.revision:
+            return
+        self._is_large_known = True
+        self.history.add(event)
+        self.await_configuration(event.revision, event.revision)
+
+    def _apply_configuration(self, item: Item) -> None:
+        """Apply a configuration; a listener puts a large one in force later."""
+        if len(item.value) < LARGE_VALUE_BYTES:
+            self._is_large_known = False
+            self.history.add(item)
+            self._publish(item.key, item)
+            self.record_configuration(item.revision)
+            return
+        self._is_large_known = True
+        self.history.add(Omission(item.key, item.revision))
+        self.await_configuration(item.revision, item.revision)
+        self._publish(item.key, item)
+
     def _publish(self, key: str, item: Item | None) -> None:
         for listener in self._listeners:
             try:
@@ -473,7 +627,7 @@
         if not self._reachable:
             self._reachable = True
             self.reachable_since_s = self.answered_at_s
-            self._decisions.belief("store reachable", revision=self.revision)
+            self._decisions.belief("store reachable", revision=self.received_revision)
 
     def _record_failure(self, exc: StoreError) -> None:
         if self._reachable:
--- a/src/wasabipitch/coordination/relay.py
+++ b/src/wasabipitch/coordination/relay.py
@@ -73,7 +73,7 @@
             revision, store_revision = await store.read_revision(call.key)
             return StoreAnswer((), revision, store_revision)
         case "list":
-            listing = await store.list(call.key)
+            listing = await store.list(call.key, call.max_bytes)
             items = tuple(map(pack, listing.items))
             return StoreAnswer(items, 0, listing.revision)
         case "watch":
@@ -140,9 +140,9 @@
         reply = await self._call(StoreCall("read_revision", key))
         return reply.revision, reply.store_revision
 
-    async def list(self, prefix: str) -> Listing:
+    async def list(self, prefix: str, max_bytes: int = 0) -> Listing:
         """Return the items under a prefix."""
-        reply = await self._call(StoreCall("list", prefix))
+        reply = await self._call(StoreCall("list", prefix, max_bytes=max_bytes))
         return Listing(tuple(map(unpack, reply.items)), reply.store_revision)
 
     async def watch(self, prefix: str, after: int, wait_s: float) -> Changes:
--- a/src/wasabipitch/coordination/store.py
+++ b/src/wasabipitch/coordination/store.py
@@ -32,6 +32,13 @@
     revision: int
 
 
+class Omission(msgspec.Struct, frozen=True):
+    """The change of a key at a revision, without the value, which is large."""
+
+    key: str
+    revision: int
+
+
 class Listing(msgspec.Struct, frozen=True):
     """The items under a prefix, and the store's revision when they were read."""
 
@@ -40,9 +47,12 @@
 
 
 class Changes(msgspec.Struct, frozen=True):
-    """The changes after one revision up to another, in order."""
+    """The changes after one revision up to another, in order.
 
-    events: tuple[Item | Removal, ...]
+    Only a peer that passes changes on omits a value.
+    """
+
+    events: tuple[Item | Removal | Omission, ...]
     revision: int
 
 
@@ -69,10 +79,17 @@
     async def read_revision(self, key: str) -> tuple[int, int]:
         """Return a key's revision (``ABSENT`` if there is none) and the store's."""
 
-    async def list(self, prefix: str) -> Listing:
+    async def list(self, prefix: str, max_bytes: int = 0) -> Listing:
         """Return the items under a prefix.
 
         The listing is no snapshot: its pages are read at different times.
+
+        Args:
+            prefix: The prefix.
+            max_bytes: The longest answer, or 0 for any.
+
+        Raises:
+            ListingTooLarge: A page has more bytes; it was not read to its end.
         """
 
     async def watch(self, prefix: str, after: int, wait_s: float) -> Changes:
--- a/src/wasabipitch/coordination/writers.py
+++ b/src/wasabipitch/coordination/writers.py
@@ -80,7 +80,9 @@
             group: The group whose primary is replaced.
             revision: The revision of the group record that began the replacement.
         """
-        if self._mirror.revision < revision or self.find_unreported(group, revision):
+        if self._mirror.received_revision < revision or self.find_unreported(
+            group, revision
+        ):
             return None
         if self._live_hosts.find_unanswered(group, revision):
             return None
--- a/src/wasabipitch/gateway.py
+++ b/src/wasabipitch/gateway.py
@@ -6,6 +6,7 @@
 import asyncio
 import contextlib
 import os
+import random
 import socket
 from collections.abc import Callable, Coroutine
 
@@ -16,8 +17,10 @@
 from wasabipitch.coordination.agreement import RecordAgreement
 from wasabipitch.coordination.checks import SharedChecks
 from wasabipitch.coordination.directory import Directory
+from wasabipitch.coordination.distribution import ConfigurationDistribution
 from wasabipitch.coordination.documents import (
     NAMED_KEY,
+    OWN_PREFIX,
     Configuration,
     DocumentDecoder,
     HostRecord,
@@ -44,6 +47,7 @@
 from wasabipitch.peer_messages import (
     AskAgreement,
     AskChanges,
+    AskConfiguration,
     AskConnections,
     AskHead,
     AskPosition,
@@ -61,6 +65,13 @@
 WATCH_BATCH_S = 0.1
 # The hosts of a large fleet start together, and each makes several changes then.
 STARTING_S = 3.0
+# On a link of up to this bandwidth, a listing of more bytes than this is broken off and
+# made without the configuration: it would take 0.2 s or more of the first second. The
+# own records of 128 hosts and their instances have some 150 KB.
+SLOW_LINK_MBPS = 20.0
+MAX_LISTING_BYTES = 384 * 1024
+# The peers besides the watchers that a host asks for a configuration at a time.
+OTHER_SOURCES = 2
 STARTING_WATCH_BATCH_S = 0.25
 # A host is not ready for new callers once its records were not confirmed for this
 # long: two checks have failed, and its read leases will soon expire.
@@ -213,6 +224,13 @@
             self._adapters.store, self.links, self._list_peers, self.decisions
         )
         self._mirror = StoreMirror(self._store, self.decisions)
+        self._mirror.configuration_key = self._adapters.documents.configuration_key
+        self._mirror.other_prefixes = (
+            self._adapters.documents.instances_prefix,
+            OWN_PREFIX,
+        )
+        if 0 < self._cfg.resources.link_mbps <= SLOW_LINK_MBPS:
+            self._mirror.max_listing_bytes = MAX_LISTING_BYTES
         self.registration = HostRegistration(self._store, self._mirror, record)
         self._live_hosts = LiveHosts(
             self._mirror, lambda: self.groups.rebalance_connections()
@@ -249,9 +267,22 @@
             self._mirror,
             self._adapters.documents,
             self.decisions,
-            lambda configuration: self.groups.apply_configuration(configuration),
+            self._apply_configuration,
             lambda name: self.groups.update_group(name),
         )
+        self._distribution = ConfigurationDistribution(
+            self._mirror,
+            self._adapters.documents,
+            self._store,
+            self.links,
+            self._list_configuration_sources,
+            self._is_in_small_fleet,
+            self._directory.put_in_force,
+            self._cfg.resources.link_mbps,
+            self.decisions,
+            self.measures,
+        )
+        self._directory.on_large_configuration = self._distribution.offer_value
 
     def _build_service(self, host: Host) -> None:
         """Create the components that serve callers, health checks and metrics."""
@@ -303,6 +334,7 @@
         for start in (
             self._mirror.run,
             self._mirror.run_checks,
+            self._distribution.run,
             self.registration.run,
             self._run_housekeeping,
         ):
@@ -406,6 +438,23 @@
             if seed != self._cfg.links
         ]
 
+    def _apply_configuration(self, configuration: Configuration) -> None:
+        self._distribution.record(configuration)
+        self.groups.apply_configuration(configuration)
+
+    def _list_configuration_sources(self) -> list[Host]:
+        """Return the hosts to ask for a configuration, the watchers first."""
+        watchers = self._follower.list_watchers()
+        names = {watcher.name for watcher in watchers}
+        others = [peer for peer in self._list_peers() if peer.name not in names]
+        return watchers + random.sample(others, min(OTHER_SOURCES, len(others)))
+
+    def _is_in_small_fleet(self) -> bool:
+        return self._count_hosts() <= MAX_WATCHING_HOSTS
+
+    def _count_hosts(self) -> int:
+        return max(len(self._live_hosts.hosts), self._live_hosts.count_names())
+
     async def _answer_peer(self, exchange: Exchange) -> Message:
         match exchange.message:
             case AskConnections(group, instance):
@@ -416,6 +465,8 @@
             case EndSession(session):
                 self._service.end(exchange.connection, session)
                 return Done()
+            case AskConfiguration() as ask:
+                return await self._distribution.answer(exchange, ask)
         return await self._answer_question(exchange.message)
 
     async def _answer_question(self, message: Message) -> Message:
@@ -457,8 +508,7 @@
         return self.groups.have_records and confirmed
 
     def _get_watch_delay_s(self) -> float:
-        hosts = max(len(self._live_hosts.hosts), self._live_hosts.count_names())
-        if hosts <= MAX_WATCHING_HOSTS:
+        if self._is_in_small_fleet():
             return 0.0
         if now_s() - self._started_at_s < STARTING_S:
             return STARTING_WATCH_BATCH_S
--- a/src/wasabipitch/group/supervisor.py
+++ b/src/wasabipitch/group/supervisor.py
@@ -410,7 +410,7 @@
         suspicions = self._live_hosts.find_suspicions(state.name, state.record_revision)
         known = entry is not None and entry.born_ms == record.primary_born_ms
         # The records may be read before changes that the watch still has to return.
-        behind = self._mirror.revision < state.record_revision
+        behind = self._mirror.received_revision < state.record_revision
         return Evidence(
             registered=known or behind,
             leaving=known and entry.leaving,
--- a/src/wasabipitch/http/client.py
+++ b/src/wasabipitch/http/client.py
@@ -16,6 +16,8 @@
 
 # The largest expected response, a page of the store's listing, is at most 1 MB.
 MAX_RESPONSE_BYTES = 16 * 1024 * 1024
+# Further digits of a content length change nothing.
+MAX_SIZE_DIGITS = 18
 # Query parameters of these characters alone need no escapes.
 _UNESCAPED = re.compile(r"[A-Za-z0-9_.~-]*\Z")
 # Once a response has begun, the call fails when no more of it arrives for this long. A
@@ -54,12 +56,15 @@
         self._body = bytearray()
         self._headers: dict[bytes, bytes] = {}
         self._response: asyncio.Future[Response] | None = None
+        # The longest body of the response.
+        self._max_bytes = MAX_RESPONSE_BYTES
 
     def connection_made(self, transport: asyncio.Transport) -> None:
         self._transport = transport
 
-    def send(self, request: bytes) -> asyncio.Future[Response]:
+    def send(self, request: bytes, max_bytes: int) -> asyncio.Future[Response]:
         self.reusable = False
+        self._max_bytes = max_bytes
         self._parser = httptools.HttpResponseParser(self)
         self._body = bytearray()
         self._headers = {}
@@ -82,10 +87,15 @@
     def on_header(self, name: bytes, value: bytes) -> None:
         self._headers[name.lower()] = value
 
+    def on_headers_complete(self) -> None:
+        size = self._headers.get(b"content-length", b"")
+        if size.isdigit() and int(size[:MAX_SIZE_DIGITS]) > self._max_bytes:
+            self._refuse(int(size[:MAX_SIZE_DIGITS]))
+
     def on_body(self, data: bytes) -> None:
         self._body += data
-        if len(self._body) > MAX_RESPONSE_BYTES:
-            self.abort(f"response exceeds {MAX_RESPONSE_BYTES} bytes")
+        if len(self._body) > self._max_bytes:
+            self._refuse(len(self._body))
 
     def on_message_complete(self) -> None:
         self.reusable = self._parser.should_keep_alive()
@@ -104,6 +114,12 @@
         self._fail(reason)
         sockets.reset(self._transport)
 
+    def _refuse(self, size: int) -> None:
+        if self._response is not None and not self._response.done():
+            message = f"response of {size} bytes or more exceeds {self._max_bytes}"
+            self._response.set_exception(ResponseTooLarge(message))
+        self.abort()
+
     def _fail(self, reason: str) -> None:
         if self._response is not None and not self._response.done():
             self._response.set_exception(HttpError(reason))
@@ -131,6 +147,7 @@
         params: Mapping[str, str] | None = None,
         body: Any = None,
         headers: Mapping[str, str] | None = None,
+        max_bytes: int = MAX_RESPONSE_BYTES,
     ) -> Response:
         """Send a request and return the response.
 
@@ -143,10 +160,12 @@
             params: The parameters of the query string.
             body: A value to send as JSON, or None for an empty body.
             headers: Headers to add to those that every request has.
+            max_bytes: The longest body of the response.
 
         Raises:
             ConnectError: If the connection failed or took too long, so that nothing was
                 sent.
+            ResponseTooLarge: If the body is longer than allowed.
             HttpError: If no complete and valid response came in time.
         """
         data = self._encode_request(method, path, params, body, headers)
@@ -161,7 +180,7 @@
                     raise ConnectError(f"not sent within {timeout_s:g} s")
                 conn.on_progress = lambda: self._extend(limit, until_s)
                 try:
-                    response = await conn.send(data)
+                    response = await conn.send(data, max_bytes)
                 except asyncio.CancelledError:
                     conn.abort()
                     raise
@@ -239,3 +258,7 @@
 
 class ConnectError(HttpError):
     """The connection to the server failed, so that nothing was sent."""
+
+
+class ResponseTooLarge(HttpError):
+    """The body of the response is longer than allowed; it was not read to its end."""
--- a/src/wasabipitch/messages.py
+++ b/src/wasabipitch/messages.py
@@ -9,12 +9,15 @@
     Agreement,
     AskAgreement,
     AskChanges,
+    AskConfiguration,
     AskConnections,
     AskHead,
     AskPosition,
     AskRecord,
     AskStoreHead,
     ChangesReport,
+    ConfigurationOffer,
+    ConfigurationPart,
     HeadReport,
     PositionReport,
     RecordReport,
@@ -363,6 +366,9 @@
     | AskChanges
     | ChangesReport
     | AskPosition
+    | AskConfiguration
+    | ConfigurationOffer
+    | ConfigurationPart
     | AskRecord
     | AskConnections
     | PositionReport
--- a/src/wasabipitch/peer_messages.py
+++ b/src/wasabipitch/peer_messages.py
@@ -24,6 +24,7 @@
         writes: The values to write, by key.
         removes: The keys to remove.
         lasting: The values to write without the lease, by key.
+        max_bytes: The longest page of a listing in bytes, or 0 for any.
     """
 
     name: str
@@ -35,6 +36,7 @@
     writes: dict[str, bytes] = msgspec.field(default_factory=dict)
     removes: tuple[str, ...] = ()
     lasting: dict[str, bytes] = msgspec.field(default_factory=dict)
+    max_bytes: int = 0
 
 
 class StoredItem(msgspec.Struct, frozen=True):
@@ -45,12 +47,14 @@
         value: The value, or None if the key was removed at the revision.
         revision: The revision at which the key was written or removed.
         lease: The lease to which the key belongs, or 0.
+        omitted: Whether the key has a value, which is too large to be passed on.
     """
 
     key: str
     value: bytes | None
     revision: int
     lease: int = 0
+    omitted: bool = False
 
 
 class StoreAnswer(msgspec.Struct, frozen=True):
@@ -137,10 +141,12 @@
     Args:
         after: The revision.
         wait_s: The time to wait for a change, in seconds.
+        takes_omissions: Whether large values may be omitted.
     """
 
     after: int
     wait_s: float
+    takes_omissions: bool = False
 
 
 class ChangesReport(msgspec.Struct, frozen=True):
@@ -157,6 +163,53 @@
     revision: int = 0
 
 
+class AskConfiguration(msgspec.Struct, frozen=True):
+    """Asks a host for the configuration that it has in force.
+
+    Args:
+        revision: The revision of the store up to which it must know configurations.
+        base: The digest of the configuration in force here, or an empty string.
+        bytes_per_s: The rate at which this host wants to receive it, or 0.
+    """
+
+    revision: int
+    base: str = ""
+    bytes_per_s: float = 0.0
+
+
+class ConfigurationOffer(msgspec.Struct, frozen=True):
+    """The first message of the answer to ``AskConfiguration``.
+
+    Parts follow unless the configuration is the one of the host that asked.
+
+    Args:
+        known: Whether the host has a configuration that is new enough.
+        revision: The revision up to which it knows configurations.
+        version: The version of the configuration.
+        base: The digest of the configuration that the change is for, or an empty
+            string for the whole.
+        digest: The digest of the configuration.
+        size: The size of all parts in bytes.
+    """
+
+    known: bool
+    revision: int = 0
+    version: int = 0
+    base: str = ""
+    digest: str = ""
+    size: int = 0
+
+
+class ConfigurationPart(msgspec.Struct, frozen=True):
+    """A part of an encoded configuration; an empty one only shows that the host lives.
+
+    Args:
+        data: The next bytes.
+    """
+
+    data: bytes = b""
+
+
 class AskRecord(msgspec.Struct, frozen=True):
     """Asks a host for the group record that it has in force."""
 
--- a/tests/adapter/test_documents.py
+++ b/tests/adapter/test_documents.py
@@ -1,6 +1,8 @@
 import json
 import unittest
+from unittest.mock import patch
 
+from adapter import documents
 from adapter.documents import PlatformDocuments
 from wasabipitch.coordination.documents import Consistency
 from wasabipitch.coordination.store import Item
@@ -79,6 +81,32 @@
         self.assertEqual(configuration.groups["huvo11a"].max_connections, 16)
         self.assertEqual(configuration.idle_transaction_s, 3.0)
 
+    def test_a_large_configuration_is_decoded_in_steps(self):
+        # One long step holds up the statements of every caller of a host.
+        routes = [{**ROUTE, "Host": f"database-{n}"} for n in range(1000)]
+        value = json.dumps({**CONFIG, "Routes": routes}).encode()
+        counts = [0]
+
+        def decode_route(route):
+            counts[-1] += 1
+            return decode(route)
+
+        decode = documents._decode_route
+        steps = self.documents.decode_configuration_steps(Item("c", value, 3))
+        with (
+            patch.object(documents, "_decode_route", decode_route),
+            self.assertRaises(StopIteration) as stopped,
+        ):
+            while True:
+                next(steps)
+                counts.append(0)
+        configuration = stopped.exception.value
+        self.assertEqual(len(configuration.routes), 1000)
+        self.assertEqual(sum(counts), 1000)
+        self.assertLessEqual(max(counts), documents.ROUTES_PER_STEP)
+        whole = self.documents.decode_configuration(Item("c", value, 3))
+        self.assertEqual(configuration, whole)
+
     def test_a_broken_configuration_names_what_is_wrong(self):
         with self.assertRaisesRegex(SettingsError, "Version"):
             self.decode_configuration({"Routes": []})
--- a/tests/wasabipitch/coordination/test_large_values.py
+++ b/tests/wasabipitch/coordination/test_large_values.py
@@ -16,7 +16,7 @@
 from wasabipitch.coordination.mirror import StoreMirror
 from wasabipitch.coordination.relay import RelayedStore
 from wasabipitch.coordination.store import Item, Listing
-from wasabipitch.exceptions import HttpError, StoreUnavailable
+from wasabipitch.exceptions import HttpError, ListingTooLarge, StoreUnavailable
 from wasabipitch.http.client import STALL_TIMEOUT_S, HttpClient
 from wasabipitch.models import Address
 from wasabipitch.operations.decisions import DecisionLog
@@ -86,9 +86,16 @@
         self.assertEqual(listing.items, (Item("c", VALUE, 7),))
         self.assertEqual(self.platform.requests, ["/kv-range"])
 
+    async def test_a_listing_that_is_too_large_is_broken_off(self):
+        # A slow link would carry the whole of it before anything else.
+        with self.assertRaises(ListingTooLarge):
+            await self.store.list("", 10_000)
+        self.assertEqual(self.platform.requests, ["/kv-range"])
+        self.assertEqual((await self.store.list("", 200_000)).revision, 9)
+
     async def test_a_watch_that_is_delivering_a_value_is_not_restarted(self):
         mirror = StoreMirror(self.store, DecisionLog("host"))
-        mirror.revision = 8
+        mirror.received_revision = 8
         watch = mirror._watch = asyncio.ensure_future(self.store.watch("", 8, 0.5))
         while not watch.done():
             mirror._check_watch(9)
--- a/tests/wasabipitch/coordination/test_live_hosts.py
+++ b/tests/wasabipitch/coordination/test_live_hosts.py
@@ -40,7 +40,7 @@
         self.mirror = StoreMirror(MemoryStore(), DecisionLog("host"))
         self.live_hosts = LiveHosts(self.mirror, lambda: None)
         self.revision = 0
-        self.mirror.revision = 100
+        self.mirror.received_revision = 100
         for name in ("a", "b"):
             self.add(name, "1")
 
@@ -94,7 +94,7 @@
     def test_a_mirror_behind_the_record_may_lack_hosts(self):
         for host in ("a.1", "b.1"):
             self.put_relinquished(host, 9)
-        self.mirror.revision = 8
+        self.mirror.received_revision = 8
         self.assertFalse(self.live_hosts.all_relinquished("g", 9))
 
     def test_a_host_that_left_counts_while_it_may_run_without_the_store(self):
--- a/tests/wasabipitch/coordination/test_mirror.py
+++ b/tests/wasabipitch/coordination/test_mirror.py
@@ -120,7 +120,7 @@
         self.mirror._watch = watch = asyncio.Future()
         for step in range(30):
             at_s = 0.1 * step
-            self.mirror.revision = revision_after(at_s)
+            self.mirror.received_revision = revision_after(at_s)
             with patch("wasabipitch.coordination.mirror.now_s", return_value=at_s):
                 self.mirror._check_watch(100 + step)
         return not watch.cancelled()
--- a/tests/wasabipitch/coordination/test_relay.py
+++ b/tests/wasabipitch/coordination/test_relay.py
@@ -67,7 +67,7 @@
         # A silent store answers no call that it received before its return.
         calls = []
 
-        async def list_silently_once(prefix):
+        async def list_silently_once(prefix, max_bytes):
             calls.append(prefix)
             if len(calls) == 1:
                 await asyncio.Event().wait()
--- a/tests/wasabipitch/coordination/test_writers.py
+++ b/tests/wasabipitch/coordination/test_writers.py
@@ -32,7 +32,7 @@
         self.live_hosts = LiveHosts(self.mirror, lambda: None)
         self.writers = CommitWriters(self.mirror, self.live_hosts)
         self.revision = 0
-        self.mirror.revision = 100
+        self.mirror.received_revision = 100
         for name in ("a", "b"):
             self.add(name, "1")
 
--- a/tests/wasabipitch/gateway_fixture.py
+++ b/tests/wasabipitch/gateway_fixture.py
@@ -55,6 +55,10 @@
             fields.get("idle_s", 3.0),
         )
 
+    def decode_configuration_steps(self, item):
+        yield
+        return self.decode_configuration(item)
+
     def decode_instance(self, item):
         fields = json.loads(item.value)
         if fields is None:
--- a/tests/wasabipitch/group/test_supervisor.py
+++ b/tests/wasabipitch/group/test_supervisor.py
@@ -161,7 +161,9 @@
             None,
             None,
             None,
-            SimpleNamespace(revision=100, was_restored=True, epoch_since_s=0.0),
+            SimpleNamespace(
+                received_revision=100, was_restored=True, epoch_since_s=0.0
+            ),
             registration,
             live_hosts,
             None,
@@ -197,10 +199,10 @@
         # The records may be read before the changes that the watch still has to
         # return, the registration of an instance among them.
         with patch.object(self.supervisor, "_find_rank", lambda: 0):
-            self.supervisor._mirror.revision = 6
+            self.supervisor._mirror.received_revision = 6
             await self.watch("i-0", 7)
             self.claims.assert_not_called()
-            self.supervisor._mirror.revision = 7
+            self.supervisor._mirror.received_revision = 7
             await self.watch("i-0", 7)
             self.claims.assert_called_once()
 
