Let the next watcher replace one that ends while it sends a configuration

Cause, seen with 14 processes of which the first watcher was killed halfway: all others waited 1.5 s for each other, then 8 to 13 of them read the value from the store at the same time, and went on to watch the store, which sends the value again with each version.

A watcher now reads the store as soon as the watchers before it have failed, and a follower turns to the next watcher before it watches the store.

--- a/src/wasabipitch/coordination/distribution.py
+++ b/src/wasabipitch/coordination/distribution.py
@@ -3,7 +3,8 @@
 The hosts that watch the store read a configuration from it. The others hear of it with
 the changes that they follow, without the value, and ask for the difference between
 their version and the new one, or for the whole if they have no version that the peer
-knows. Only if no peer delivers it within ``PEERS_PATIENCE_S`` do they read the store.
+knows. Only if no peer delivers it within ``PEERS_PATIENCE_S`` do they read the store. A
+watcher that fails to get it from the watchers before it reads the store at once.
 
 A configuration comes into force only if it is greater than the one in force. The
 revision of the local copy stays below that of a configuration until then, see
@@ -12,6 +13,8 @@
 
 import asyncio
 import contextlib
+import random
+from collections import Counter
 from collections.abc import AsyncIterator, Callable, Sequence
 
 import msgspec
@@ -63,6 +66,9 @@
 # The store is read if no peer has begun to deliver within this time. Hosts that all
 # start after a loss of power are registered and have read the store in less.
 PEERS_PATIENCE_S = 1.5
+# The patience of a host is longer by a random time up to this, so that those that read
+# the store late find that others have the configuration meanwhile.
+PATIENCE_SPREAD_S = 1.0
 # The pause before the same peers, or a store without a configuration, are asked again.
 RETRY_S = 0.15
 ABSENT_RETRY_S = 2.0
@@ -98,9 +104,9 @@
         decoder: Decodes the configuration of the store.
         store: The store.
         links: The links to the peers.
-        list_sources: Returns the hosts to ask, the best first. Without any, the store
-            is read at once.
-        is_alone: Returns whether no peer will have the configuration earlier.
+        list_sources: Returns the hosts to ask, the best first.
+        is_reader: Returns whether this host reads the store once its sources have
+            failed, since other hosts wait for it.
         put_in_force: Puts a configuration in force, with its revision, unless a
             greater one is.
         link_mbps: The bandwidth of this host's link in Mbit/s, or 0 if unknown.
@@ -115,7 +121,7 @@
         store: CoordinationStore,
         links: PeerLinks,
         list_sources: Callable[[], Sequence[Host]],
-        is_alone: Callable[[], bool],
+        is_reader: Callable[[], bool],
         put_in_force: Callable[[Configuration, int], None],
         link_mbps: float,
         decisions: DecisionLog,
@@ -126,7 +132,7 @@
         self._store = store
         self._links = links
         self._list_sources = list_sources
-        self._is_alone = is_alone
+        self._is_reader = is_reader
         self._put_in_force = put_in_force
         self._rate = find_bulk_rate(link_mbps)
         self._pacer = Pacer(self._rate)
@@ -230,15 +236,21 @@
             await self._apply_value(value, value.revision, since_s)
             return
         awaited = self._mirror.awaited_revision
-        patience_s = 0.0 if self._is_alone() else PEERS_PATIENCE_S
-        while now_s() - since_s < patience_s:
-            for peer in self._list_sources():
-                if now_s() - since_s >= patience_s:
-                    break
+        until_s = since_s + PEERS_PATIENCE_S + random.uniform(0.0, PATIENCE_SPREAD_S)
+        failed: Counter[str] = Counter()
+        while True:
+            for peer in sorted(
+                self._list_sources(), key=lambda peer: failed[peer.name]
+            ):
                 if await self._ask(peer, awaited, since_s):
                     return
                 if self._is_superseded(awaited):
                     return
+                failed[peer.name] += 1
+                if now_s() >= until_s:
+                    break
+            if self._is_reader() or now_s() >= until_s:
+                break
             await asyncio.sleep(RETRY_S)
         await self._read_store(awaited, since_s)
 
--- a/src/wasabipitch/coordination/following.py
+++ b/src/wasabipitch/coordination/following.py
@@ -170,14 +170,17 @@
         return self._followed is not None
 
     async def watch(self, prefix: str, after: int, wait_s: float) -> Changes:
-        """Wait for changes after a revision; see ``CoordinationStore.watch``."""
-        watcher = self._find_watcher()
-        self._update_followed(watcher.name if watcher else None)
-        if watcher is not None:
+        """Wait for changes after a revision; see ``CoordinationStore.watch``.
+
+        The store's watch sends large values, so it comes after all watchers.
+        """
+        while (watcher := self._find_watcher()) is not None:
+            self._update_followed(watcher.name)
             changes = await self._ask(watcher, after, wait_s)
             if changes is not None:
                 return changes
             self.avoid_watcher()
+        self._update_followed(None)
         return await self._store.watch(prefix, after, wait_s)
 
     def read_progress_s(self) -> float:
@@ -202,6 +205,11 @@
             return ChangesReport(False, (), self._history.revision)
         return ChangesReport(True, tuple(map(pack, changes.events)), changes.revision)
 
+    @property
+    def is_watcher(self) -> bool:
+        """Whether other hosts may follow this one."""
+        return self._own.name in self._choose_watchers()
+
     def list_watchers(self) -> list[Host]:
         """Return the hosts that this one may follow, the best first."""
         return [self._find_host(name) for name in self._order_watchers()]
@@ -214,22 +222,25 @@
         return None
 
     def _order_watchers(self) -> list[str]:
-        centres = dict(self._read_data_centres())
-        if len(centres) <= self._max_direct_watchers:
-            return []
-        watchers = choose_owners(WATCHERS_HASH_KEY, centres, len(set(centres.values())))
+        """Return the names of the hosts that this one may follow, the best first."""
+        watchers = self._choose_watchers()
         self._is_watcher = self._own.name in watchers
         if self._is_watcher:
             # The watchers, too, follow the first of them.
             order = sorted(watchers)
             return order[: order.index(self._own.name)]
         return order_owners(
-            WATCHERS_HASH_KEY,
-            self._own.name,
-            self._own.data_centre,
-            {name: centres[name] for name in watchers},
+            WATCHERS_HASH_KEY, self._own.name, self._own.data_centre, watchers
         )
 
+    def _choose_watchers(self) -> dict[str, str]:
+        """Return the data centres of the watchers by name, none in a small fleet."""
+        centres = dict(self._read_data_centres())
+        if len(centres) <= self._max_direct_watchers:
+            return {}
+        names = choose_owners(WATCHERS_HASH_KEY, centres, len(set(centres.values())))
+        return {name: centres[name] for name in names}
+
     async def _ask(self, watcher: Host, after: int, wait_s: float) -> Changes | None:
         timeout_s = wait_s + ANSWER_MARGIN_S
         try:
--- a/src/wasabipitch/gateway.py
+++ b/src/wasabipitch/gateway.py
@@ -276,7 +276,7 @@
             self._store,
             self.links,
             self._list_configuration_sources,
-            self._is_in_small_fleet,
+            lambda: self._is_in_small_fleet() or self._follower.is_watcher,
             self._directory.put_in_force,
             self._cfg.resources.link_mbps,
             self.decisions,
@@ -444,7 +444,11 @@
 
     def _list_configuration_sources(self) -> list[Host]:
         """Return the hosts to ask for a configuration, the watchers first."""
+        if self._is_in_small_fleet():
+            return []
         watchers = self._follower.list_watchers()
+        if self._follower.is_watcher:
+            return watchers
         names = {watcher.name for watcher in watchers}
         others = [peer for peer in self._list_peers() if peer.name not in names]
         return watchers + random.sample(others, min(OTHER_SOURCES, len(others)))
--- a/tests/wasabipitch/coordination/test_distribution.py
+++ b/tests/wasabipitch/coordination/test_distribution.py
@@ -66,7 +66,7 @@
         self.peer = peer
         self.store = store
         self.sources = []
-        self.alone = False
+        self.is_reader = False
         self.events = []
         decisions = DecisionLog(name)
         decisions.belief = lambda event, **fields: self.events.append((event, fields))
@@ -81,7 +81,7 @@
             store,
             peer.links,
             lambda: [host.peer.host for host in self.sources],
-            lambda: self.alone,
+            lambda: self.is_reader,
             self.directory.put_in_force,
             0.0,
             decisions,
@@ -131,7 +131,7 @@
         self.first, self.second, self.third = self.hosts.values()
         self.second.sources = [self.first]
         self.third.sources = [self.first, self.second]
-        self.first.alone = True
+        self.first.is_reader = True
         for patched in ("RETRY_S", "ABSENT_RETRY_S"):
             self.enterContext(patch.object(module, patched, 0.02))
 
@@ -293,6 +293,7 @@
         self.store.put(KEY, make_value(3))
         with (
             patch.object(module, "PEERS_PATIENCE_S", 0.3),
+            patch.object(module, "PATIENCE_SPREAD_S", 0.0),
             patch.object(module, "ANSWER_PATIENCE_S", 0.05),
         ):
             self.third.hear(self.store.revision)
@@ -308,6 +309,22 @@
         await self.wait_for(lambda: self.first.version == 3)
         self.assertEqual(self.store.calls, ["get"])
 
+    async def test_a_watcher_reads_the_store_as_soon_as_its_source_has_ended(self):
+        # All followers would otherwise read it at the same time as the watcher.
+        self.store.put(KEY, make_value(3))
+
+        async def end(exchange):
+            exchange.connection.close()
+
+        self.handlers["first"] = end
+        self.second.is_reader = True
+        for host in (self.second, self.third):
+            host.hear(self.store.revision)
+        await self.wait_for(lambda: self.third.version == 3)
+        self.assertEqual(self.second.find_receipts(), [(3, "store")])
+        self.assertEqual(self.third.find_receipts(), [(3, "peer whole")])
+        self.assertEqual(self.store.calls, ["get"])
+
     async def test_a_store_that_fails_is_read_again(self):
         self.store.put(KEY, make_value(3))
         self.store.down = True
--- a/tests/wasabipitch/coordination/test_following.py
+++ b/tests/wasabipitch/coordination/test_following.py
@@ -1,12 +1,20 @@
+import contextlib
 import unittest
 
+from standins.memory_store import MemoryStore
+from tests.wasabipitch.coordination.peers_fixture import run_peers
 from wasabipitch.coordination.following import (
     MAX_KEPT_CHANGES,
+    WATCHERS_HASH_KEY,
+    ChangeFollower,
     ChangeHistory,
     pack,
     unpack,
 )
-from wasabipitch.coordination.store import Item, Removal
+from wasabipitch.coordination.store import Item, Omission, Removal
+from wasabipitch.operations.decisions import DecisionLog
+from wasabipitch.peer_messages import AskChanges, ChangesReport
+from wasabipitch.policy.ownership import choose_owners, order_owners
 
 
 def item(revision):
@@ -57,5 +65,76 @@
         self.assertIsNone(await history.wait(1, 0.1))
 
     def test_events_survive_packing(self):
-        for event in (Item("k", b"", 4, 7), Removal("k", 5)):
+        for event in (Item("k", b"", 4, 7), Removal("k", 5), Omission("k", 6)):
             self.assertEqual(unpack(pack(event)), event)
+
+
+class ChoiceOfWatcherTest(unittest.IsolatedAsyncioTestCase):
+    """A follower whose watcher has ended."""
+
+    async def asyncSetUp(self):
+        centres = {f"host-{n}": f"centre-{n % 2}" for n in range(6)}
+        self.watchers = choose_owners(WATCHERS_HASH_KEY, centres, 2)
+        self.name = min(set(centres) - self.watchers)
+        self.order = order_owners(
+            WATCHERS_HASH_KEY,
+            self.name,
+            centres[self.name],
+            {name: centres[name] for name in self.watchers},
+        )
+        self.ended = set()
+        self.asked = []
+        peers = run_peers({name: self.make_handler(name) for name in centres})
+        peers = await self.enterAsyncContext(peers)
+        self.store = MemoryStore()
+        self.store.put("k", b"v")
+        own = peers[self.name]
+        self.follower = ChangeFollower(
+            own.host,
+            self.store,
+            ChangeHistory(),
+            own.links,
+            lambda: centres,
+            lambda name: peers[name].host,
+            3,
+            DecisionLog(self.name),
+        )
+        self.peers = peers
+
+    def make_handler(self, name):
+        async def handle(exchange):
+            self.asked.append(name)
+            if name in self.ended:
+                exchange.connection.close()
+            return ChangesReport(isinstance(exchange.message, AskChanges), (), 7)
+
+        return handle
+
+    async def watch(self):
+        return (await self.follower.watch("", 1, 0.1)).revision
+
+    async def test_the_next_watcher_is_followed_before_the_store_is_watched(self):
+        # The store would send each follower the whole of a large value.
+        self.ended.add(self.order[0])
+        self.assertEqual(await self.watch(), 7)
+        self.assertEqual(self.asked, self.order)
+        self.assertEqual(self.store.calls, [])
+        self.assertTrue(self.follower.is_following)
+        self.assertFalse(self.follower.is_watcher)
+
+    async def test_the_store_is_watched_once_all_watchers_have_ended(self):
+        self.ended |= self.watchers
+        self.assertEqual(await self.watch(), self.store.revision)
+        self.assertEqual(self.asked, self.order)
+        self.assertEqual(self.store.calls, ["watch"])
+        self.assertFalse(self.follower.is_following)
+        # They are not asked again for a while.
+        with contextlib.suppress(TimeoutError):
+            await self.watch()
+        self.assertEqual(self.asked, self.order)
+
+    async def test_the_first_watcher_follows_no_host(self):
+        own = self.peers[min(self.watchers)].host
+        self.follower._own = own
+        self.assertTrue(self.follower.is_watcher)
+        self.assertEqual(self.follower.list_watchers(), [])
