--- a/tests/wasabipitch/test_configuration_processes.py
+++ b/tests/wasabipitch/test_configuration_processes.py
@@ -1,4 +1,4 @@
-"""Host processes that get a configuration from a host that is killed halfway."""
+"""Host processes that get a large configuration from each other."""
 
 import asyncio
 import json
@@ -19,6 +19,8 @@
 ROUTES = 2000
 # The host that is killed sends a configuration of 20 KB or more in 6 s or more.
 SLOW_LINK_MBPS = 0.05
+STRONG_HOSTS = ("host-1", "host-2")
+STRONG_LINK_MBPS, WEAK_LINK_MBPS = 200.0, 10.0
 # The other hosts need a second; the machine may be busy.
 TIMEOUT_S = 60.0
 
@@ -51,7 +53,18 @@
         ]
 
 
-class KilledHostTest(unittest.IsolatedAsyncioTestCase):
+class FleetCase(unittest.IsolatedAsyncioTestCase):
+    """Starts a fleet of host processes in two data centres.
+
+    Attributes:
+        first: The watcher that reads the store; the other watcher follows it.
+        others: The other hosts.
+    """
+
+    def find_link_mbps(self, host):
+        """Return the bandwidth in a host's settings, or 0 for none."""
+        return 0.0
+
     async def asyncSetUp(self):
         self.platform = PlatformService({})
         await self.platform.start()
@@ -66,13 +79,12 @@
             self.addAsyncCleanup(host.kill)
         centres = {name: host.centre for name, host in self.hosts.items()}
         watchers = choose_owners(WATCHERS_HASH_KEY, centres, len(CENTRES))
-        # The first watcher reads the store, and the others follow it.
-        self.killed = self.hosts[min(watchers)]
-        self.killed.link_mbps = SLOW_LINK_MBPS
-        self.others = [host for host in self.hosts.values() if host is not self.killed]
+        self.first = self.hosts[min(watchers)]
+        self.others = [host for host in self.hosts.values() if host is not self.first]
         self.configure(1, 3)
         seeds = [host.links for host in self.hosts.values()]
         for host in self.hosts.values():
+            host.link_mbps = self.find_link_mbps(host)
             host.write_settings(seeds)
             await host.start()
 
@@ -92,20 +104,26 @@
         ]
         return peers[-1] if peers else None
 
-    async def test_the_others_get_it_although_the_host_that_sends_it_ends(self):
+    async def wait_version(self, version, hosts):
         await self.wait_for(
-            lambda: all(1 in host.find_versions() for host in self.hosts.values())
+            lambda: all(version in host.find_versions() for host in hosts)
         )
+
+
+class KilledHostTest(FleetCase):
+    def find_link_mbps(self, host):
+        return SLOW_LINK_MBPS if host is self.first else 0.0
+
+    async def test_the_others_get_it_although_the_host_that_sends_it_ends(self):
+        await self.wait_version(1, self.hosts.values())
         await self.wait_for(lambda: all(map(self.find_followed, self.others)))
         self.platform.store.calls.clear()
         self.configure(2, ROUTES)
-        await self.wait_for(lambda: 2 in self.killed.find_versions())
+        await self.wait_for(lambda: 2 in self.first.find_versions())
         await asyncio.sleep(0.5)
-        self.killed.send(signal.SIGKILL)
+        self.first.send(signal.SIGKILL)
         early = [host.name for host in self.others if 2 in host.find_versions()]
-        await self.wait_for(
-            lambda: all(2 in host.find_versions() for host in self.others)
-        )
+        await self.wait_version(2, self.others)
         sources = [host.find_sources(2)[-1] for host in self.others]
         self.assertEqual(early, [])
         # The store has to be read by the next watcher, but not by all hosts.
@@ -113,12 +131,35 @@
         self.assertTrue(any(source.startswith("peer") for source in sources))
         # Versions go on to arrive after the change of the watcher.
         self.configure(3, ROUTES + 1)
-        await self.wait_for(
-            lambda: all(3 in host.find_versions() for host in self.others)
-        )
+        await self.wait_version(3, self.others)
         for host in self.others:
             self.assertEqual(host.find_versions(), [1, 2, 3])
 
 
+class PowerLossTest(FleetCase):
+    """All hosts start at once while the store has a large configuration."""
+
+    def find_link_mbps(self, host):
+        return STRONG_LINK_MBPS if host.name in STRONG_HOSTS else WEAK_LINK_MBPS
+
+    async def test_hosts_on_slow_links_get_it_from_the_others(self):
+        await self.wait_version(1, self.hosts.values())
+        self.configure(2, 2 * ROUTES)
+        await self.wait_version(2, self.hosts.values())
+        for host in self.hosts.values():
+            await host.kill()
+            host._log.write_text("")
+        for host in self.hosts.values():
+            await host.start()
+        await self.wait_version(2, self.hosts.values())
+        for host in self.hosts.values():
+            events = [line["event"] for line in host.read_log()]
+            is_weak = host.name not in STRONG_HOSTS
+            self.assertEqual("listing split" in events, is_weak)
+        weak = [host for host in self.others if host.name not in STRONG_HOSTS]
+        sources = [host.find_sources(2)[-1] for host in weak]
+        self.assertLess(sources.count("store"), len(weak) / 2)
+
+
 if __name__ == "__main__":
     unittest.main()
