--- a/src/wasabipitch/group/assembly.py
+++ b/src/wasabipitch/group/assembly.py
@@ -149,14 +149,30 @@
             group.close()
 
     def apply_configuration(self, configuration: Configuration) -> None:
-        """Apply a newer configuration: add, change and remove groups."""
-        for name in set(self._groups) - set(configuration.groups):
+        """Apply a newer configuration: add, change and remove groups.
+
+        Most versions change routes only, and recomputing a group takes as long as the
+        hashes of all hosts.
+        """
+        removed = set(self._groups) - set(configuration.groups)
+        for name in removed:
             self._groups.pop(name).close()
-        for settings in configuration.groups.values():
+        changed = [
+            settings
+            for settings in configuration.groups.values()
+            if not self._has_settings(settings)
+        ]
+        for settings in changed:
             if settings.name not in self._groups:
                 self._groups[settings.name] = self._make_group(settings)
             self._groups[settings.name].state.settings = settings
             self.update_group(settings.name)
+        if removed and self._groups and not changed:
+            self._serve_owned_groups()
+
+    def _has_settings(self, settings: GroupSettings) -> bool:
+        group = self._groups.get(settings.name)
+        return group is not None and group.state.settings == settings
 
     def _make_state(self, settings: GroupSettings) -> GroupState:
         registration, mirror, name = self._registration, self._mirror, settings.name
@@ -276,12 +292,15 @@
         is_owner = self._host.name in state.owners
         owners = len(state.owners)
         group.dispatcher.update(state.entries, share if is_owner else 0, owners)
+        self._serve_owned_groups()
+        state.wake()
+
+    def _serve_owned_groups(self) -> None:
         self._registration.serve(
             found.state.name
             for found in self._groups.values()
             if self._host.name in found.state.owners
         )
-        state.wake()
 
     def rebalance_connections(self) -> None:
         """Recompute the shares of connections after hosts joined or left."""
