--- a/src/standins/memory_store.py
+++ b/src/standins/memory_store.py
@@ -11,6 +11,7 @@
 from wasabipitch.exceptions import (
     HistoryLost,
     LeaseEnded,
+    ListingTooLarge,
     RecordConflict,
     StoreUnavailable,
 )
@@ -47,11 +48,17 @@
         # The number of next commits whose replies are lost after they took effect.
         self.lost_answers = 0
         self.compacted_revision = 0
+        # What ``read_progress_s`` returns.
+        self.progressed_at_s = 0.0
         self._history: list[Item | Removal] = []
         self._leases: set[int] = set()
         self._next_lease = 100
         self._changed = asyncio.Event()
 
+    def read_progress_s(self) -> float:
+        """Return when a part of an answer last arrived, as a test has set it."""
+        return self.progressed_at_s
+
     async def get(self, key: str) -> Item | None:
         """Return the item of a key, or None."""
         self._begin_call("get")
@@ -63,10 +70,17 @@
         item = self.items.get(key)
         return (item.revision if item else ABSENT), self.revision
 
-    async def list(self, prefix: str) -> Listing:
-        """Return the items whose keys start with a prefix."""
+    async def list(self, prefix: str, max_bytes: int = 0) -> Listing:
+        """Return the items whose keys start with a prefix.
+
+        Raises:
+            ListingTooLarge: The values have more bytes than a limit other than 0.
+        """
         self._begin_call("list")
         items = [item for key, item in self.items.items() if key.startswith(prefix)]
+        size = sum(len(item.value) for item in items)
+        if max_bytes and size > max_bytes:
+            raise ListingTooLarge(f"{size} bytes", verdict=Verdict.NOT_RUN)
         return Listing(tuple(items), self.revision)
 
     async def watch(self, prefix: str, after: int, wait_s: float) -> Changes:
--- a/src/wasabipitch/coordination/following.py
+++ b/src/wasabipitch/coordination/following.py
@@ -14,7 +14,13 @@
 
 from wasabipitch.clock import now_s
 from wasabipitch.coordination.revisions import find_epoch
-from wasabipitch.coordination.store import Changes, CoordinationStore, Item, Removal
+from wasabipitch.coordination.store import (
+    Changes,
+    CoordinationStore,
+    Item,
+    Omission,
+    Removal,
+)
 from wasabipitch.exceptions import HistoryLost, LinkError
 from wasabipitch.links import RemoteError
 from wasabipitch.models import Host
@@ -33,15 +39,19 @@
 WATCHER_BACKOFF_S = 5.0
 
 
-def pack(event: Item | Removal) -> StoredItem:
+def pack(event: Item | Removal | Omission) -> StoredItem:
     """Return a change as a message to another host."""
+    if isinstance(event, Omission):
+        return StoredItem(event.key, None, event.revision, omitted=True)
     if isinstance(event, Removal):
         return StoredItem(event.key, None, event.revision)
     return StoredItem(event.key, event.value, event.revision, event.lease)
 
 
-def unpack(item: StoredItem) -> Item | Removal:
+def unpack(item: StoredItem) -> Item | Removal | Omission:
     """Return the change that ``pack`` made a message of."""
+    if item.omitted:
+        return Omission(item.key, item.revision)
     if item.value is None:
         return Removal(item.key, item.revision)
     return Item(item.key, item.value, item.revision, item.lease)
@@ -51,7 +61,7 @@
     """The latest changes of the local copy, in the order in which they were applied."""
 
     def __init__(self) -> None:
-        self._events: deque[Item | Removal] = deque()
+        self._events: deque[Item | Removal | Omission] = deque()
         # Changes up to this revision may be missing; None before the copy is loaded.
         self._forgotten_revision: int | None = None
         # All changes up to this revision were added.
@@ -70,7 +80,7 @@
         self._forgotten_revision = revision
         self.advance(revision)
 
-    def add(self, event: Item | Removal) -> None:
+    def add(self, event: Item | Removal | Omission) -> None:
         """Add a change.
 
         Changes may be added out of order: records that were read directly come
@@ -125,11 +135,11 @@
         read_data_centres: Returns the data centre of each host that may be a
             watcher, by name.
         find_host: Returns a host by its name.
-        read_strong_hosts: Returns the names of the strong hosts, which are preferred as
-            watchers, or none if the hosts are alike.
         max_direct_watchers: A fleet of no more hosts than this has no followers:
             each host watches the store itself.
         decisions: The log of the choice of a watcher.
+        read_strong_hosts: Returns the names of the strong hosts, which are preferred as
+            watchers, or none if the hosts are alike.
     """
 
     def __init__(
@@ -140,9 +150,9 @@
         links: PeerLinks,
         read_data_centres: Callable[[], Mapping[str, str]],
         find_host: Callable[[str], Host],
-        read_strong_hosts: Callable[[], Collection[str]],
         max_direct_watchers: int,
         decisions: DecisionLog,
+        read_strong_hosts: Callable[[], Collection[str]] = frozenset,
     ) -> None:
         self._own = own
         self._store = store
@@ -164,16 +174,25 @@
         return self._followed is not None
 
     async def watch(self, prefix: str, after: int, wait_s: float) -> Changes:
-        """Wait for changes after a revision; see ``CoordinationStore.watch``."""
-        watcher = self._find_watcher()
-        self._update_followed(watcher.name if watcher else None)
-        if watcher is not None:
+        """Wait for changes after a revision; see ``CoordinationStore.watch``.
+
+        The store's watch sends large values, so it comes after all watchers.
+        """
+        while (watcher := self._find_watcher()) is not None:
+            self._update_followed(watcher.name)
             changes = await self._ask(watcher, after, wait_s)
             if changes is not None:
                 return changes
             self.avoid_watcher()
+        self._update_followed(None)
         return await self._store.watch(prefix, after, wait_s)
 
+    def read_progress_s(self) -> float:
+        """Return when a part of an answer to ``watch`` last arrived, or 0."""
+        if self._followed is None:
+            return self._store.read_progress_s()
+        return self._links.find(self._find_host(self._followed)).read_progress_s()
+
     def avoid_watcher(self) -> None:
         """Stop following a silent or late watcher for ``WATCHER_BACKOFF_S``."""
         if self._followed is not None:
@@ -186,44 +205,58 @@
             # A longer chain of followers would add the delay of each of them.
             return ChangesReport(False)
         changes = await self._history.wait(ask.after, ask.wait_s)
-        if changes is None:
+        if changes is None or not (ask.takes_omissions or _is_complete(changes)):
             return ChangesReport(False, (), self._history.revision)
         return ChangesReport(True, tuple(map(pack, changes.events)), changes.revision)
 
+    @property
+    def is_watcher(self) -> bool:
+        """Whether other hosts may follow this one."""
+        return self._own.name in self._choose_watchers()
+
+    def list_watchers(self) -> list[Host]:
+        """Return the hosts that this one may follow, the best first."""
+        return [self._find_host(name) for name in self._order_watchers()]
+
     def _find_watcher(self) -> Host | None:
+        at_s = now_s()
+        for name in self._order_watchers():
+            if self._backoff_until_s.get(name, 0.0) <= at_s:
+                return self._find_host(name)
+        return None
+
+    def _order_watchers(self) -> list[str]:
+        """Return the names of the hosts that this one may follow, the best first."""
+        watchers = self._choose_watchers()
+        self._is_watcher = self._own.name in watchers
+        if self._is_watcher:
+            # The watchers, too, follow the first of them.
+            order = sorted(watchers)
+            return order[: order.index(self._own.name)]
+        return order_owners(
+            WATCHERS_HASH_KEY, self._own.name, self._own.data_centre, watchers
+        )
+
+    def _choose_watchers(self) -> dict[str, str]:
+        """Return the data centres of the watchers by name, none in a small fleet."""
         centres = dict(self._read_data_centres())
         if len(centres) <= self._max_direct_watchers:
-            return None
-        watchers = choose_owners(
+            return {}
+        names = choose_owners(
             WATCHERS_HASH_KEY,
             centres,
             len(set(centres.values())),
             self._read_strong_hosts(),
         )
-        self._is_watcher = self._own.name in watchers
-        if self._is_watcher:
-            # The watchers, too, follow the first of them.
-            order = sorted(watchers)
-            order = order[: order.index(self._own.name)]
-        else:
-            order = order_owners(
-                WATCHERS_HASH_KEY,
-                self._own.name,
-                self._own.data_centre,
-                {name: centres[name] for name in watchers},
-            )
-        at_s = now_s()
-        for name in order:
-            if self._backoff_until_s.get(name, 0.0) <= at_s:
-                return self._find_host(name)
-        return None
+        return {name: centres[name] for name in names}
 
     async def _ask(self, watcher: Host, after: int, wait_s: float) -> Changes | None:
         timeout_s = wait_s + ANSWER_MARGIN_S
         try:
             async with asyncio.timeout(timeout_s):
                 link = self._links.find(watcher)
-                report = await link.call(AskChanges(after, wait_s), timeout_s)
+                ask = AskChanges(after, wait_s, takes_omissions=True)
+                report = await link.call(ask, timeout_s)
         except (LinkError, RemoteError, TimeoutError) as exc:
             self._decisions.routine(
                 "peer did not help", peer=watcher.name, reason=str(exc)
@@ -243,3 +276,7 @@
             self._decisions.belief("store watched itself")
         else:
             self._decisions.belief("changes followed at a peer", peer=name)
+
+
+def _is_complete(changes: Changes) -> bool:
+    return not any(isinstance(event, Omission) for event in changes.events)
--- a/src/wasabipitch/messages.py
+++ b/src/wasabipitch/messages.py
@@ -9,6 +9,7 @@
     Agreement,
     AskAgreement,
     AskChanges,
+    AskConfiguration,
     AskConnections,
     AskHead,
     AskPosition,
@@ -16,6 +17,8 @@
     AskStoreHead,
     AskTokens,
     ChangesReport,
+    ConfigurationOffer,
+    ConfigurationPart,
     EndTransaction,
     HeadReport,
     PositionReport,
@@ -366,6 +369,9 @@
     | AskChanges
     | ChangesReport
     | AskPosition
+    | AskConfiguration
+    | ConfigurationOffer
+    | ConfigurationPart
     | AskRecord
     | AskConnections
     | PositionReport
--- a/tests/wasabipitch/coordination/test_relay.py
+++ b/tests/wasabipitch/coordination/test_relay.py
@@ -67,7 +67,7 @@
         # A silent store answers no call that it received before its return.
         calls = []
 
-        async def list_silently_once(prefix):
+        async def list_silently_once(prefix, max_bytes):
             calls.append(prefix)
             if len(calls) == 1:
                 await asyncio.Event().wait()
@@ -76,7 +76,9 @@
         with (
             patch.object(self.store, "_read_peers", lambda: []),
             patch.object(
-                self.store, "_direct", SimpleNamespace(list=list_silently_once)
+                self.store,
+                "_direct",
+                SimpleNamespace(list=list_silently_once, read_progress_s=lambda: 0.0),
             ),
         ):
             async with asyncio.timeout(5):
--- a/tests/wasabipitch/gateway_fixture.py
+++ b/tests/wasabipitch/gateway_fixture.py
@@ -65,6 +65,10 @@
             },
         )
 
+    def decode_configuration_steps(self, item):
+        yield
+        return self.decode_configuration(item)
+
     def decode_instance(self, item):
         fields = json.loads(item.value)
         if fields is None:
@@ -84,6 +88,9 @@
         self.cut = False
         self._store = store
 
+    def read_progress_s(self):
+        return self._store.read_progress_s()
+
     def __getattr__(self, name):
         method = getattr(self._store, name)
 
