Send an account's statements to one owner, and bound the shares while owners change

Forwarding hosts spread an account over all owners of a data centre, each of which would open its own connection. They now order the owners by account. An owner forwards its own callers' statements likewise while it has neither a connection of the account nor room for one.

An owner that loses its share closes idle connections at once. After a loss of power the names of the hosts that ran before count when shares are computed.

The place in the queue that admission assumes for a request takes the accounts' shares into account.

--- a/src/wasabipitch/group/assembly.py
+++ b/src/wasabipitch/group/assembly.py
@@ -33,7 +33,7 @@
 from wasabipitch.group.state import GroupState
 from wasabipitch.group.supervisor import GroupSupervisor
 from wasabipitch.instances.dispatcher import Dispatcher
-from wasabipitch.instances.pool import InstancePool
+from wasabipitch.instances.pool import SHARE_TAKEOVER_S, InstancePool
 from wasabipitch.models import Host
 from wasabipitch.operations.decisions import DecisionLog
 from wasabipitch.operations.measures import Gauge
@@ -114,7 +114,12 @@
         # The states of all groups that this host ever had. The store goes on to list it
         # as a writer of a group that the configuration lacks for a while.
         self._states: dict[str, GroupState] = {}
+        # Until when this host counts as one that joins others, and the groups in which
+        # it has done so. None until the local copy of the store was loaded.
+        self._joins_until_s: float | None = None
+        self._joined: set[str] = set()
         mirror.subscribe(self._apply_record)
+        mirror.on_applied(self._record_start)
         mirror.on_confirmed(self.wake)
 
     @property
@@ -231,8 +236,15 @@
             self._links,
             lambda: self._list_fellow_owners(state),
             self._decisions,
+            lambda account: self._list_fellow_owners(state, account),
+        )
+        forwarding = ForwardingRunner(
+            state,
+            runner,
+            remote,
+            dispatcher.has_connection,
+            lambda account: self._find_account_owner(state, account),
         )
-        forwarding = ForwardingRunner(state, runner, remote)
         task = tasks.spawn_supervised(supervisor.run, f"supervisor of {state.name}")
         return Group(state, dispatcher, peers, runner, remote, forwarding, task)
 
@@ -274,11 +286,15 @@
         centres.setdefault(self._host.name, self._host.data_centre)
         limit = state.settings.max_connections
         state.owners = choose_owners(name, centres, count_owners(limit, len(centres)))
-        share = connections_per_owner(limit, len(state.owners))
         is_owner = self._host.name in state.owners
         owners = len(state.owners)
+        share = connections_per_owner(limit, self._count_expected_owners(limit, owners))
         group.dispatcher.update(
-            state.entries, share if is_owner else 0, owners, self._has_accounts
+            state.entries,
+            share if is_owner else 0,
+            owners,
+            self._has_accounts,
+            is_owner and self._is_joining(name),
         )
         self._registration.serve(
             found.state.name
@@ -287,6 +303,34 @@
         )
         state.wake()
 
+    def _count_expected_owners(self, limit: int, owners: int) -> int:
+        """Return the number of owners among which connections are divided.
+
+        After a loss of power the hosts register one after another. Where connections
+        belong to accounts and may not exceed the limit even for a moment, the names of
+        the hosts that ran before count already.
+        """
+        if not self._has_accounts:
+            return owners
+        return max(owners, count_owners(limit, self._live_hosts.count_names()))
+
+    def _record_start(self) -> None:
+        """Record whether this host is new, or runs again and has its former share."""
+        if self._joins_until_s is None:
+            is_known = self._live_hosts.is_named(self._host.name)
+            self._joins_until_s = 0.0 if is_known else now_s() + SHARE_TAKEOVER_S
+            self.rebalance_connections()
+
+    def _is_joining(self, group: str) -> bool:
+        """Return whether other hosts may still hold this host's share of a group."""
+        if group in self._joined or now_s() >= (self._joins_until_s or 0.0):
+            return False
+        own = self._registration.record.incarnation
+        if not self._live_hosts.list_serving_hosts(group) - {own}:
+            return False
+        self._joined.add(group)
+        return True
+
     def rebalance_connections(self) -> None:
         """Recompute the shares of connections after hosts joined or left."""
         for name in self._groups:
@@ -340,8 +384,13 @@
         if found is not None:
             found.dispatcher.release_unused(instance)
 
-    def _list_fellow_owners(self, state: GroupState) -> list[Host]:
-        owners = self._list_owners(state)
+    def _find_account_owner(self, state: GroupState, account: str) -> Host | None:
+        """Return the owner of an account's statements, or None if it is this host."""
+        owners = self._list_owners(state, account)
+        return owners[0] if owners and owners[0].name != self._host.name else None
+
+    def _list_fellow_owners(self, state: GroupState, account: str = "") -> list[Host]:
+        owners = self._list_owners(state, account)
         return [owner for owner in owners if owner.name != self._host.name]
 
     def _list_peers(self, state: GroupState) -> list[Host]:
@@ -350,11 +399,11 @@
         peers = self._live_hosts.list_peers(self._host.name)
         return list((owners | {peer.name: peer for peer in peers}).values())
 
-    def _list_owners(self, state: GroupState) -> list[Host]:
+    def _list_owners(self, state: GroupState, account: str = "") -> list[Host]:
         centres = self._live_hosts.find_data_centres()
         owners = {name: centres[name] for name in state.owners if name in centres}
         order = order_owners(
-            state.name, self._host.name, self._host.data_centre, owners
+            state.name, account or self._host.name, self._host.data_centre, owners
         )
         return [self._live_hosts.find_host(name) for name in order]
 
--- a/src/wasabipitch/group/remote.py
+++ b/src/wasabipitch/group/remote.py
@@ -62,6 +62,8 @@
         links: The links to the peers.
         find_owners: Returns the other owners in the order in which to try them.
         decisions: The log of decisions.
+        find_account_owners: Returns them in the order for the statements of an
+            account, or None if accounts make no difference.
     """
 
     def __init__(
@@ -70,10 +72,12 @@
         links: PeerLinks,
         find_owners: Callable[[], list[Host]],
         decisions: DecisionLog,
+        find_account_owners: Callable[[str], list[Host]] | None = None,
     ) -> None:
         self._group = group
         self._links = links
         self._find_owners = find_owners
+        self._find_account_owners = find_account_owners
         self._decisions = decisions
         self._avoid_until_s: dict[str, float] = {}
         self._tasks: set[asyncio.Task] = set()
@@ -115,7 +119,7 @@
     ) -> Reply:
         if transaction is not None:
             transaction.wrote = _writes(message)
-        for owner in self._order_owners():
+        for owner in self._order_owners(session.account):
             try:
                 reply = await self._ask(owner, message)
             except LinkDown:
@@ -142,7 +146,7 @@
         hedge_after_s = route.objective_s * HEDGE_OBJECTIVE_SHARE
         tasks: dict[asyncio.Task, Host] = {}
         try:
-            for owner in self._order_owners():
+            for owner in self._order_owners(session.account):
                 tasks[asyncio.ensure_future(self._ask(owner, message))] = owner
                 reply = await self._await_first(tasks, hedge_after_s)
                 if reply is not None:
@@ -188,9 +192,16 @@
             self._avoid_until_s[owner.name] = now_s() + AVOID_OWNER_S
             raise
 
-    def _order_owners(self) -> list[Host]:
+    def is_avoided(self, owner: Host) -> bool:
+        """Return whether an owner did not answer lately."""
+        return self._avoid_until_s.get(owner.name, 0.0) > now_s()
+
+    def _order_owners(self, account: str) -> list[Host]:
         at_s = now_s()
-        owners = self._find_owners()
+        if account and self._find_account_owners is not None:
+            owners = self._find_account_owners(account)
+        else:
+            owners = self._find_owners()
         owners.sort(key=lambda owner: self._avoid_until_s.get(owner.name, 0.0) > at_s)
         return owners[:MAX_OWNERS_TRIED]
 
--- a/src/wasabipitch/instances/dispatcher.py
+++ b/src/wasabipitch/instances/dispatcher.py
@@ -17,6 +17,7 @@
 from wasabipitch.policy import connection_use, placement, waiting
 from wasabipitch.policy.connection_use import Use
 from wasabipitch.policy.placement import ServiceTimes
+from wasabipitch.policy.waiting import QueueState
 from wasabipitch.policy.window import window_limit
 from wasabipitch.wire.codecs import InstanceCodec
 
@@ -65,6 +66,7 @@
             used only if no other instance is allowed.
         account: The client account that the request belongs to, or an empty string.
             Only connections of this account serve it.
+        waits: Whether its wait for one of its account's connections was recorded.
         placed_s: The time by which it is ordered within its priority, set on arrival.
         arrival: The sequence number of its arrival, set automatically.
         granted: The future of its checkout, set automatically.
@@ -77,6 +79,7 @@
     deadline_s: float
     avoid: set[str] = msgspec.field(default_factory=set)
     account: str = ""
+    waits: bool = False
     placed_s: float = 0.0
     arrival: int = msgspec.field(default_factory=lambda: next(_arrivals))
     granted: asyncio.Future = msgspec.field(default_factory=asyncio.Future)
@@ -130,6 +133,7 @@
         own_share: int,
         hosts: int = 1,
         has_accounts: bool = False,
+        is_joining: bool = False,
     ) -> None:
         """Update the pools to the registered instances and the host's share.
 
@@ -141,6 +145,7 @@
             has_accounts: Whether the configuration has client accounts. Connections
                 are scarce then, and none is opened above the share: the shares of all
                 hosts together are what an instance accepts.
+            is_joining: Whether this host joins others that hold connections.
         """
         self._has_accounts = has_accounts
         overflow = 0 if has_accounts else OVERFLOW_CONNECTIONS
@@ -162,7 +167,7 @@
                 )
                 self.pools[name] = pool
             pool.entry = entry
-            pool.resize(own_share, overflow_limit, has_accounts)
+            pool.resize(own_share, overflow_limit, has_accounts, is_joining)
             pool.window.resize(window_limit(pool.overflow_limit, entry.slots, hosts))
         self.dispatch()
 
@@ -189,6 +194,19 @@
             ]
         return gauges
 
+    def has_connection(self, account: str, primary_only: bool) -> bool:
+        """Return whether an account has an idle connection or there is room for one.
+
+        Args:
+            account: The client account.
+            primary_only: Whether only the primary's connections count.
+        """
+        return any(
+            pool.has_idle(account) or pool.has_room()
+            for name, pool in self.pools.items()
+            if not primary_only or self._is_primary(name)
+        )
+
     def find_lagging(self) -> list[str]:
         """Return the names of the instances in backoff because they lag."""
         at_s = now_s()
@@ -260,22 +278,54 @@
         This is to be called whenever a connection may have become free or the set
         of allowed instances may have changed.
         """
-        queued: Counter[str] = Counter()
+        if self._has_accounts:
+            self._dispatch_by_account()
+            return
         for request in list(self._waiting):
-            if request.granted.done():
-                self._waiting.remove(request)
-                continue
-            checkout = self._try_check_out(request)
-            if checkout is not None:
-                self._waiting.remove(request)
-                request.granted.set_result(checkout)
+            if self._is_settled(request):
                 continue
-            queued[request.account] += 1
-            if self._has_accounts or request.account:
-                self._open_for_account(request, queued[request.account])
+            if request.account:
+                self._open_for_account(request, 1, True)
             else:
                 self._open_for(request)
 
+    def _is_settled(self, request: ConnectionRequest) -> bool:
+        """Return whether a waiting request has ended or has got a connection now."""
+        if request.granted.done():
+            self._waiting.remove(request)
+            return True
+        checkout = self._try_check_out(request)
+        if checkout is None:
+            return False
+        self._waiting.remove(request)
+        request.granted.set_result(checkout)
+        return True
+
+    def _dispatch_by_account(self) -> None:
+        """Assign free connections where each of them belongs to an account.
+
+        The requests of an account that resemble one which nothing can be done for are
+        not examined: a hot account may have a hundred of them.
+        """
+        others_waiting = len({request.account for request in self._waiting}) > 1
+        queued: Counter[str] = Counter()
+        stuck: set[tuple] = set()
+        for request in list(self._waiting):
+            if not self._has_capacity():
+                return
+            key = (request.account, request.kind, frozenset(request.avoid))
+            if key in stuck or self._is_settled(request):
+                continue
+            queued[request.account] += 1
+            may_improve = self._open_for_account(
+                request, queued[request.account], others_waiting
+            )
+            if not may_improve:
+                stuck.add(key)
+
+    def _has_capacity(self) -> bool:
+        return any(pool.has_capacity() for pool in self.pools.values())
+
     def _suitable_pools(self, request: ConnectionRequest) -> list[InstancePool]:
         names = request.find_allowed()
         allowed = [pool for name, pool in self.pools.items() if name in names]
@@ -288,6 +338,8 @@
             pool for pool in self._suitable_pools(request) if pool.has_idle(account)
         ]
         responsive = [pool for pool in suitable if pool.silent_since_s is None]
+        if suitable and not responsive and self._is_served_elsewhere(request):
+            return None
         loads = [self._load(pool, at_s) for pool in responsive or suitable]
         best = placement.choose_instance(loads, self.service_times.read(request.kind))
         if best is None:
@@ -295,6 +347,13 @@
         pool = self.pools[best.name]
         return Checkout(pool, pool.check_out(account), at_s, self._record_checkout)
 
+    def _is_served_elsewhere(self, request: ConnectionRequest) -> bool:
+        """Return whether a responsive instance can be used on a new connection."""
+        return self._has_accounts and any(
+            pool.silent_since_s is None and pool.can_serve(request.account)
+            for pool in self._suitable_pools(request)
+        )
+
     def _load(self, pool: InstancePool, at_s: float) -> placement.Load:
         return placement.Load(
             name=pool.name,
@@ -310,57 +369,133 @@
         for pool in self._suitable_pools(request):
             pool.open_up_to(pool.overflow_limit)
 
-    def _open_for_account(self, request: ConnectionRequest, position: int) -> None:
+    def _open_for_account(
+        self, request: ConnectionRequest, position: int, others_waiting: bool
+    ) -> bool:
         """Open a connection for a waiting request if that is better than to wait.
 
         Args:
             request: The request; no connection of its account can be checked out.
             position: Its place among the account's waiting requests.
+            others_waiting: Whether requests of other accounts wait.
+
+        Returns:
+            Whether the outcome may differ for a later request of the account.
         """
         account = request.account
-        pools = self._suitable_pools(request)
+        pools = _prefer_responsive(self._suitable_pools(request))
         demand = connection_use.Demand(
             position,
             sum(pool.count_used(account) for pool in pools),
             sum(pool.count_opening(account) for pool in pools),
             self._checkout_s,
         )
-        others_waiting = any(other.account != account for other in self._waiting)
-        options: dict[Use, list[InstancePool]] = {}
+        options: list[tuple[float, Use, InstancePool, str]] = []
+        may_differ = False
         for pool in pools:
-            if pool.may_open:
-                state = pool.describe_use(account, others_waiting)
-                decision = connection_use.decide(demand, state)
-                options.setdefault(decision.use, []).append(pool)
-        if Use.OPEN in options:
-            self._choose_pool(options[Use.OPEN], request).open_for(account)
-        elif Use.REPLACE in options:
-            self._choose_pool(options[Use.REPLACE], request).replace_for(account)
-
-    def _choose_pool(
-        self, pools: list[InstancePool], request: ConnectionRequest
-    ) -> InstancePool:
-        at_s = now_s()
-        loads = [self._load(pool, at_s) for pool in pools]
-        best = placement.choose_instance(loads, self.service_times.read(request.kind))
-        return self.pools[best.name]
+            if not pool.may_open:
+                continue
+            state = pool.describe_use(account, others_waiting)
+            decision = connection_use.decide(demand, state)
+            if decision.use in (Use.OPEN, Use.REPLACE):
+                cost_s = self._opening_cost_s(request, pool, decision.use)
+                options.append((cost_s, decision.use, pool, decision.reason))
+            else:
+                may_differ = (
+                    may_differ or decision.reason in connection_use.PASSING_REASONS
+                )
+                self._record_wait(request, pool, decision)
+        if options:
+            _, use, pool, reason = min(options, key=lambda option: option[0])
+            self._open_connection(request, pool, use, reason)
+        return bool(options) or may_differ
+
+    def _opening_cost_s(
+        self, request: ConnectionRequest, pool: InstancePool, use: Use
+    ) -> float:
+        """Return what it is expected to cost to run a request on a new connection."""
+        service_s = self.service_times.read(request.kind)
+        load = self._load(pool, now_s())
+        cost_s = placement.expected_response_s(load, service_s)
+        if use is Use.REPLACE:
+            cost_s += connection_use.replacement_loss_s(pool.longest_idle_s)
+        return cost_s
+
+    def _open_connection(
+        self, request: ConnectionRequest, pool: InstancePool, use: Use, reason: str
+    ) -> None:
+        closed = None
+        if use is Use.REPLACE:
+            closed = pool.replace_for(request.account)
+        else:
+            pool.open_for(request.account)
+        self._decisions.routine(
+            "connection opened for account"
+            if closed is None
+            else "connection replaced",
+            account=request.account,
+            closed_account=closed,
+            group=pool.entry.group,
+            instance=pool.name,
+            open=pool.open,
+            reason=reason,
+        )
+
+    def _record_wait(
+        self,
+        request: ConnectionRequest,
+        pool: InstancePool,
+        decision: connection_use.Decision,
+    ) -> None:
+        """Record that a request waits, once."""
+        if request.waits or decision.reason not in connection_use.OWN_WAITS:
+            return
+        request.waits = True
+        self._decisions.count("account_connection_waits", group=pool.entry.group)
+        self._decisions.routine(
+            "connection awaited",
+            account=request.account,
+            group=pool.entry.group,
+            instance=pool.name,
+            reason=decision.reason,
+        )
 
     def _admit(self, request: ConnectionRequest) -> None:
         suitable = self._suitable_pools(request)
-        queue = waiting.QueueState(
-            ahead=sum(other.order < request.order for other in self._waiting),
-            servers=sum(pool.open for pool in suitable),
-            checkout_s=self._checkout_s,
-        )
+        if self._has_accounts:
+            queues = self._describe_account_queues(request, suitable)
+        else:
+            ahead = sum(other.order < request.order for other in self._waiting)
+            servers = sum(pool.open for pool in suitable)
+            queues = [QueueState(ahead, servers, self._checkout_s)]
         at_s = now_s()
         budget = waiting.TimeBudget(
             wait_s=request.wait_until_s - at_s,
             left_s=request.deadline_s - at_s,
             run_s=self.service_times.read(request.kind),
         )
-        refusal = waiting.check_admission(queue, budget)
-        if refusal is not None:
-            raise Overloaded(refusal.reason)
+        for queue in queues:
+            refusal = waiting.check_admission(queue, budget)
+            if refusal is not None:
+                raise Overloaded(refusal.reason)
+
+    def _describe_account_queues(
+        self, request: ConnectionRequest, suitable: list[InstancePool]
+    ) -> list[QueueState]:
+        """Return the queue of all accounts and, while others wait, its account's own.
+
+        Connections that may still be opened count, since several are opened at once.
+        """
+        ahead = Counter(
+            other.account for other in self._waiting if other.order < request.order
+        )
+        limits = [pool.allowed if pool.may_open else pool.open for pool in suitable]
+        account_limit = sum(map(connection_use.max_held, limits))
+        own, total = connection_use.count_ahead(request.account, ahead, account_limit)
+        queues = [QueueState(total, sum(limits), self._checkout_s)]
+        if len(ahead) > 1:
+            queues.append(QueueState(own, account_limit, self._checkout_s))
+        return queues
 
     def _record_checkout(self, seconds: float) -> None:
         self._checkout_s += CHECKOUT_EWMA_WEIGHT * (seconds - self._checkout_s)
@@ -380,3 +515,8 @@
         """Close all connections."""
         for pool in self.pools.values():
             pool.close()
+
+
+def _prefer_responsive(pools: list[InstancePool]) -> list[InstancePool]:
+    responsive = [pool for pool in pools if pool.silent_since_s is None]
+    return responsive or pools
--- a/src/wasabipitch/instances/pool.py
+++ b/src/wasabipitch/instances/pool.py
@@ -46,11 +46,14 @@
 # closes another's idle connection, so that one kept for long blocks nobody and saves
 # its account a handshake.
 ACCOUNT_IDLE_TIMEOUT_S = 15.0
+# An instance without an answer for this long is shown to be back by a new connection
+# if no account uses it meanwhile.
+SILENCE_PROBE_S = 1.0
 # Time that an abandoned statement has to end before its connection is closed.
 ABANDONED_TIMEOUT_S = 3.0
 # A closed connection counts against the limit until the instance can have seen its
-# end, which takes one way of a round trip of up to 1 ms.
-CLOSE_SETTLE_S = 0.005
+# end, which takes one way of a round trip of up to 1 ms and a turn of its event loop.
+CLOSE_SETTLE_S = 0.002
 # An instance may see the end only after the statement that runs on the connection.
 BUSY_CLOSE_SETTLE_S = 0.25
 # A share that has grown is used after this time. The owner that lost it learns of the
@@ -184,20 +187,35 @@
         """All open connections, idle and checked out."""
         return [*self._idle_order, *self._checked_out]
 
-    def resize(self, limit: int, overflow_limit: int, has_accounts: bool) -> None:
+    def resize(
+        self,
+        limit: int,
+        overflow_limit: int,
+        has_accounts: bool = False,
+        is_joining: bool = False,
+    ) -> None:
         """Update the number of connections that this host may hold.
 
         With accounts, a larger share is used only after ``SHARE_TAKEOVER_S``, when the
         host that lost it has closed its connections. Up to then a new owner holds one
-        connection.
+        connection. A host that runs again has the share that it had before.
+
+        Args:
+            limit: The host's own share.
+            overflow_limit: The share plus the permitted overflow connections.
+            has_accounts: Whether the configuration has client accounts.
+            is_joining: Whether this host joins others that hold connections.
         """
-        before = self.allowed
-        if has_accounts and self._is_sized and overflow_limit > before:
+        before = self.allowed if self._is_sized and not is_joining else 0
+        grows = overflow_limit > before and (self._is_sized or is_joining)
+        if has_accounts and grows:
             self._limit_before = max(1, before)
             self._grows_at_s = now_s() + SHARE_TAKEOVER_S
         self._is_sized = True
         self.limit, self.overflow_limit = limit, overflow_limit
         self.has_accounts = has_accounts
+        if has_accounts:
+            self.close_idle()
 
     def has_idle(self, account: str = "") -> bool:
         """Return whether an account's connection can be checked out at once."""
@@ -214,7 +232,11 @@
             return True
         if not self.has_accounts or not self.may_open:
             return False
-        return self.held < self.allowed or len(self._idle_order) > 0
+        return self.has_room() or bool(self._idle_order)
+
+    def has_room(self) -> bool:
+        """Return whether a connection can be opened without closing another one."""
+        return self.may_open and self.held < self.allowed
 
     def check_out(self, account: str = "") -> InstanceConnection:
         """Check out an account's idle connection.
@@ -249,6 +271,26 @@
         """Return how many connections are being opened for an account."""
         return self._opening_by.get(account, 0)
 
+    def has_capacity(self) -> bool:
+        """Return whether a request may be served or a connection opened for one."""
+        has_idle = bool(self._idle_order)
+        if has_idle and self.running < self.window.size:
+            return True
+        if not self.may_open or self._opening >= self._max_opening:
+            return False
+        return has_idle or self.held < self.allowed
+
+    @property
+    def longest_idle_s(self) -> float:
+        """For how long the least recently used idle connection has not been used."""
+        conn = next(iter(self._idle_order), None)
+        return 0.0 if conn is None else now_s() - conn.used_at_s
+
+    @property
+    def _max_opening(self) -> int:
+        # A handshake occupies a slot, as a statement does.
+        return max(1, min(self.entry.slots, self.window.size))
+
     def describe_use(self, account: str, others_waiting: bool) -> PoolUse:
         """Return the state of the pool as an account's request sees it.
 
@@ -261,7 +303,7 @@
             limit=self.allowed,
             held=self.held,
             opening=self._opening,
-            max_opening=max(1, min(self.entry.slots, self.window.size)),
+            max_opening=self._max_opening,
             own=self._held_by.get(account, 0),
             own_idle=own_idle,
             others_idle=len(self._idle_order) - own_idle,
@@ -314,6 +356,7 @@
         self._remove_idle(closed)
         self._forget(closed.account)
         closed.close()
+        self._count("instance_connections_replaced")
         # The new connection takes the place of the closed one in the count.
         self._start_opening(account, CLOSE_SETTLE_S)
         return closed.account
@@ -322,8 +365,16 @@
         """Open a connection if there is none, which also shows a lost instance."""
         if not self.has_accounts:
             self.open_up_to(min(MIN_IDLE_CONNECTIONS, self.limit))
-        elif not self.held:
-            self.open_up_to(min(MIN_IDLE_CONNECTIONS, self.limit), self._last_account)
+        elif not self.held or self._is_unasked():
+            count = min(self.held + MIN_IDLE_CONNECTIONS, self.allowed)
+            self.open_up_to(count, self._last_account)
+
+    def _is_unasked(self) -> bool:
+        """Return whether the instance fell silent and nothing shows the end of it."""
+        since_s = self.silent_since_s
+        if since_s is None or self._checked_out or self._opening:
+            return False
+        return now_s() - since_s > SILENCE_PROBE_S
 
     def close_idle(self) -> None:
         """Close broken connections and those past their idle timeout."""
@@ -339,7 +390,7 @@
     @property
     def _idle_timeout_s(self) -> float:
         if self.has_accounts:
-            return ACCOUNT_IDLE_TIMEOUT_S if self.held <= self.allowed else 0.0
+            return ACCOUNT_IDLE_TIMEOUT_S if self.open <= self.allowed else 0.0
         return OVERFLOW_IDLE_TIMEOUT_S if self.open > self.limit else IDLE_TIMEOUT_S
 
     def release_unused(self) -> None:
@@ -381,6 +432,9 @@
         self._idle_order.clear()
         self._checked_out.clear()
 
+    def _count(self, name: str) -> None:
+        self._decisions.count(name, group=self.entry.group, instance=self.name)
+
     def _spawn(self, coro) -> None:
         task = tasks.spawn(coro, f"connections to {self.name}")
         self._tasks.add(task)
@@ -398,7 +452,7 @@
             self._closed
             or not conn.is_clean
             or conn.entry.born_ms != self.entry.born_ms
-            or (self.has_accounts and self.held >= self.allowed)
+            or (self.has_accounts and self.open >= self.allowed)
         ):
             self._close(conn)
         else:
@@ -450,6 +504,10 @@
                 reply = await conn.send(self._codec.rollback())
                 if reply.state is not SessionState.IDLE:
                     conn.close()
+                if self.has_accounts:
+                    # Few accounts have a connection here that would show the end of a
+                    # silence.
+                    self.record_answer()
         except (InstanceLost, TimeoutError):
             conn.close()
         finally:
@@ -482,7 +540,7 @@
     def _add_opened(self, account: str, conn: InstanceConnection | None) -> None:
         if conn is None:
             self._forget(account)
-        elif self._closed or (self.has_accounts and self.held >= self.allowed):
+        elif self._closed or (self.has_accounts and self.open >= self.allowed):
             # The pool was closed, or its share became smaller, meanwhile.
             self._close(conn)
         else:
@@ -493,6 +551,7 @@
             self._decisions.belief(
                 "instance reachable", instance=self.name, group=self.entry.group
             )
+        self._count("instance_connections_opened")
         self.failing_since_s = None
         self.refused_at_s = None
         self._retry_s = MIN_RETRY_S
@@ -501,6 +560,7 @@
     def _record_failure(self, exc: TargetDown) -> None:
         at_s = now_s()
         if isinstance(exc, NoConnectionLeft):
+            self._count("instance_connections_refused")
             self._retry_at_s = at_s + LIMIT_RETRY_S
             if not self._idle_order and not self._checked_out:
                 self._on_connection_limit(self.name)
--- a/src/wasabipitch/operations/decisions.py
+++ b/src/wasabipitch/operations/decisions.py
@@ -71,6 +71,10 @@
         self._logger.addHandler(handler)
         logging.getLogger().addHandler(handler)
 
+    def count(self, name: str, **labels: str) -> None:
+        """Add one to a counter of the host's metrics, without a line in the log."""
+        self._measures.count(name, **labels)
+
     def belief(self, event: str, **fields: Any) -> None:
         """Log a change of the host's view of the system, or its start or stop."""
         self._measures.count("decisions", event=event)
--- a/src/wasabipitch/policy/connection_use.py
+++ b/src/wasabipitch/policy/connection_use.py
@@ -20,7 +20,7 @@
 
 import enum
 import math
-from collections.abc import Sequence
+from collections.abc import Mapping, Sequence
 
 import msgspec
 
@@ -111,8 +111,13 @@
     idle_s: float
 
 
+BEING_OPENED = "a connection is being opened for it"
 HELD_BACK = "its account holds its share while others are active"
 OWN_WAIT = "one of its account's connections is expected sooner"
+# The reasons to wait for one of the account's own connections.
+OWN_WAITS = frozenset({HELD_BACK, OWN_WAIT})
+# The reasons that need not hold for the account's next request.
+PASSING_REASONS = frozenset({BEING_OPENED, OWN_WAIT})
 
 
 def expected_own_wait_s(demand: Demand) -> float:
@@ -128,6 +133,29 @@
     return max(1, int(limit * MAX_SHARE))
 
 
+def count_ahead(
+    account: str, ahead: Mapping[str, int], account_limit: int
+) -> tuple[int, int]:
+    """Return how many waiting requests delay a new one.
+
+    Requests of other accounts delay it only as far as these accounts may use the
+    connections, so that a hot account's queue does not lead to refusals of others.
+
+    Args:
+        account: The account of the new request.
+        ahead: The number of requests in the queue before it, by account.
+        account_limit: The number of connections that one account may hold.
+
+    Returns:
+        The number of its own account's requests, and that of all accounts.
+    """
+    own = ahead.get(account, 0)
+    others = sum(
+        min(count, account_limit) for name, count in ahead.items() if name != account
+    )
+    return own, own + others
+
+
 def decide(demand: Demand, pool: PoolUse) -> Decision:
     """Return what is done at one instance for a request that waits.
 
@@ -139,7 +167,7 @@
         # The instance runs as many of the host's statements as it may.
         return Decision(Use.IDLE, "one of its account's connections is idle")
     if demand.opening >= demand.position:
-        return Decision(Use.WAIT, "a connection is being opened for it")
+        return Decision(Use.WAIT, BEING_OPENED)
     if pool.opening >= pool.max_opening:
         return Decision(Use.WAIT, "enough connections are being opened")
     if pool.others_active and pool.own >= max_held(pool.limit):
@@ -159,6 +187,18 @@
     return Decision(Use.WAIT, OWN_WAIT)
 
 
+def replacement_loss_s(idle_s: float) -> float:
+    """Return what closing a connection is expected to cost its account.
+
+    The more recently a connection was used, the more likely it is that its account
+    needs it again and pays for another handshake.
+
+    Args:
+        idle_s: For how long the connection has not been used.
+    """
+    return HANDSHAKE_S * ACTIVE_S / (ACTIVE_S + idle_s)
+
+
 def choose_closed(idle: Sequence[IdleConnection], timeout_s: float) -> int:
     """Return the index of the connection that is closed to make room.
 
--- a/src/wasabipitch/policy/ownership.py
+++ b/src/wasabipitch/policy/ownership.py
@@ -80,11 +80,14 @@
     """Return the owners in the order in which a host forwards statements to them.
 
     Owners in the host's own data centre come first. Within a data centre each host
-    has a different order, which spreads the load over the owners.
+    has a different order, which spreads the load over the owners. The statements of
+    an account go to the same owner from all hosts of a data centre, so that few owners
+    hold connections of the account.
 
     Args:
         group: The group's name.
-        own: The name of the host that forwards.
+        own: The account of the statements or, without one, the name of the host that
+            forwards.
         data_centre: The data centre of that host.
         owners: The data centre of each owner, by the owner's name.
     """
