Replay three patterns of load on the connections of accounts in virtual time

An account whose transactions pause for longer than the mean checkout waited for its own connections for ever: a request that has waited now counts that time. The connection that only shows a lost instance counted as another active account. A hot account took all connections to a primary in the gaps between the small accounts' writes, so an account now counts as active for 3 s.

--- a/src/wasabipitch/instances/dispatcher.py
+++ b/src/wasabipitch/instances/dispatcher.py
@@ -28,6 +28,8 @@
 CHECKOUT_EWMA_WEIGHT = 0.05
 # Longer than any checkout delays an account's next request.
 FORGET_PLACE_S = 5.0
+# Interval at which requests are examined that wait for their account's connections.
+RECHECK_S = connection_use.HANDSHAKE_S
 _arrivals = count()
 
 
@@ -67,6 +69,7 @@
         account: The client account that the request belongs to, or an empty string.
             Only connections of this account serve it.
         waits: Whether its wait for one of its account's connections was recorded.
+        arrived_s: The time of its arrival, set with accounts.
         placed_s: The time by which it is ordered within its priority, set on arrival.
         arrival: The sequence number of its arrival, set automatically.
         granted: The future of its checkout, set automatically.
@@ -80,6 +83,7 @@
     avoid: set[str] = msgspec.field(default_factory=set)
     account: str = ""
     waits: bool = False
+    arrived_s: float = 0.0
     placed_s: float = 0.0
     arrival: int = msgspec.field(default_factory=lambda: next(_arrivals))
     granted: asyncio.Future = msgspec.field(default_factory=asyncio.Future)
@@ -124,6 +128,8 @@
         self._waiting: list[ConnectionRequest] = []
         self._has_accounts = False
         self._fair_order = connection_use.FairOrder()
+        self._recheck: asyncio.TimerHandle | None = None
+        self._closed = False
         # Mean duration of a checkout, including the pauses of transactions.
         self._checkout_s = INITIAL_CHECKOUT_S
 
@@ -255,8 +261,9 @@
         if checkout is not None:
             return checkout
         if self._has_accounts:
+            request.arrived_s = now_s()
             request.placed_s = self._fair_order.place(
-                request.priority, request.account, now_s(), self._checkout_s
+                request.priority, request.account, request.arrived_s, self._checkout_s
             )
         self._admit(request)
         self._waiting.append(request)
@@ -320,9 +327,21 @@
             may_improve = self._open_for_account(
                 request, queued[request.account], others_waiting
             )
-            if not may_improve:
+            if may_improve:
+                self._recheck_later()
+            else:
                 stuck.add(key)
 
+    def _recheck_later(self) -> None:
+        """Examine the queue again when a wait may have become too long."""
+        if self._recheck is None and not self._closed:
+            loop = asyncio.get_running_loop()
+            self._recheck = loop.call_later(RECHECK_S, self._run_recheck)
+
+    def _run_recheck(self) -> None:
+        self._recheck = None
+        self.dispatch()
+
     def _has_capacity(self) -> bool:
         return any(pool.has_capacity() for pool in self.pools.values())
 
@@ -389,6 +408,7 @@
             sum(pool.count_used(account) for pool in pools),
             sum(pool.count_opening(account) for pool in pools),
             self._checkout_s,
+            now_s() - request.arrived_s,
         )
         options: list[tuple[float, Use, InstancePool, str]] = []
         may_differ = False
@@ -513,6 +533,9 @@
 
     def close(self) -> None:
         """Close all connections."""
+        self._closed = True
+        if self._recheck is not None:
+            self._recheck.cancel()
         for pool in self.pools.values():
             pool.close()
 
--- a/src/wasabipitch/instances/pool.py
+++ b/src/wasabipitch/instances/pool.py
@@ -130,6 +130,8 @@
         self._held_by: Counter[str] = Counter()
         self._used_by: Counter[str] = Counter()
         self._opening_by: Counter[str] = Counter()
+        # When each account last returned a connection, and the last one that took one.
+        self._last_used_s: dict[str, float] = {}
         self._last_account = ""
         # Whether the share was set; the limit until a larger one may be used, and when
         # that is.
@@ -315,9 +317,10 @@
         if used or self._opening > self.count_opening(account):
             return True
         active_s = now_s() - ACTIVE_S
+        # A connection that is open only to show a lost instance was never used.
         return any(
-            idle[-1].used_at_s > active_s
-            for other, idle in self._idle.items()
+            self._last_used_s.get(other, 0.0) > active_s
+            for other in self._idle
             if other != account
         )
 
@@ -445,6 +448,7 @@
             # The pool was closed.
             return
         self._checked_out.discard(conn)
+        self._last_used_s[conn.account] = now_s()
         self._used_by[conn.account] -= 1
         if not self._used_by[conn.account]:
             del self._used_by[conn.account]
--- a/src/wasabipitch/policy/connection_use.py
+++ b/src/wasabipitch/policy/connection_use.py
@@ -31,8 +31,12 @@
 # The share of an instance's connections that one account may hold while others are
 # active.
 MAX_SHARE = 0.5
-# An account counts as active for this long after it last used a connection.
-ACTIVE_S = 1.0
+# An account counts as active for this long after it last used a connection. With 1 s, a
+# hot account took all connections to a primary in the gaps between the small accounts'
+# writes.
+ACTIVE_S = 3.0
+# A connection idle for this long is half as likely to be needed again by its account.
+REUSE_S = 1.0
 # An idle connection this close to its idle timeout is closed before all others.
 NEAR_TIMEOUT_SHARE = 0.8
 # A request is overtaken only by requests that arrive within this time after it. It is
@@ -65,12 +69,14 @@
         in_use: The number of the account's connections that are checked out.
         opening: The number of connections that are being opened for the account.
         checkout_s: The mean duration of a checkout, pauses of transactions included.
+        waited_s: For how long the request has waited.
     """
 
     position: int
     in_use: int
     opening: int
     checkout_s: float
+    waited_s: float = 0.0
 
 
 class PoolUse(msgspec.Struct, frozen=True):
@@ -121,11 +127,16 @@
 
 
 def expected_own_wait_s(demand: Demand) -> float:
-    """Return how long a request is expected to wait for its account's connections."""
+    """Return how long a request is expected to wait for its account's connections.
+
+    A request that has waited for long is expected to wait that long again, since its
+    account's transactions then take longer than the mean.
+    """
     servers = demand.in_use + demand.opening
     if not servers:
         return math.inf
-    return demand.position * demand.checkout_s / servers
+    expected_s = demand.position * demand.checkout_s / servers
+    return max(expected_s, demand.waited_s)
 
 
 def max_held(limit: int) -> int:
@@ -196,7 +207,7 @@
     Args:
         idle_s: For how long the connection has not been used.
     """
-    return HANDSHAKE_S * ACTIVE_S / (ACTIVE_S + idle_s)
+    return HANDSHAKE_S * REUSE_S / (REUSE_S + idle_s)
 
 
 def choose_closed(idle: Sequence[IdleConnection], timeout_s: float) -> int:
--- a/tests/wasabipitch/instances/simulation.py
+++ b/tests/wasabipitch/instances/simulation.py
@@ -219,15 +219,7 @@
         """Run one statement; record how long it took, or that it was refused."""
         loop = asyncio.get_running_loop()
         started_s = loop.time()
-        names = ("i-0",) if writes else tuple(i.name for i in self._instances)
-        request = ConnectionRequest(
-            lambda: names,
-            "write" if writes else "read",
-            priority,
-            started_s + 0.8 * OBJECTIVE_S,
-            started_s + 4 * OBJECTIVE_S,
-            account=account,
-        )
+        request = self.make_request(account, writes, priority)
         try:
             checkout = await self.dispatcher.acquire(request)
         except (Overloaded, NoTarget):
@@ -238,6 +230,18 @@
         checkout.release()
         self.served.setdefault(account, []).append(loop.time() - started_s)
 
+    def make_request(self, account, writes=False, priority=1):
+        names = ("i-0",) if writes else tuple(i.name for i in self._instances)
+        at_s = asyncio.get_running_loop().time()
+        return ConnectionRequest(
+            lambda: names,
+            "write" if writes else "read",
+            priority,
+            at_s + 0.8 * OBJECTIVE_S,
+            at_s + 4 * OBJECTIVE_S,
+            account=account,
+        )
+
     async def send(self, account, rate, duration_s, write_share=0.2):
         """Send an account's statements at a rate, without waiting for the answers."""
         loop = asyncio.get_running_loop()
