--- a/tests/wasabipitch/group/test_remote.py
+++ b/tests/wasabipitch/group/test_remote.py
@@ -57,6 +57,21 @@
         self.assertEqual((reply.rows, reply.signature), ((b"row",), b"sig"))
         self.assertEqual(self.asked, ["o-1"])
 
+    async def test_account_goes_to_its_own_first_owner(self):
+        orders = {"north": ["o-2", "o-1"], "south": ["o-1", "o-2"]}
+        self.runner = RemoteRunner(
+            "ledger",
+            self.peers["own"].links,
+            lambda: self.fail("the order without an account is not asked for"),
+            DecisionLog("own"),
+            lambda account: [self.peers[name].host for name in orders[account]],
+        )
+        for account in ("north", "south"):
+            for statement in (READ, WRITE):
+                self.session = SessionContext("s-1", "bookings", account=account)
+                await self.run_statement(statement)
+        self.assertEqual(self.asked, ["o-2", "o-2", "o-1", "o-1"])
+
     async def test_busy_reply_of_an_owner_is_returned(self):
         self.replies["o-1"] = BUSY
         for statement in (READ, WRITE):
--- a/tests/wasabipitch/policy/test_ownership.py
+++ b/tests/wasabipitch/policy/test_ownership.py
@@ -46,3 +46,22 @@
             self.assertEqual({owners[name] for name in order[:2]}, {"centre-1"})
             firsts.add(order[0])
         self.assertEqual(firsts, {"o-1", "o-4"})
+
+    def test_hosts_of_a_data_centre_send_an_account_to_the_same_owner(self):
+        owners = {f"o-{n}": f"centre-{n % 3}" for n in range(6)}
+        firsts = [
+            order_owners("ledger", f"account-{n}", "centre-1", owners)[0]
+            for n in range(83)
+        ]
+        # Each of the two owners there has a fair share of the accounts.
+        self.assertEqual(set(firsts), {"o-1", "o-4"})
+        self.assertGreater(firsts.count("o-1"), 25)
+        self.assertGreater(firsts.count("o-4"), 25)
+
+    def test_loss_of_an_owner_moves_only_its_accounts(self):
+        owners = {f"o-{n}": "rome" for n in range(6)}
+        left = {name: owners[name] for name in owners if name != "o-3"}
+        for n in range(83):
+            before = order_owners("ledger", f"account-{n}", "rome", owners)
+            after = order_owners("ledger", f"account-{n}", "rome", left)
+            self.assertEqual([name for name in before if name != "o-3"], after)
