--- a/src/wasabipitch/policy/connection_use.py
+++ b/src/wasabipitch/policy/connection_use.py
@@ -20,7 +20,7 @@
 
 import enum
 import math
-from collections.abc import Sequence
+from collections.abc import Mapping, Sequence
 
 import msgspec
 
@@ -31,8 +31,12 @@
 # The share of an instance's connections that one account may hold while others are
 # active.
 MAX_SHARE = 0.5
-# An account counts as active for this long after it last used a connection.
-ACTIVE_S = 1.0
+# An account counts as active for this long after it last used a connection. With 1 s, a
+# hot account took all connections to a primary in the gaps between the small accounts'
+# writes.
+ACTIVE_S = 3.0
+# A connection idle for this long is half as likely to be needed again by its account.
+REUSE_S = 1.0
 # An idle connection this close to its idle timeout is closed before all others.
 NEAR_TIMEOUT_SHARE = 0.8
 # A request is overtaken only by requests that arrive within this time after it. It is
@@ -65,12 +69,14 @@
         in_use: The number of the account's connections that are checked out.
         opening: The number of connections that are being opened for the account.
         checkout_s: The mean duration of a checkout, pauses of transactions included.
+        waited_s: For how long the request has waited.
     """
 
     position: int
     in_use: int
     opening: int
     checkout_s: float
+    waited_s: float = 0.0
 
 
 class PoolUse(msgspec.Struct, frozen=True):
@@ -111,16 +117,26 @@
     idle_s: float
 
 
+BEING_OPENED = "a connection is being opened for it"
 HELD_BACK = "its account holds its share while others are active"
 OWN_WAIT = "one of its account's connections is expected sooner"
+# The reasons to wait for one of the account's own connections.
+OWN_WAITS = frozenset({HELD_BACK, OWN_WAIT})
+# The reasons that need not hold for the account's next request.
+PASSING_REASONS = frozenset({BEING_OPENED, OWN_WAIT})
 
 
 def expected_own_wait_s(demand: Demand) -> float:
-    """Return how long a request is expected to wait for its account's connections."""
+    """Return how long a request is expected to wait for its account's connections.
+
+    A request that has waited for long is expected to wait that long again, since its
+    account's transactions then take longer than the mean.
+    """
     servers = demand.in_use + demand.opening
     if not servers:
         return math.inf
-    return demand.position * demand.checkout_s / servers
+    expected_s = demand.position * demand.checkout_s / servers
+    return max(expected_s, demand.waited_s)
 
 
 def max_held(limit: int) -> int:
@@ -128,6 +144,29 @@
     return max(1, int(limit * MAX_SHARE))
 
 
+def count_ahead(
+    account: str, ahead: Mapping[str, int], account_limit: int
+) -> tuple[int, int]:
+    """Return how many waiting requests delay a new one.
+
+    Requests of other accounts delay it only as far as these accounts may use the
+    connections, so that a hot account's queue does not lead to refusals of others.
+
+    Args:
+        account: The account of the new request.
+        ahead: The number of requests in the queue before it, by account.
+        account_limit: The number of connections that one account may hold.
+
+    Returns:
+        The number of its own account's requests, and that of all accounts.
+    """
+    own = ahead.get(account, 0)
+    others = sum(
+        min(count, account_limit) for name, count in ahead.items() if name != account
+    )
+    return own, own + others
+
+
 def decide(demand: Demand, pool: PoolUse) -> Decision:
     """Return what is done at one instance for a request that waits.
 
@@ -139,7 +178,7 @@
         # The instance runs as many of the host's statements as it may.
         return Decision(Use.IDLE, "one of its account's connections is idle")
     if demand.opening >= demand.position:
-        return Decision(Use.WAIT, "a connection is being opened for it")
+        return Decision(Use.WAIT, BEING_OPENED)
     if pool.opening >= pool.max_opening:
         return Decision(Use.WAIT, "enough connections are being opened")
     if pool.others_active and pool.own >= max_held(pool.limit):
@@ -159,6 +198,18 @@
     return Decision(Use.WAIT, OWN_WAIT)
 
 
+def replacement_loss_s(idle_s: float) -> float:
+    """Return what closing a connection is expected to cost its account.
+
+    The more recently a connection was used, the more likely it is that its account
+    needs it again and pays for another handshake.
+
+    Args:
+        idle_s: For how long the connection has not been used.
+    """
+    return HANDSHAKE_S * REUSE_S / (REUSE_S + idle_s)
+
+
 def choose_closed(idle: Sequence[IdleConnection], timeout_s: float) -> int:
     """Return the index of the connection that is closed to make room.
 
