--- a/src/wasabipitch/group/remote.py
+++ b/src/wasabipitch/group/remote.py
@@ -321,7 +321,7 @@
         runner: GroupRunner,
     ) -> StatementReply:
         arrived_s = now_s() - message.route.timeout_s + message.left_s
-        context.values = message.values
+        context.values, context.account = message.values, message.account
         context.floor = max(context.floor, message.floor)
         if message.shape is not None:
             context.prepared[message.statement.name] = message.shape
--- a/src/wasabipitch/group/runner.py
+++ b/src/wasabipitch/group/runner.py
@@ -80,7 +80,9 @@
 
     def _make_log_fields(self, req: Request) -> dict[str, Any]:
         """Return the fields that identify a request in the decision log."""
+        account = {"account": req.session.account} if req.session.account else {}
         return {
+            **account,
             "request": req.statement.request_id.decode("ascii", "replace"),
             "session": req.session.session,
             "group": self._state.name,
--- a/src/wasabipitch/group/transactions.py
+++ b/src/wasabipitch/group/transactions.py
@@ -48,6 +48,11 @@
         session = req.session
         if req.statement.verb is Verb.EXECUTE and req.shape is None:
             raise StatementFailed(Code.NO_STATEMENT, "no such prepared statement")
+        checkout = transaction.checkout
+        if checkout is not None and checkout.conn.account != session.account:
+            raise StatementFailed(
+                Code.ABORTED, "the session's account changed during the transaction"
+            )
         while True:
             first = transaction.checkout is None
             if first:
