Use a grown share on time, and look at waiting requests again soon

An update of a group within the 1.2 s in which a larger share is held back began them again. Waiting requests are now examined every 14 ms: a statement of an open transaction that ends, or a share that grows, makes room without an event in the pool.

--- a/src/wasabipitch/instances/dispatcher.py
+++ b/src/wasabipitch/instances/dispatcher.py
@@ -28,7 +28,7 @@
 CHECKOUT_EWMA_WEIGHT = 0.05
 # Longer than any checkout delays an account's next request.
 FORGET_PLACE_S = 5.0
-# Interval at which requests are examined that wait for their account's connections.
+# Interval at which waiting requests of accounts are examined.
 RECHECK_S = connection_use.HANDSHAKE_S
 _arrivals = count()
 
@@ -207,11 +207,15 @@
             account: The client account.
             primary_only: Whether only the primary's connections count.
         """
-        return any(
-            pool.has_idle(account) or pool.has_room()
+        pools = [
+            pool
             for name, pool in self.pools.items()
             if not primary_only or self._is_primary(name)
-        )
+        ]
+        if not pools:
+            # The request waits for a new primary, here as well as elsewhere.
+            return True
+        return any(pool.has_idle(account) or pool.has_room() for pool in pools)
 
     def find_lagging(self) -> list[str]:
         """Return the names of the instances in backoff because they lag."""
@@ -232,9 +236,6 @@
                 pool.open_minimum()
         if self._has_accounts:
             self._fair_order.forget_before(now_s() - FORGET_PLACE_S)
-            if self._waiting:
-                # A share that has grown is used from some time on.
-                self.dispatch()
 
     def release_unused(self, instance: str) -> None:
         """Close unused connections to an instance so that another host can connect.
@@ -287,6 +288,8 @@
         """
         if self._has_accounts:
             self._dispatch_by_account()
+            if self._waiting:
+                self._recheck_later()
             return
         for request in list(self._waiting):
             if self._is_settled(request):
@@ -327,13 +330,15 @@
             may_improve = self._open_for_account(
                 request, queued[request.account], others_waiting
             )
-            if may_improve:
-                self._recheck_later()
-            else:
+            if not may_improve:
                 stuck.add(key)
 
     def _recheck_later(self) -> None:
-        """Examine the queue again when a wait may have become too long."""
+        """Examine the queue again soon.
+
+        Waits become too long, shares grow, and statements of transactions end without
+        a call of ``dispatch``.
+        """
         if self._recheck is None and not self._closed:
             loop = asyncio.get_running_loop()
             self._recheck = loop.call_later(RECHECK_S, self._run_recheck)
--- a/src/wasabipitch/instances/pool.py
+++ b/src/wasabipitch/instances/pool.py
@@ -1,7 +1,7 @@
 """Connection pool of one instance, with the measurements taken on it."""
 
 import asyncio
-from collections import Counter, deque
+from collections import Counter
 from collections.abc import Callable
 
 from wasabipitch import tasks
@@ -118,7 +118,7 @@
         self._overflow_paused_until_s = 0.0
         # The idle connections by account, and all of them; the least recently used one
         # comes first in each.
-        self._idle: dict[str, deque[InstanceConnection]] = {}
+        self._idle: dict[str, list[InstanceConnection]] = {}
         self._idle_order: dict[InstanceConnection, None] = {}
         self._checked_out: set[InstanceConnection] = set()
         self._tasks: set[asyncio.Task] = set()
@@ -128,7 +128,7 @@
         # The number of connections by account: open or being opened, checked out, and
         # being opened.
         self._held_by: Counter[str] = Counter()
-        self._used_by: Counter[str] = Counter()
+        self._used_by: dict[str, int] = {}
         self._opening_by: Counter[str] = Counter()
         # When each account last returned a connection, and the last one that took one.
         self._last_used_s: dict[str, float] = {}
@@ -208,10 +208,9 @@
             has_accounts: Whether the configuration has client accounts.
             is_joining: Whether this host joins others that hold connections.
         """
-        before = self.allowed if self._is_sized and not is_joining else 0
-        grows = overflow_limit > before and (self._is_sized or is_joining)
-        if has_accounts and grows:
-            self._limit_before = max(1, before)
+        grows = self._is_sized and overflow_limit > self.overflow_limit
+        if has_accounts and (grows or is_joining):
+            self._limit_before = 1 if is_joining else max(1, self.allowed)
             self._grows_at_s = now_s() + SHARE_TAKEOVER_S
         self._is_sized = True
         self.limit, self.overflow_limit = limit, overflow_limit
@@ -222,7 +221,7 @@
     def has_idle(self, account: str = "") -> bool:
         """Return whether an account's connection can be checked out at once."""
         idle = self._idle.get(account)
-        if idle is None or self.running >= self.window.size:
+        if not idle or self.running >= self.window.size:
             return False
         while idle and not idle[-1].is_clean:
             self._close_idle(idle[-1])
@@ -234,6 +233,8 @@
             return True
         if not self.has_accounts or not self.may_open:
             return False
+        if self.running >= self.window.size:
+            return False
         return self.has_room() or bool(self._idle_order)
 
     def has_room(self) -> bool:
@@ -245,10 +246,10 @@
 
         ``has_idle`` must have returned True.
         """
-        conn = self._idle[account][-1]
-        self._remove_idle(conn)
+        conn = self._idle[account].pop()
+        del self._idle_order[conn]
         self._checked_out.add(conn)
-        self._used_by[account] += 1
+        self._used_by[account] = self._used_by.get(account, 0) + 1
         self._last_account = account
         return conn
 
@@ -317,11 +318,11 @@
         if used or self._opening > self.count_opening(account):
             return True
         active_s = now_s() - ACTIVE_S
-        # A connection that is open only to show a lost instance was never used.
+        # A connection that is open only to show a lost instance was never used. An
+        # account whose connection made room is still active.
         return any(
-            self._last_used_s.get(other, 0.0) > active_s
-            for other in self._idle
-            if other != account
+            last_s > active_s and other != account
+            for other, last_s in self._last_used_s.items()
         )
 
     def open_up_to(self, count: int, account: str = "") -> None:
@@ -450,8 +451,6 @@
         self._checked_out.discard(conn)
         self._last_used_s[conn.account] = now_s()
         self._used_by[conn.account] -= 1
-        if not self._used_by[conn.account]:
-            del self._used_by[conn.account]
         if (
             self._closed
             or not conn.is_clean
@@ -464,17 +463,14 @@
         self._on_change()
 
     def _add_idle(self, conn: InstanceConnection) -> None:
-        self._idle.setdefault(conn.account, deque()).append(conn)
+        idle = self._idle.get(conn.account)
+        if idle is None:
+            idle = self._idle[conn.account] = []
+        idle.append(conn)
         self._idle_order[conn] = None
 
     def _remove_idle(self, conn: InstanceConnection) -> None:
-        idle = self._idle[conn.account]
-        if idle[-1] is conn:
-            idle.pop()
-        else:
-            idle.remove(conn)
-        if not idle:
-            del self._idle[conn.account]
+        self._idle[conn.account].remove(conn)
         del self._idle_order[conn]
 
     def _close_idle(self, conn: InstanceConnection) -> None:
--- a/tests/wasabipitch/instances/test_accounts.py
+++ b/tests/wasabipitch/instances/test_accounts.py
@@ -119,6 +119,32 @@
             await self.run_one(account)
         self.assertLessEqual(self.instance.most_connections, 2)
 
+    async def test_updates_do_not_put_off_the_use_of_a_larger_share(self):
+        self.update(own_share=4)
+        grows_at_s = self.pool._grows_at_s
+        self.assertGreater(grows_at_s, now_s())
+        await asyncio.sleep(0.01)
+        self.update(own_share=4)
+        self.assertEqual(self.pool._grows_at_s, grows_at_s)
+        self.assertEqual(self.pool.allowed, 2)
+
+    async def test_statements_of_a_transaction_that_end_make_room_for_others(self):
+        self.pool.window.resize(1)
+        north, south = await self.acquire("north"), await self.acquire("south")
+        south.release()
+        statement = Statement(b"r", b"READ job", Verb.READ)
+        self.instance.silent = True
+        answer = north.conn.send(CODEC.forward(statement, None))
+        waiting = asyncio.ensure_future(self.acquire("south"))
+        await asyncio.sleep(0.03)
+        self.assertFalse(waiting.done())
+        self.instance.silent = False
+        await answer
+        # The transaction keeps its connection.
+        async with asyncio.timeout(0.2):
+            (await waiting).release()
+        north.release()
+
     async def test_lost_share_is_closed_at_once(self):
         await self.run_one("north")
         held = await self.acquire("south")
