--- a/src/wasabipitch/instances/dispatcher.py
+++ b/src/wasabipitch/instances/dispatcher.py
@@ -449,15 +449,14 @@
     def _open_connection(
         self, request: ConnectionRequest, pool: InstancePool, use: Use, reason: str
     ) -> None:
-        closed = None
-        if use is Use.REPLACE:
+        replaces, closed = use is Use.REPLACE, None
+        if replaces:
             closed = pool.replace_for(request.account)
         else:
             pool.open_for(request.account)
+        event = "connection replaced" if replaces else "connection opened for account"
         self._decisions.routine(
-            "connection opened for account"
-            if closed is None
-            else "connection replaced",
+            event,
             account=request.account,
             closed_account=closed,
             group=pool.entry.group,
