--- /dev/null
+++ b/tests/clients/__init__.py
@@ -0,0 +1,1 @@
+"""Tests with clients that misbehave, against a real host process."""
