End a line at CR LF only, and refuse a bare line feed in a message

Lines that arrived whole were not checked for their length.

Change: a line ends with CR LF. A bare line feed or carriage return makes the message of a caller malformed: the next receiver may end lines there. CR LF within a text field can't be told from a line end and is one. A message in one piece is no longer copied through the buffer.

--- a/src/wasabipitch/wire/lines.py
+++ b/src/wasabipitch/wire/lines.py
@@ -15,6 +15,9 @@
 
 # The longest statement is 1 MiB; the rest is room for the other fields of its line.
 MAX_LINE_BYTES = (1 << 20) + 1024
+# Only this ends a line. A line feed alone is part of a text field: if it ended the
+# line, the rest of the field would run as a statement of its own.
+LINE_END = b"\r\n"
 # Reading pauses while more lines than this are queued, which bounds the memory
 # that a peer can fill by sending faster than its lines are read.
 MAX_QUEUED_LINES = 64
@@ -63,20 +66,37 @@
 
     def data_received(self, data: bytes) -> None:
         """Split the received bytes into lines and queue them."""
-        self._buffer += data
-        if b"\n" in data:
-            *lines, rest = self._buffer.split(b"\n")
-            self._buffer = bytearray(rest)
-            self._lines.extend(bytes(line).removesuffix(b"\r") for line in lines)
-        if len(self._buffer) > MAX_LINE_BYTES:
-            self._line_too_long = True
-            self._buffer.clear()
-            self.abort()
+        size = len(data) - 2
+        if not self._buffer and 0 <= data.find(LINE_END) == size <= MAX_LINE_BYTES:
+            # By far the most common case: one whole message.
+            self._lines.append(data[:size])
+        else:
+            self._split(data)
         if len(self._lines) > MAX_QUEUED_LINES and not self._reading_paused:
             self._reading_paused = True
             self._transport.pause_reading()
         self._readable.set()
 
+    def _split(self, data: bytes) -> None:
+        buffer = self._buffer
+        # The line ending may have arrived in two pieces.
+        searched = max(0, len(buffer) - 1)
+        buffer += data
+        start = 0
+        end = buffer.find(LINE_END, searched)
+        while end >= 0 and end - start <= MAX_LINE_BYTES:
+            self._lines.append(bytes(memoryview(buffer)[start:end]))
+            start = end + 2
+            end = buffer.find(LINE_END, start)
+        if start:
+            # A new buffer, because the old one keeps the size that it has grown to.
+            self._buffer = buffer = buffer[start:]
+        # The buffer may end with the first byte of the line ending.
+        if len(buffer) > MAX_LINE_BYTES + 1:
+            self._line_too_long = True
+            self._buffer = bytearray()
+            self.abort()
+
     def eof_received(self) -> bool:
         """Return False, so that the transport closes when the peer does."""
         return False
--- a/tests/adapter/test_wire.py
+++ b/tests/adapter/test_wire.py
@@ -48,6 +48,11 @@
             b"QUERY 5c READ",
             b"STARTUP",
             b"HELLO a",
+            # A receiver that ends lines at these bytes would run a second statement.
+            b"QUERY 5c WRITE a x\nQUERY 5d WRITE b 0",
+            b"QUERY 5c WRITE a x\ry",
+            b"STARTUP payments key\r",
+            b"QUIT\n",
         ]
         for line in lines:
             with self.subTest(line=line), self.assertRaises(MalformedMessage):
