Show that large keys and request ids fill a host's memory, too

Cause: a session keeps its startup message, and the id of a request that fails is logged whatever its length.

Change: three more crowds against the real process; sizes and bounds as before.

--- a/tests/clients/test_callers.py
+++ b/tests/clients/test_callers.py
@@ -104,6 +104,25 @@
             )
             await self.crowd(host, STARTUP + value)
 
+    async def test_large_keys(self):
+        # The startup message must not stay in memory as long as its session.
+        async with Host() as host:
+            data = STARTUP[:-2] + b"k" * (LEGAL_BYTES - 40) + b"\r\n"
+            await self.crowd(host, data, LARGE_CROWD)
+
+    async def test_large_database_names(self):
+        # An unknown name is logged when it is refused.
+        async with Host() as host:
+            data = b"STARTUP " + b"d" * (LEGAL_BYTES - 40) + b" key\r\n"
+            await self.crowd(host, data, LARGE_CROWD)
+
+    async def test_large_request_ids(self):
+        # The id of a request that fails or is late is logged.
+        async with Host() as host:
+            size = LEGAL_BYTES - 40
+            data = b"QUERY " + b"i" * size + b" EXECUTE unknown 1\r\n"
+            await self.crowd(host, STARTUP + data * PIPELINED)
+
     async def test_send_very_slowly_before_the_startup(self):
         async with Host() as host:
             await self.crowd(host, STARTUP, LARGE_CROWD, 1, 0.1)
