Show that prepared statements and session values in use fill the memory

Cause: sessions keep them, and so do the connections to instances on which they were prepared or set.

Change: two more crowds against the real process, and one that reads slowly inside a transaction; sizes and bounds as before.

--- a/tests/clients/test_callers.py
+++ b/tests/clients/test_callers.py
@@ -104,6 +104,30 @@
             )
             await self.crowd(host, STARTUP + value)
 
+    async def test_large_prepared_statements_that_run(self):
+        # Connections to instances keep the statements that were prepared on them.
+        async with Host() as host:
+            size = LEGAL_BYTES - 40
+            data = b"".join(
+                b"QUERY 1 PREPARE p READ %d" % number
+                + b"x" * size
+                + b"\r\nQUERY 2 EXECUTE p item-0\r\n"
+                for number in range(4 * PIPELINED)
+            )
+            await self.crowd(host, STARTUP + data, CROWD // 4)
+
+    async def test_large_session_values_that_are_used(self):
+        # Connections to instances keep the session values that were set on them.
+        async with Host() as host:
+            size = LEGAL_BYTES - 40
+            data = b"".join(
+                b"QUERY 1 SET name %d" % number
+                + b"x" * size
+                + b"\r\nQUERY 2 READ item-0\r\n"
+                for number in range(PIPELINED)
+            )
+            await self.crowd(host, STARTUP + data, CROWD // 4)
+
     async def test_large_keys(self):
         # The startup message must not stay in memory as long as its session.
         async with Host() as host:
@@ -144,6 +168,16 @@
             await asyncio.gather(crowd.send(reads), crowd.read_slowly(3.0))
             await self.check_host(host)
 
+    async def test_read_very_slowly_inside_a_transaction(self):
+        async with Host() as host, Crowd(host.process.front, CROWD, 4096) as crowd:
+            async with Crowd(host.process.front, 1) as writer:
+                await writer.send(STARTUP + ONE_WRITE)
+                await asyncio.sleep(STAY_S)
+            reads = b"QUERY 1 READ item-0\r\n" * 64
+            data = STARTUP + TRANSACTION + reads
+            await asyncio.gather(crowd.send(data), crowd.read_slowly(3.0))
+            await self.check_host(host)
+
     async def test_more_idle_sessions_than_descriptors(self):
         async with Host() as host:
             await self.crowd(host, STARTUP, 2 * LARGE_CROWD)
