Drop log lines that are too long

Cause: the id of a request that failed is logged whatever its length, up to 1 MiB, and 4,000 lines are queued while the reader of the log stalls.

Change: a line of more than 16 KiB is dropped and counted with the other dropped lines.

Measured: the new test fails before and passes after.

--- a/src/wasabipitch/operations/logwriter.py
+++ b/src/wasabipitch/operations/logwriter.py
@@ -8,6 +8,8 @@
 MAX_QUEUED_LINES = 4000
 # Routine lines are dropped from this queue length on, to leave room for others.
 ROUTINE_MAX_QUEUED_LINES = 1000
+# A line with a text that a caller chose can be as long as a message.
+MAX_LINE_BYTES = 16_384
 FLUSH_INTERVAL_S = 0.05
 MAX_BATCH_BYTES = 32_768
 
@@ -15,7 +17,8 @@
 class LogWriter:
     """Queues log lines up to a limit and writes them to a non-blocking descriptor.
 
-    ``dropped`` counts the lines that found the queue full, by their kind.
+    ``dropped`` counts the lines that found the queue full or were too long, by their
+    kind.
 
     Args:
         fd: The file descriptor to write to, which is made non-blocking.
@@ -29,7 +32,7 @@
         os.set_blocking(fd, False)
 
     def write(self, line: str, kind: str, routine: bool) -> None:
-        """Queue a line, or count it as dropped if the queue is full.
+        """Queue a line, or count it as dropped if it is too long or the queue is full.
 
         Args:
             line: The text without a line ending.
@@ -37,7 +40,7 @@
             routine: Whether it is dropped earlier than other lines.
         """
         limit = ROUTINE_MAX_QUEUED_LINES if routine else MAX_QUEUED_LINES
-        if len(self._lines) >= limit:
+        if len(line) > MAX_LINE_BYTES or len(self._lines) >= limit:
             self.dropped[kind] += 1
             return
         self._lines.append(line.encode() + b"\n")
--- a/tests/wasabipitch/operations/test_logwriter.py
+++ b/tests/wasabipitch/operations/test_logwriter.py
@@ -4,7 +4,11 @@
 import unittest
 
 from wasabipitch.operations.decisions import ROUTINE_SAMPLE, DecisionLog
-from wasabipitch.operations.logwriter import MAX_QUEUED_LINES, LogWriter
+from wasabipitch.operations.logwriter import (
+    MAX_LINE_BYTES,
+    MAX_QUEUED_LINES,
+    LogWriter,
+)
 
 
 class LogWriterTest(unittest.IsolatedAsyncioTestCase):
@@ -35,6 +39,13 @@
         self.assertGreater(self.writer.dropped["request failed"], MAX_QUEUED_LINES)
         self.assertLessEqual(self.read().count(b"\n"), 2 * MAX_QUEUED_LINES)
 
+    async def test_a_line_with_a_long_text_of_a_caller_is_dropped(self):
+        # An id of 1 MiB in each of the queued lines would take 4 GB.
+        self.writer.write("x" * (MAX_LINE_BYTES + 1), "request failed", routine=False)
+        self.writer.write("y" * MAX_LINE_BYTES, "request failed", routine=False)
+        self.assertEqual(self.writer.dropped["request failed"], 1)
+        self.assertEqual(self.read(), b"y" * MAX_LINE_BYTES + b"\n")
+
     async def test_routine_lines_are_dropped_first(self):
         for _ in range(MAX_QUEUED_LINES):
             self.writer.write("routine", "placed", routine=True)
