Bound the memory and the connections of callers

Cause: a caller could send any number of messages ahead, stop half-way through one, set large session values or leave its answers unread, and any number could connect.

Change: the bytes that callers' connections hold count towards one budget that follows from the machine's memory (docs/design/memory.md). The connection that holds most is closed when it is spent; large statements wait for memory and are then refused; reading stops while a statement runs; connections without progress are closed; their number follows from the descriptors. Buffers of the kernel get a fixed size. A malformed message is counted, and nothing of it is logged. Bytes are counted from 16 KiB on, so an ordinary statement costs a comparison.

--- a/src/wasabipitch/front/server.py
+++ b/src/wasabipitch/front/server.py
@@ -5,10 +5,11 @@
 from collections.abc import Callable
 from typing import Protocol
 
-from wasabipitch import tasks
+from wasabipitch import sockets, tasks
 from wasabipitch.clock import now_s
 from wasabipitch.coordination.documents import Configuration, Route
 from wasabipitch.exceptions import MalformedMessage
+from wasabipitch.front.budget import MemoryBudget
 from wasabipitch.front.sessions import CallerSession
 from wasabipitch.group.session import SessionContext
 from wasabipitch.operations.decisions import DecisionLog
@@ -30,6 +31,8 @@
 # milliseconds; a caller that connects earlier waits for it at most this long.
 CONFIGURATION_WAIT_S = 1.5
 CONFIGURATION_POLL_S = 0.02
+# A caller may send a name of any length up to that of a message.
+MAX_LOGGED_CHARS = 100
 
 
 class StatementRunner(Protocol):
@@ -62,6 +65,7 @@
             as the host has none.
         find_runner: Returns the runner of a group, or None if it is unknown.
         measures: Counts refused sessions and times the statements.
+        budget: Bounds the connections and the memory that they hold.
     """
 
     def __init__(
@@ -71,8 +75,10 @@
         read_configuration: Callable[[], Configuration | None],
         find_runner: Callable[[str], StatementRunner | None],
         measures: Measures,
+        budget: MemoryBudget,
     ) -> None:
         self._measures = measures
+        self._budget = budget
         self.sessions: set[CallerSession] = set()
         self._codec = codec
         self._decisions = decisions
@@ -86,6 +92,7 @@
     async def start(self, listener: socket.socket) -> None:
         """Accept callers on a socket that is already listening."""
         loop = asyncio.get_running_loop()
+        sockets.limit_buffers(listener, self._budget.plan.socket_bytes)
         self._server = await loop.create_server(self._make_stream, sock=listener)
 
     def stop_accepting(self) -> None:
@@ -115,8 +122,11 @@
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
 
-    def _make_stream(self) -> LineStream:
-        stream = LineStream()
+    def _make_stream(self) -> asyncio.Protocol:
+        memory = self._budget.open()
+        if memory is None:
+            return sockets.RefusedConnection()
+        stream = memory.stream
         task = tasks.spawn(self._serve(stream), "session")
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
@@ -128,6 +138,7 @@
             if startup is not None:
                 await self._run_session(stream, startup)
         except MalformedMessage as exc:
+            self._budget.record_malformed()
             stream.write(
                 self._codec.encode_failure(
                     Failure(Code.MALFORMED, exc.message.encode("ascii", "replace"))
@@ -167,6 +178,8 @@
             self._measures,
         )
         self.sessions.add(session)
+        stream.memory.started = True
+        stream.memory.keep(len(startup.database) + len(startup.key))
         try:
             await session.run()
         finally:
@@ -188,7 +201,7 @@
         self._measures.count("sessions_refused", reason=code.value)
         self._decisions.request(
             "session refused",
-            database=startup.database,
+            database=startup.database[:MAX_LOGGED_CHARS],
             code=code.value,
             version=configuration.version if configuration else None,
             at=round(now_s(), 3),
--- a/src/wasabipitch/front/sessions.py
+++ b/src/wasabipitch/front/sessions.py
@@ -10,6 +10,7 @@
 from wasabipitch.exceptions import MalformedMessage
 from wasabipitch.group.session import SessionContext, Transaction
 from wasabipitch.operations.measures import Measures
+from wasabipitch.policy.memory_budget import SMALL_BYTES
 from wasabipitch.wire.codecs import CallerCodec
 from wasabipitch.wire.lines import LineStream
 from wasabipitch.wire.messages import (
@@ -19,6 +20,7 @@
     Ready,
     Reply,
     SessionState,
+    Shape,
     Startup,
     Statement,
     Verb,
@@ -27,6 +29,16 @@
 DEFAULT_IDLE_TRANSACTION_S = 3.0
 _session_numbers = count(1)
 _TRANSACTION_END_VERBS = (Verb.COMMIT, Verb.ROLLBACK)
+# The bookkeeping of one session value or prepared statement.
+_ENTRY_BYTES = 200
+
+
+def _measure(name: bytes, entry: bytes | Shape | None) -> int:
+    """Return the bytes that a session value or prepared statement takes."""
+    if entry is None:
+        return 0
+    text = entry.text if isinstance(entry, Shape) else entry
+    return len(name) + len(text) + _ENTRY_BYTES
 
 
 class CallerSession:
@@ -52,6 +64,7 @@
     ) -> None:
         self._measures = measures
         self._stream = stream
+        self._memory = stream.memory
         self._codec = codec
         self._read_configuration = read_configuration
         self._find_runner = find_runner
@@ -88,7 +101,12 @@
             self._abort_unreported = True
 
     async def run(self) -> None:
-        """Serve the session until the caller or this host ends it."""
+        """Serve the session until the caller or this host ends it.
+
+        Raises:
+            MalformedMessage: If the caller sends a message that is not valid, after
+                which its connection must be closed.
+        """
         self._stream.write(self._codec.encode_ready(Ready(SessionState.IDLE)))
         try:
             while True:
@@ -96,7 +114,7 @@
                 if line is None:
                     return
                 self._answering = True
-                if not await self._answer_line(line):
+                if not await self._answer_with_memory(line):
                     return
                 self._answering = False
                 await self._stream.drain()
@@ -119,19 +137,37 @@
             return DEFAULT_IDLE_TRANSACTION_S
         return configuration.idle_transaction_s
 
-    async def _answer_line(self, line: bytes) -> bool:
-        """Answer a message and return whether the session continues."""
+    async def _answer_with_memory(self, line: bytes) -> bool:
+        """Answer a message once there is memory for it."""
+        self._memory.used = True
         arrived_s = now_s()
+        if len(line) + self._memory.kept < SMALL_BYTES:
+            return await self._answer_line(line, arrived_s)
+        if not await self._memory.begin_statement(len(line)):
+            self._refuse_for_memory()
+            return True
         try:
-            message = self._codec.decode(line)
-        except MalformedMessage as exc:
-            self._write_failure(Code.MALFORMED, exc.message)
-            return False
+            return await self._answer_line(line, arrived_s)
+        finally:
+            self._memory.end_statement()
+
+    def _refuse_for_memory(self) -> None:
+        code = Code.BUSY
+        if self._context.transaction is not None:
+            # The caller can't go on as if the statement had run.
+            self._context.drop_transaction()
+            self._context.failed = True
+            code = Code.ABORTED
+        reply = self._make_failure_reply(code, "no memory is left for the statement")
+        self._stream.write(self._codec.encode_reply(reply))
+
+    async def _answer_line(self, line: bytes, arrived_s: float) -> bool:
+        """Answer a message and return whether the session continues."""
+        message = self._codec.decode(line)
         if isinstance(message, Quit):
             return False
         if isinstance(message, Startup):
-            self._write_failure(Code.MALFORMED, "the session has already started")
-            return False
+            raise MalformedMessage("the session has already started")
         reply = await self._run_statement(message, arrived_s)
         if reply is None:
             self._measures.count("statements_abandoned", verb=message.verb.value)
@@ -164,11 +200,11 @@
             return self._make_failure_reply(code, "the transaction has failed")
         match statement.verb:
             case Verb.SET:
-                context.values[statement.name] = statement.value
+                self._store(context.values, statement.name, statement.value)
             case Verb.PREPARE:
-                context.prepared[statement.name] = statement.shape
+                self._store(context.prepared, statement.name, statement.shape)
             case Verb.DEALLOCATE:
-                context.prepared.pop(statement.name, None)
+                self._store(context.prepared, statement.name, None)
             case Verb.BEGIN | Verb.BEGIN_READ:
                 return self._begin(statement, arrived_s)
             case Verb.ROLLBACK:
@@ -183,6 +219,17 @@
                 return await self._run_on_group(statement, arrived_s)
         return Reply(state=context.state)
 
+    def _store(
+        self, entries: dict[bytes, Any], name: bytes, entry: bytes | Shape | None
+    ) -> None:
+        """Keep a session value or prepared statement, or remove it if it is None."""
+        before = _measure(name, entries.get(name))
+        if entry is None:
+            entries.pop(name, None)
+        else:
+            entries[name] = entry
+        self._memory.keep(_measure(name, entry) - before)
+
     def _begin(self, statement: Statement, arrived_s: float) -> Reply:
         # The transaction begins on an instance only with its first statement, so
         # that a caller that pauses after BEGIN holds no connection.
@@ -241,7 +288,3 @@
     def _make_failure_reply(self, code: Code, reason: str) -> Reply:
         failure = Failure(code, reason.encode("ascii", "replace"))
         return Reply(failure=failure, state=self._context.state)
-
-    def _write_failure(self, code: Code, reason: str) -> None:
-        failure = Failure(code, reason.encode("ascii", "replace"))
-        self._stream.write(self._codec.encode_failure(failure))
--- a/src/wasabipitch/gateway.py
+++ b/src/wasabipitch/gateway.py
@@ -30,6 +30,7 @@
 from wasabipitch.coordination.store import CoordinationStore, Promoter
 from wasabipitch.events import Clock
 from wasabipitch.exceptions import LinkError, StoreError
+from wasabipitch.front.budget import MemoryBudget
 from wasabipitch.front.server import CallerServer
 from wasabipitch.group.assembly import HostGroups
 from wasabipitch.group.remote import StatementService
@@ -52,6 +53,7 @@
     RunStatement,
     StoreCall,
 )
+from wasabipitch.policy.memory_budget import make_plan
 from wasabipitch.wire.codecs import CallerCodec, InstanceCodec
 
 # With up to this many hosts, changes are rare and each host reads them at once.
@@ -267,12 +269,16 @@
             self.decisions,
             self._directory.list_instances,
         )
+        resources = self._cfg.resources
+        plan = make_plan(resources.memory_bytes, resources.max_descriptors)
+        self._budget = MemoryBudget(plan, self.decisions, self.measures)
         self._caller_server = CallerServer(
             self._adapters.callers,
             self.decisions,
             lambda: self._directory.configuration,
             self.groups.find_runner,
             self.measures,
+            self._budget,
         )
         self._status_server = make_status_server(self._is_ready)
         self._metrics_server = make_metrics_server(self.measures.render)
@@ -305,6 +311,7 @@
             self._mirror.run_checks,
             self.registration.run,
             self._run_housekeeping,
+            self._budget.run,
         ):
             self._run_task(start)
 
@@ -447,6 +454,7 @@
             Gauge("loop_delay_seconds", (), self._loop_delay_s),
             Gauge("store_epoch", (), self._mirror.epoch),
             Gauge("records_confirmed_age_seconds", (), confirmed_s),
+            *self._budget.read_gauges(),
             *self.groups.read_gauges(),
         ]
 
--- a/src/wasabipitch/operations/decisions.py
+++ b/src/wasabipitch/operations/decisions.py
@@ -1,6 +1,7 @@
 """The decision log: one JSON line for each decision worth explaining later."""
 
 import logging
+from collections import Counter
 from typing import Any
 
 from pythonjsonlogger.json import JsonFormatter
@@ -12,7 +13,7 @@
 # One in this many routine decisions is logged.
 ROUTINE_SAMPLE = 50
 # More lines of late requests in one second are only counted, so that logging them
-# costs an overloaded host little.
+# costs an overloaded host little. The same holds for each kind of ``limited`` line.
 LATE_LINES_PER_S = 20
 FORMAT = "%(asctime)s %(levelname)s %(message)s"
 
@@ -49,8 +50,8 @@
         self._measures = measures or Measures()
         self._logger = logging.Logger(f"wasabipitch.{host}", logging.DEBUG)
         self._routine_count = 0
-        self._late_count = 0
-        self._late_window_start_s = 0.0
+        self._limited_counts: Counter[str] = Counter()
+        self._limited_since_s = 0.0
         self._reported_dropped: dict[str, int] = {}
         self._writer = writer
         if writer is None:
@@ -84,12 +85,20 @@
 
     def late(self, event: str, **fields: Any) -> None:
         """Log a request that was served late, at most ``LATE_LINES_PER_S``."""
+        self.limited(event, **fields)
+
+    def limited(self, event: str, **fields: Any) -> None:
+        """Log something that clients can cause at any rate.
+
+        Of each event, at most ``LATE_LINES_PER_S`` lines are written.
+        """
         self._measures.count("decisions", event=event)
         at_s = now_s()
-        if at_s - self._late_window_start_s >= 1.0:
-            self._late_window_start_s, self._late_count = at_s, 0
-        self._late_count += 1
-        if self._late_count <= LATE_LINES_PER_S:
+        if at_s - self._limited_since_s >= 1.0:
+            self._limited_since_s = at_s
+            self._limited_counts.clear()
+        self._limited_counts[event] += 1
+        if self._limited_counts[event] <= LATE_LINES_PER_S:
             self._log(logging.INFO, event, fields)
 
     def routine(self, event: str, **fields: Any) -> None:
--- a/tests/docs/test_operations.py
+++ b/tests/docs/test_operations.py
@@ -9,7 +9,8 @@
     for path in (ROOT / "src" / "wasabipitch").rglob("*.py")
 ]
 EVENT = re.compile(
-    r'(?:\.(?:belief|request|late|routine)|_log)\(\s*(?:logging\.\w+, )?"([a-z ]+)"'
+    r"(?:\.(?:belief|request|late|limited|routine)|_log)"
+    r'\(\s*(?:logging\.\w+, )?"([a-z ]+)"'
 )
 CHOSEN = re.compile(r'"([a-z ]+)" if \w+ else "([a-z ]+)"')
 GAUGE = re.compile(r'Gauge\("(\w+)"')
