Keep no large statements and values on connections to instances

Cause: a connection keeps the texts of up to 64 statements that were prepared on it, in a transaction any number, and the session values of the last session. Each may have 1 MiB, and none of it counts towards the budget.

Change: a text of more than 1 KiB is kept as its digest. A connection with more than 64 KiB of session values is closed when it is returned.

--- a/src/wasabipitch/group/exchange.py
+++ b/src/wasabipitch/group/exchange.py
@@ -6,7 +6,11 @@
 from wasabipitch.exceptions import InstanceLost, PrimaryReplaced
 from wasabipitch.group.request import Request, StatementFailed
 from wasabipitch.group.state import GroupState
-from wasabipitch.instances.connection import MAX_PREPARED, InstanceConnection
+from wasabipitch.instances.connection import (
+    MAX_PREPARED,
+    InstanceConnection,
+    make_prepared_key,
+)
 from wasabipitch.instances.dispatcher import Checkout, Dispatcher
 from wasabipitch.models import ORIGIN, Position
 from wasabipitch.wire.codecs import InstanceCodec
@@ -44,11 +48,12 @@
         floor = None if floor == ORIGIN else floor
         if shape is None:
             return self._codec.forward(req.statement, floor)
-        name = conn.prepared.get(shape)
+        key = make_prepared_key(shape)
+        name = conn.prepared.get(key)
         message = b""
         if name is None:
             name = b"w%d" % len(conn.prepared)
-            conn.prepared[shape] = name
+            conn.prepared[key] = name
             # The answer is not awaited: if the preparation fails, the execution that
             # follows fails with NO_STATEMENT and is retried.
             conn.send(self._codec.prepare(name, shape))
@@ -71,6 +76,7 @@
         if not in_transaction and (stale or len(conn.prepared) >= MAX_PREPARED):
             futs.append(conn.send(self._codec.reset()))
             conn.values.clear()
+            conn.values_bytes = 0
             conn.prepared.clear()
         for name, value in wanted.items():
             if conn.values.get(name) != value:
@@ -78,6 +84,7 @@
         if not futs:
             return True
         conn.values = dict(wanted)
+        conn.values_bytes = sum(map(len, wanted)) + sum(map(len, wanted.values()))
         try:
             async with asyncio.timeout(max(0.0, req.left_s)):
                 replies = [await fut for fut in futs]
--- a/src/wasabipitch/instances/connection.py
+++ b/src/wasabipitch/instances/connection.py
@@ -32,6 +32,29 @@
 CONNECT_TIMEOUT_S = 0.45
 # Prepared statements kept on a connection before it is reset.
 MAX_PREPARED = 64
+# The text of a longer statement is not kept on a connection, but its digest.
+MAX_KEPT_TEXT_BYTES = 1024
+# A connection with more bytes of session values than this is closed when it is
+# returned, so that idle connections hold little.
+MAX_IDLE_VALUES_BYTES = 64 * 1024
+
+
+# A long text's key is of another type, so that no short text that a caller makes up has
+# the same key.
+PreparedKey = Shape | tuple[bool, bytes]
+
+
+def make_prepared_key(shape: Shape) -> PreparedKey:
+    """Return the key under which a connection keeps the name of a prepared statement.
+
+    Callers choose the texts, so the digest of a long one is cryptographic.
+    """
+    if len(shape.text) <= MAX_KEPT_TEXT_BYTES:
+        return shape
+    # Imported with the first long statement; its import would delay the start.
+    import hashlib
+
+    return shape.writes, hashlib.blake2b(shape.text, digest_size=32).digest()
 
 
 class InstanceConnection:
@@ -43,7 +66,8 @@
         position: The instance's log position by its last answer.
         state: The session's transaction state by the last answer.
         values: The session variables set on the connection.
-        prepared: The names of the statements prepared on it.
+        values_bytes: The size of their names and values.
+        prepared: The names of the statements prepared on it, by ``make_prepared_key``.
 
     Args:
         stream: A connected stream on which the startup is complete.
@@ -65,7 +89,8 @@
         self.opened_at_s = now_s()
         self.used_at_s = self.opened_at_s
         self.values: dict[bytes, bytes] = {}
-        self.prepared: dict[Shape, bytes] = {}
+        self.values_bytes = 0
+        self.prepared: dict[PreparedKey, bytes] = {}
         self._stream = stream
         self._codec = codec
         self._pending: deque[asyncio.Future[Reply]] = deque()
@@ -85,7 +110,7 @@
     def is_clean(self) -> bool:
         """Whether the connection can be given to another session."""
         idle = self.state is SessionState.IDLE and not self._pending
-        return idle and self.is_open
+        return idle and self.is_open and self.values_bytes <= MAX_IDLE_VALUES_BYTES
 
     def send(self, message: bytes) -> asyncio.Future[Reply]:
         """Send a statement and return the future of its answer.
--- a/tests/wasabipitch/instances/test_pool.py
+++ b/tests/wasabipitch/instances/test_pool.py
@@ -5,9 +5,15 @@
 from tests.adapter import PLATFORM  # noqa: F401 (puts the adapter on the path)
 from wasabipitch.coordination.documents import InstanceEntry
 from wasabipitch.exceptions import NoTarget, Overloaded
+from wasabipitch.instances.connection import (
+    MAX_IDLE_VALUES_BYTES,
+    MAX_KEPT_TEXT_BYTES,
+    make_prepared_key,
+)
 from wasabipitch.instances.dispatcher import ConnectionRequest, Dispatcher
 from wasabipitch.models import Address
 from wasabipitch.operations.decisions import DecisionLog
+from wasabipitch.wire.messages import Shape
 
 from adapter.wire import LineInstanceCodec  # isort: skip
 from wasabipitch.clock import now_s  # isort: skip
@@ -57,6 +63,15 @@
         checkout.release()
         self.assertIs((await self.dispatcher.acquire(self.request("i-0"))).conn, conn)
 
+    async def test_a_connection_with_large_session_values_is_closed(self):
+        # Idle connections must not keep what the sessions that used them had set.
+        checkout = await self.dispatcher.acquire(self.request("i-0"))
+        checkout.conn.values_bytes = MAX_IDLE_VALUES_BYTES + 1
+        checkout.release()
+        async with asyncio.timeout(2):
+            while checkout.conn.is_open:
+                await asyncio.sleep(0.01)
+
     async def test_queue_is_served_by_priority(self):
         checkouts = [
             await self.dispatcher.acquire(self.request("i-0")) for _ in range(4)
@@ -132,3 +147,23 @@
         self.assertEqual((pool.open, pool.checked_out), (2, 2))
         pool.open_up_to(4)
         self.assertEqual(pool.open, 2)
+
+
+class PreparedKeyTest(unittest.TestCase):
+    def test_a_short_text_is_its_own_key(self):
+        shape = Shape(True, b"x" * MAX_KEPT_TEXT_BYTES)
+        self.assertIs(make_prepared_key(shape), shape)
+
+    def test_a_long_text_is_not_kept(self):
+        text = b"x" * (1 << 20)
+        key = make_prepared_key(Shape(True, text))
+        self.assertLess(len(repr(key)), 300)
+        self.assertEqual(key, make_prepared_key(Shape(True, text)))
+
+    def test_different_statements_have_different_keys(self):
+        # Two statements under one name: a session would run that of another one.
+        text = b"x" * (1 << 20)
+        key = make_prepared_key(Shape(True, text))
+        others = [Shape(False, text), Shape(True, text + b"y"), Shape(*key)]
+        for other in others:
+            self.assertNotEqual(make_prepared_key(other), key)
