Bound the connections and answers of health checks and metrics

Cause: any number of clients could connect, and each could send requests ahead: the metrics were rendered for each one, and no other work was done meanwhile.

What is closed is counted and logged.

--- a/src/wasabipitch/gateway.py
+++ b/src/wasabipitch/gateway.py
@@ -38,6 +38,7 @@
 from wasabipitch.messages import Done, EndSession, Hello, Message
 from wasabipitch.models import Address, Host
 from wasabipitch.operations.decisions import DecisionLog
+from wasabipitch.operations.listeners import ListenerLog
 from wasabipitch.operations.logwriter import LogWriter
 from wasabipitch.operations.measures import Gauge, Measures
 from wasabipitch.operations.statusserver import make_metrics_server, make_status_server
@@ -280,8 +281,15 @@
             self.measures,
             self._budget,
         )
-        self._status_server = make_status_server(self._is_ready)
-        self._metrics_server = make_metrics_server(self.measures.render)
+        self._status_server = make_status_server(
+            self._is_ready, self._record_closures_of("checks")
+        )
+        self._metrics_server = make_metrics_server(
+            self.measures.render, self._record_closures_of("metrics")
+        )
+
+    def _record_closures_of(self, listener: str) -> Callable[..., None]:
+        return ListenerLog(listener, self.decisions, self.measures).record_closed
 
     async def start(self, callers: socket.socket) -> None:
         """Start serving; callers are answered once the store has been read.
--- a/tests/wasabipitch/http/test_client.py
+++ b/tests/wasabipitch/http/test_client.py
@@ -4,9 +4,10 @@
 
 from wasabipitch.exceptions import HttpError
 from wasabipitch.http.client import ConnectError, HttpClient, Response
-from wasabipitch.http.server import HttpServer
+from wasabipitch.http.server import MAX_CONNECTIONS, MAX_UNSENT_BYTES, HttpServer
 from wasabipitch.models import Address
 from wasabipitch.operations.statusserver import make_status_server
+from wasabipitch.policy.memory_budget import TOO_MANY, UNREAD_ANSWERS
 
 
 class HttpTest(unittest.IsolatedAsyncioTestCase):
@@ -66,6 +67,43 @@
         with self.assertRaises(ConnectError):
             await self.client(1).request("GET", "/", 1.0)
 
+    async def test_silent_connections_do_not_keep_a_client_out(self):
+        closed = []
+        server = HttpServer(lambda path: Response(200, b""), closed.append)
+        client = await self.serve(server)
+        address = server._server.sockets[0].getsockname()
+        # A stream that is not referenced any more closes its connection.
+        streams = []
+        for _ in range(2 * MAX_CONNECTIONS):
+            streams.append(await asyncio.open_connection(*address))
+            self.addCleanup(streams[-1][1].close)
+        response = await client.request("GET", "/", 1.0)
+        self.assertEqual(response.status, 200)
+        self.assertEqual(len(server._connections), MAX_CONNECTIONS)
+        self.assertEqual(closed, [TOO_MANY] * (MAX_CONNECTIONS + 1))
+
+    async def test_requests_sent_ahead_render_no_more_than_is_read(self):
+        # 2,000 requests of the metrics in one piece blocked a host for a minute.
+        rendered, closed = [], []
+
+        def answer(path):
+            rendered.append(path)
+            return Response(200, b"x" * (MAX_UNSENT_BYTES // 2))
+
+        server = HttpServer(answer, closed.append)
+        await self.serve(server)
+        address = server._server.sockets[0].getsockname()
+        reader, writer = await asyncio.open_connection(*address)
+        self.addCleanup(writer.transport.abort)
+        # In one piece, as far as the receive buffer takes it.
+        writer.write(b"GET / HTTP/1.1\r\n\r\n" * 500)
+        with self.assertRaises(ConnectionError):
+            while await reader.read(1 << 20):
+                pass
+        self.assertLess(len(rendered), 500)
+        self.assertEqual(closed, [UNREAD_ANSWERS])
+        self.assertEqual(server._connections, {})
+
     async def test_a_request_is_not_sent_after_its_time(self):
         # The machine was suspended while it connected, and its steady clock stopped. An
         # order to promote arrived after another host had promoted.
