--- a/src/wasabipitch/gateway.py
+++ b/src/wasabipitch/gateway.py
@@ -38,6 +38,7 @@
 from wasabipitch.coordination.store import CoordinationStore, Promoter
 from wasabipitch.events import Clock
 from wasabipitch.exceptions import LinkError, StoreError
+from wasabipitch.front.budget import MemoryBudget
 from wasabipitch.front.server import CallerServer
 from wasabipitch.group.assembly import HostGroups
 from wasabipitch.group.remote import StatementService
@@ -45,6 +46,7 @@
 from wasabipitch.messages import Done, Hello, Message
 from wasabipitch.models import Address, Host
 from wasabipitch.operations.decisions import DecisionLog
+from wasabipitch.operations.listeners import ListenerLog
 from wasabipitch.operations.logwriter import LogWriter
 from wasabipitch.operations.measures import Gauge, Measures
 from wasabipitch.operations.statusserver import make_metrics_server, make_status_server
@@ -64,6 +66,7 @@
     StoreCall,
 )
 from wasabipitch.policy.locality import DEFAULT_CROSSING_COST_S
+from wasabipitch.policy.memory_budget import make_plan
 from wasabipitch.policy.token_bucket import QuotaTolerance
 from wasabipitch.wire.codecs import CallerCodec, InstanceCodec
 
@@ -334,6 +337,9 @@
             self.decisions,
             self.measures,
         )
+        resources = self._cfg.resources
+        plan = make_plan(resources.memory_bytes, resources.max_descriptors)
+        self._budget = MemoryBudget(plan, self.decisions, self.measures)
         self._caller_server = CallerServer(
             self._adapters.callers,
             self.decisions,
@@ -341,10 +347,18 @@
             self.groups.find_runner,
             self.measures,
             self._authentication,
+            self._budget,
             self._limits,
         )
-        self._status_server = make_status_server(self._is_ready)
-        self._metrics_server = make_metrics_server(self.measures.render)
+        self._status_server = make_status_server(
+            self._is_ready, self._record_closures_of("checks")
+        )
+        self._metrics_server = make_metrics_server(
+            self.measures.render, self._record_closures_of("metrics")
+        )
+
+    def _record_closures_of(self, listener: str) -> Callable[..., None]:
+        return ListenerLog(listener, self.decisions, self.measures).record_closed
 
     def _apply_configuration(self, configuration: Configuration) -> None:
         self._currency.hold_version(configuration.version)
@@ -379,6 +393,7 @@
             self._distribution.run,
             self.registration.run,
             self._run_housekeeping,
+            self._budget.run,
         ):
             self._run_task(start)
 
@@ -553,6 +568,7 @@
             Gauge("records_confirmed_age_seconds", (), confirmed_s),
             Gauge("configuration_version", (), self._currency.version),
             Gauge("configuration_proof_age_seconds", (), self._currency.age_s),
+            *self._budget.read_gauges(),
             *self.groups.read_gauges(),
             *self._limits.read_gauges(),
         ]
--- a/src/wasabipitch/operations/decisions.py
+++ b/src/wasabipitch/operations/decisions.py
@@ -1,6 +1,7 @@
 """The decision log: one JSON line for each decision worth explaining later."""
 
 import logging
+from collections import Counter
 from typing import Any
 
 from pythonjsonlogger.json import JsonFormatter
@@ -12,10 +13,8 @@
 # One in this many routine decisions is logged.
 ROUTINE_SAMPLE = 50
 # More lines of late requests in one second are only counted, so that logging them
-# costs an overloaded host little.
+# costs an overloaded host little. The same holds for each kind of ``limited`` line.
 LATE_LINES_PER_S = 20
-# The same for lines of refused keys: a caller with a withdrawn key may go on trying.
-REFUSAL_LINES_PER_S = 20
 FORMAT = "%(asctime)s %(levelname)s %(message)s"
 
 
@@ -31,23 +30,6 @@
         self._writer.write(self.format(record), record.getMessage(), routine)
 
 
-class _LineLimit:
-    """Admits a number of lines in each second."""
-
-    def __init__(self, lines_per_s: int) -> None:
-        self._lines_per_s = lines_per_s
-        self._count = 0
-        self._window_start_s = 0.0
-
-    def admit(self) -> bool:
-        """Count a line and return whether it may be logged."""
-        at_s = now_s()
-        if at_s - self._window_start_s >= 1.0:
-            self._window_start_s, self._count = at_s, 0
-        self._count += 1
-        return self._count <= self._lines_per_s
-
-
 class DecisionLog:
     """Logs decisions on requests and changes of the host's state as JSON lines.
 
@@ -68,8 +50,8 @@
         self._measures = measures or Measures()
         self._logger = logging.Logger(f"wasabipitch.{host}", logging.DEBUG)
         self._routine_count = 0
-        self._late_limit = _LineLimit(LATE_LINES_PER_S)
-        self._refusal_limit = _LineLimit(REFUSAL_LINES_PER_S)
+        self._limited_counts: Counter[str] = Counter()
+        self._limited_since_s = 0.0
         self._reported_dropped: dict[str, int] = {}
         self._writer = writer
         if writer is None:
@@ -107,15 +89,25 @@
 
     def late(self, event: str, **fields: Any) -> None:
         """Log a request that was served late, at most ``LATE_LINES_PER_S``."""
+        self.limited(event, **fields)
+
+    def limited(self, event: str, **fields: Any) -> None:
+        """Log something that clients can cause at any rate.
+
+        Of each event, at most ``LATE_LINES_PER_S`` lines are written.
+        """
         self._measures.count("decisions", event=event)
-        if self._late_limit.admit():
+        at_s = now_s()
+        if at_s - self._limited_since_s >= 1.0:
+            self._limited_since_s = at_s
+            self._limited_counts.clear()
+        self._limited_counts[event] += 1
+        if self._limited_counts[event] <= LATE_LINES_PER_S:
             self._log(logging.INFO, event, fields)
 
     def refusal(self, event: str, **fields: Any) -> None:
-        """Log the refusal of a key, at most ``REFUSAL_LINES_PER_S``."""
-        self._measures.count("decisions", event=event)
-        if self._refusal_limit.admit():
-            self._log(logging.INFO, event, fields)
+        """Log the refusal of a key, at most ``LATE_LINES_PER_S`` of each event."""
+        self.limited(event, **fields)
 
     def routine(self, event: str, **fields: Any) -> None:
         """Log a sample of the decisions on requests that succeed."""
