Keep followers from missing a configuration that a listing left out

A watcher that lost its history and lists without the configuration told its followers of all changes up to the listing, but not that the configuration may have changed: their revision would have proved a configuration that they never heard of. Found by reading; the test fails without the change.

A host that takes no parts, such as a frozen one, gives up its turn after 3 s: eight of them would have blocked all transfers of a host.

--- a/src/wasabipitch/coordination/distribution.py
+++ b/src/wasabipitch/coordination/distribution.py
@@ -37,6 +37,7 @@
 from wasabipitch.exceptions import (
     ConfigurationRefused,
     LinkError,
+    LinkLost,
     SettingsError,
     StoreError,
 )
@@ -61,6 +62,8 @@
 KEEPALIVE_S = 0.3
 # A peer that sends neither a part nor a sign of life for this long has failed.
 PART_TIMEOUT_S = 1.0
+# A host that takes no part for this long is given up, so that others get its turn.
+SEND_TIMEOUT_S = 3.0
 # A peer waits for this long for a configuration that it does not have in force yet.
 ANSWER_PATIENCE_S = 0.5
 # The store is read if no peer has begun to deliver within this time. Hosts that all
@@ -182,7 +185,7 @@
         offer = ConfigurationOffer(
             True, revision, version, change.base, change.digest, len(change.data)
         )
-        await exchange.send(offer, more=True)
+        await _send(exchange, offer)
         async with self._take_turn(exchange):
             return await self._send_parts(exchange, change.data, ask.bytes_per_s)
 
@@ -199,7 +202,7 @@
             size = len(part.data)
             await asyncio.sleep(max(self._pacer.reserve(size), pacer.reserve(size)))
             if n < len(parts) - 1:
-                await exchange.send(part, more=True)
+                await _send(exchange, part)
         return parts[-1]
 
     @contextlib.asynccontextmanager
@@ -208,7 +211,7 @@
         turn = asyncio.ensure_future(self._transfers.acquire())
         try:
             while not (await asyncio.wait([turn], timeout=KEEPALIVE_S))[0]:
-                await exchange.send(ConfigurationPart(), more=True)
+                await _send(exchange, ConfigurationPart())
             yield
         finally:
             turn.cancel()
@@ -421,6 +424,21 @@
         return await asyncio.shield(task)
 
 
+async def _send(
+    exchange: Exchange, message: ConfigurationOffer | ConfigurationPart
+) -> None:
+    """Send a message that others follow.
+
+    Raises:
+        LinkLost: The host that asked has taken none for ``SEND_TIMEOUT_S``.
+    """
+    try:
+        async with asyncio.timeout(SEND_TIMEOUT_S):
+            await exchange.send(message, more=True)
+    except TimeoutError as exc:
+        raise LinkLost(f"no part was taken for {SEND_TIMEOUT_S:g} s") from exc
+
+
 def _make_done(result: DigestedConfiguration) -> asyncio.Future:
     fut = asyncio.get_running_loop().create_future()
     fut.set_result(result)
--- a/src/wasabipitch/coordination/mirror.py
+++ b/src/wasabipitch/coordination/mirror.py
@@ -392,6 +392,9 @@
             self.history.restart(listing.revision)
         else:
             self.history.begin(listing.revision)
+        if not is_whole:
+            # The followers must not advance past a change that was missed here.
+            self.history.add(Omission(self.configuration_key, listing.revision))
         self._advance_revision(listing.revision)
         self.loaded.set()
         if not is_restored:
--- a/tests/wasabipitch/coordination/test_configuration_apart.py
+++ b/tests/wasabipitch/coordination/test_configuration_apart.py
@@ -235,6 +235,14 @@
         self.receive(LARGE)
         self.assertEqual(await self.ask(False), (False, ()))
 
+    async def test_a_change_that_a_listing_left_out_is_not_kept_from_followers(self):
+        # Their revision would pass a configuration that they never heard of.
+        self.mirror.max_listing_bytes = LARGE_VALUE_BYTES
+        self.put(LARGE)
+        await self.mirror._load()
+        revision = self.store.revision
+        self.assertEqual(await self.ask(True), (True, (Omission(KEY, revision),)))
+
     async def test_changes_are_passed_on_before_the_configuration_is_in_force(self):
         revision = self.receive(LARGE)
         self.assertLess(self.mirror.revision, revision)
--- a/tests/wasabipitch/coordination/test_distribution.py
+++ b/tests/wasabipitch/coordination/test_distribution.py
@@ -20,6 +20,7 @@
 from wasabipitch.coordination.mirror import LARGE_VALUE_BYTES, StoreMirror
 from wasabipitch.coordination.store import Item, Omission
 from wasabipitch.exceptions import SettingsError
+from wasabipitch.links import RemoteError
 from wasabipitch.messages import AskStoreHead
 from wasabipitch.operations.decisions import DecisionLog
 from wasabipitch.operations.measures import Measures
@@ -402,6 +403,26 @@
         # The turn is given back, also by a host that stops halfway.
         await self.wait_for(lambda: not self.first.distribution._transfers.locked())
 
+    async def test_a_host_that_takes_no_parts_does_not_keep_others_waiting(self):
+        # A frozen host would hold its turn until its connection ends.
+        self.first.read(1, 10, 4000)
+        await self.wait_for(lambda: self.first.version == 1)
+        self.first.distribution._transfers = asyncio.Semaphore(1)
+        link = self.second.peer.links.find(self.first.peer.host)
+        with (
+            patch.object(link, "_send_continue", lambda number: None),
+            patch.object(module, "SEND_TIMEOUT_S", 0.1),
+            patch.object(module, "PART_BYTES", 512),
+            self.assertRaises(RemoteError),
+        ):
+            async with contextlib.aclosing(
+                link.stream(AskConfiguration(10), 1.0)
+            ) as parts:
+                async for _ in parts:
+                    pass
+        self.third.hear(10)
+        await self.wait_for(lambda: self.third.version == 1)
+
     async def test_a_host_without_a_configuration_says_so(self):
         link = self.second.peer.links.find(self.first.peer.host)
         with patch.object(module, "ANSWER_PATIENCE_S", 0.01):
