--- a/src/wasabipitch/coordination/configuration_delta.py
+++ b/src/wasabipitch/coordination/configuration_delta.py
@@ -46,13 +46,13 @@
 # The base of a change that is the whole configuration.
 NO_BASE = ""
 
-# The fields with many entries, with the type of an entry. A field that is not listed
-# here is sent with every change.
+# The fields with many entries, with the type of a list of them. A field that is not
+# listed here is sent with every change.
 _TABLES: dict[str, Any] = {
-    "routes": Route,
-    "groups": GroupSettings,
-    "accounts": Account,
-    "account_names": str,
+    "routes": list[tuple[str, Route]],
+    "groups": list[tuple[str, GroupSettings]],
+    "accounts": list[tuple[str, Account]],
+    "account_names": list[tuple[str, str]],
 }
 _DIGEST_RANGE = 1 << 128
 _HEADER = struct.Struct("<I")
@@ -236,13 +236,13 @@
         if not block.table:
             self._others = decode_msgpack(block.content, Configuration)
             return
-        kind = _TABLES.get(block.table)
-        if kind is None:
+        entries_type = _TABLES.get(block.table)
+        if entries_type is None:
             raise ConfigurationRefused(f"unknown table {block.table[:40]!r}")
         table = self._tables[block.table]
         for name in block.removed:
             self._remove(block.table, table, name)
-        for name, value in decode_msgpack(block.content, list[tuple[str, kind]]):
+        for name, value in decode_msgpack(block.content, entries_type):
             self._remove(block.table, table, name)
             table[name] = value
             self._entries_sum += _hash_entry(block.table, name, value)
--- a/src/wasabipitch/coordination/distribution.py
+++ b/src/wasabipitch/coordination/distribution.py
@@ -143,7 +143,7 @@
         self._measures = measures
         # The versions that were in force last, the newest at the end.
         self._versions: list[Configuration] = []
-        self._digests: dict[int, asyncio.Task[DigestedConfiguration]] = {}
+        self._digests: dict[int, asyncio.Future[DigestedConfiguration]] = {}
         self._changes: dict[tuple[str, str], asyncio.Task[EncodedChange]] = {}
         self._transfers = asyncio.Semaphore(MAX_TRANSFERS)
         # A value of the store that was read by the watch or the listing.
@@ -306,6 +306,9 @@
             reader = ChangeReader(base, offer.base, offer.version, offer.digest)
             size = 0
             async for part in replies:
+                if not isinstance(part, ConfigurationPart):
+                    name = type(part).__name__
+                    raise ConfigurationRefused(f"unexpected message {name}")
                 size += len(part.data)
                 await runner.run(reader.feed_steps(part.data))
         result = reader.finish()
--- a/tests/wasabipitch/coordination/test_distribution.py
+++ b/tests/wasabipitch/coordination/test_distribution.py
@@ -277,6 +277,19 @@
         self.assertEqual(self.third.events[-1][1]["peer"], "second")
         self.assertEqual(self.store.calls, [])
 
+    async def test_a_peer_that_sends_something_else_is_replaced_by_the_next_one(self):
+        self.second.read(1, 10)
+        await self.wait_for(lambda: self.second.version == 1)
+
+        async def answer_oddly(exchange):
+            await exchange.send(ConfigurationOffer(True, 10, 1, "", "d", 9), more=True)
+            return StoreHead(True)
+
+        self.handlers["first"] = answer_oddly
+        self.third.hear(10)
+        await self.wait_for(lambda: self.third.version == 1)
+        self.assertEqual(self.third.events[-1][1]["peer"], "second")
+
     async def test_a_silent_peer_is_replaced_by_the_next_one(self):
         self.second.read(1, 10)
         await self.wait_for(lambda: self.second.version == 1)
