--- a/src/wasabipitch/coordination/distribution.py
+++ b/src/wasabipitch/coordination/distribution.py
@@ -298,6 +298,8 @@
             offer = await anext(replies, None)
             if not isinstance(offer, ConfigurationOffer) or not offer.known:
                 return False
+            if offer.revision < awaited:
+                raise ConfigurationRefused("the peer has an earlier configuration")
             if base is not None and offer.digest == base.digest:
                 receipt = Receipt(UNCHANGED, 0, 0.0, peer.name)
                 self._accept(base, offer.revision, receipt, since_s)
--- a/tests/wasabipitch/coordination/test_distribution.py
+++ b/tests/wasabipitch/coordination/test_distribution.py
@@ -290,6 +290,19 @@
         await self.wait_for(lambda: self.third.version == 1)
         self.assertEqual(self.third.events[-1][1]["peer"], "second")
 
+    async def test_an_earlier_configuration_than_was_asked_for_is_refused(self):
+        # It would be asked for again and again.
+        self.second.read(1, 10)
+        await self.wait_for(lambda: self.second.version == 1)
+
+        async def answer_early(exchange):
+            return ConfigurationOffer(True, 9, 1, "", "d", 9)
+
+        self.handlers["first"] = answer_early
+        self.third.hear(10)
+        await self.wait_for(lambda: self.third.version == 1)
+        self.assertEqual(self.third.events[-1][1]["peer"], "second")
+
     async def test_a_silent_peer_is_replaced_by_the_next_one(self):
         self.second.read(1, 10)
         await self.wait_for(lambda: self.second.version == 1)
