--- a/src/wasabipitch/gateway.py
+++ b/src/wasabipitch/gateway.py
@@ -496,7 +496,12 @@
 
     def _read_gauges(self) -> list[Gauge]:
         confirmed_s = now_s() - self._mirror.confirmed_at_s
+        configuration = self._directory.configuration or Configuration(0)
+        is_awaited = self._mirror.configuration_awaited.is_set()
         return [
+            Gauge("configuration_version", (), configuration.version),
+            Gauge("configuration_routes", (), len(configuration.routes)),
+            Gauge("configuration_awaited", (), is_awaited),
             Gauge("sessions", (), len(self._caller_server.sessions)),
             Gauge("hosts", (), len(self._live_hosts.hosts)),
             Gauge("loop_delay_seconds", (), self._loop_delay_s),
--- a/tests/wasabipitch/test_large_configuration.py
+++ b/tests/wasabipitch/test_large_configuration.py
@@ -42,6 +42,21 @@
                 lambda mirror=mirror: mirror.revision == mirror.received_revision
             )
 
+    async def test_metrics_tell_which_version_is_in_force(self):
+        await self.fleet.start(1)
+        gateway = self.fleet.hosts["host-0"]
+        self.fleet.configure(2, padding=PADDING)
+        await self.wait_version(2)
+        await self.fleet.wait_for(
+            lambda: not gateway._mirror.configuration_awaited.is_set()
+        )
+        lines = gateway.measures.render().decode().splitlines()
+        self.assertIn("wasabipitch_configuration_version 2.0", lines)
+        self.assertIn("wasabipitch_configuration_routes 3.0", lines)
+        self.assertIn("wasabipitch_configuration_awaited 0.0", lines)
+        count = 'wasabipitch_configuration_seconds_count{source="store"} 1.0'
+        self.assertIn(count, lines)
+
     async def test_a_small_one_follows_a_large_one_and_the_reverse(self):
         await self.fleet.start(2)
         for version in range(2, 6):
