Let followers wait for a watcher that is receiving a large value

Cause, seen in a trial with 14 hosts whose watchers have 5 Mbit/s to the store: the value takes 1.8 s, the followers counted the watcher as late after 0.6 s, watched the store themselves and each read the value, 7.9 MB in all.

A watcher answers its followers' questions every 0.2 s while parts of a long answer arrive, and that counts as progress.

--- a/src/wasabipitch/coordination/following.py
+++ b/src/wasabipitch/coordination/following.py
@@ -35,6 +35,10 @@
 MAX_KEPT_CHANGES = 4000
 # Added to the wait that a follower asks for, as the timeout of the call.
 ANSWER_MARGIN_S = 0.5
+# A watcher tells its followers at this interval that it is receiving a long answer of
+# the store. They would otherwise count it as late, and each read the same answer.
+PROGRESS_REPORT_S = 0.2
+PROGRESS_AGE_S = 0.5
 # A watcher that did not answer is not asked again for this long.
 WATCHER_BACKOFF_S = 5.0
 
@@ -161,6 +165,8 @@
         self._decisions = decisions
         self._backoff_until_s: dict[str, float] = {}
         self._followed: str | None = None
+        # When the watcher last said that it is receiving a long answer.
+        self._reported_progress_at_s = 0.0
         # Whether this host passes changes on to others although it follows a host.
         self._is_watcher = False
 
@@ -184,10 +190,14 @@
         return await self._store.watch(prefix, after, wait_s)
 
     def read_progress_s(self) -> float:
-        """Return when a part of an answer to ``watch`` last arrived, or 0."""
+        """Return when a part of an answer to ``watch`` last arrived, or 0.
+
+        The parts that arrive at the watcher count, too.
+        """
         if self._followed is None:
             return self._store.read_progress_s()
-        return self._links.find(self._find_host(self._followed)).read_progress_s()
+        link = self._links.find(self._find_host(self._followed))
+        return max(link.read_progress_s(), self._reported_progress_at_s)
 
     def avoid_watcher(self) -> None:
         """Stop following a silent or late watcher for ``WATCHER_BACKOFF_S``."""
@@ -200,10 +210,27 @@
         if self._followed is not None and not self._is_watcher:
             # A longer chain of followers would add the delay of each of them.
             return ChangesReport(False)
-        changes = await self._history.wait(ask.after, ask.wait_s)
+        changes = await self._wait_or_progress(ask)
         if changes is None or not (ask.takes_omissions or _is_complete(changes)):
             return ChangesReport(False, (), self._history.revision)
-        return ChangesReport(True, tuple(map(pack, changes.events)), changes.revision)
+        events = tuple(map(pack, changes.events))
+        return ChangesReport(True, events, changes.revision, self._is_receiving())
+
+    async def _wait_or_progress(self, ask: AskChanges) -> Changes | None:
+        """Wait for changes, but not while this host is receiving a long answer."""
+        until_s = now_s() + ask.wait_s
+        while (left_s := until_s - now_s()) > 0:
+            changes = await self._history.wait(
+                ask.after, min(left_s, PROGRESS_REPORT_S)
+            )
+            if changes is None or changes.events or changes.revision > ask.after:
+                return changes
+            if ask.takes_omissions and self._is_receiving():
+                return changes
+        return Changes((), ask.after)
+
+    def _is_receiving(self) -> bool:
+        return now_s() - self.read_progress_s() < PROGRESS_AGE_S
 
     @property
     def is_watcher(self) -> bool:
@@ -257,6 +284,8 @@
             if find_epoch(report.revision) > find_epoch(after):
                 raise HistoryLost(f"{watcher.name} knows that the store was restored")
             return None
+        if report.receiving:
+            self._reported_progress_at_s = now_s()
         return Changes(tuple(map(unpack, report.items)), report.revision)
 
     def _update_followed(self, name: str | None) -> None:
--- a/src/wasabipitch/peer_messages.py
+++ b/src/wasabipitch/peer_messages.py
@@ -156,11 +156,13 @@
         known: Whether the host knows all changes after the revision asked for.
         items: The changes.
         revision: The revision up to which the host knows all changes.
+        receiving: Whether the host is receiving a long answer with further changes.
     """
 
     known: bool
     items: tuple[StoredItem, ...] = ()
     revision: int = 0
+    receiving: bool = False
 
 
 class AskConfiguration(msgspec.Struct, frozen=True):
--- a/tests/wasabipitch/coordination/test_following.py
+++ b/tests/wasabipitch/coordination/test_following.py
@@ -1,8 +1,12 @@
+import asyncio
 import contextlib
 import unittest
+from unittest.mock import patch
 
 from standins.memory_store import MemoryStore
 from tests.wasabipitch.coordination.peers_fixture import run_peers
+from wasabipitch.clock import now_s
+from wasabipitch.coordination import following
 from wasabipitch.coordination.following import (
     MAX_KEPT_CHANGES,
     WATCHERS_HASH_KEY,
@@ -69,6 +73,74 @@
             self.assertEqual(unpack(pack(event)), event)
 
 
+class ReceivingWatcherTest(unittest.IsolatedAsyncioTestCase):
+    """A watcher that takes long to receive a large value from the store."""
+
+    async def asyncSetUp(self):
+        peers = await self.enterAsyncContext(
+            run_peers({"watcher": self.answer, "follower": self.answer})
+        )
+        self.store, self.history = MemoryStore(), ChangeHistory()
+        self.history.begin(10)
+        self.watcher = self.make_follower(peers["watcher"], peers, self.history)
+        self.follower = self.make_follower(peers["follower"], peers, ChangeHistory())
+
+    def make_follower(self, own, peers, history):
+        return ChangeFollower(
+            own.host,
+            self.store,
+            history,
+            own.links,
+            lambda: {"watcher": "rome", "follower": "rome"},
+            lambda name: peers[name].host,
+            1,
+            DecisionLog(own.name),
+        )
+
+    async def answer(self, exchange):
+        return await self.watcher.answer(exchange.message)
+
+    async def test_its_followers_hear_of_the_parts_that_arrive(self):
+        # They counted it as late after 0.6 s, and then each read the value themselves.
+        watchers = patch.object(following, "choose_owners", lambda *_: {"watcher"})
+        self.enterContext(watchers)
+        self.store.progressed_at_s = started_s = now_s()
+        changes = await self.follower.watch("", 10, 5.0)
+        self.assertEqual((changes.events, changes.revision), ((), 10))
+        self.assertTrue(self.follower.is_following)
+        self.assertGreaterEqual(self.follower.read_progress_s(), started_s)
+        self.assertEqual(self.store.calls, [])
+        # The answer comes with the value, and then nothing more is received.
+        self.store.progressed_at_s = 0.0
+        self.history.add(Omission("k", 11))
+        self.history.advance(11)
+        changes = await self.follower.watch("", 10, 5.0)
+        self.assertEqual(changes.events, (Omission("k", 11),))
+
+    async def test_without_parts_a_question_waits_as_long_as_it_asks_for(self):
+        with patch.object(following, "PROGRESS_REPORT_S", 0.02):
+            started_s = now_s()
+            report = await self.watcher.answer(AskChanges(10, 0.2, True))
+            self.assertGreaterEqual(now_s() - started_s, 0.2)
+        self.assertEqual(report, ChangesReport(True, (), 10))
+
+    async def test_a_change_ends_the_wait_at_once(self):
+        with patch.object(following, "PROGRESS_REPORT_S", 5.0):
+            call = asyncio.ensure_future(self.watcher.answer(AskChanges(10, 5.0, True)))
+            await asyncio.sleep(0.02)
+            self.history.add(item(11))
+            self.history.advance(11)
+            async with asyncio.timeout(1.0):
+                self.assertEqual((await call).revision, 11)
+
+    async def test_the_revision_advances_without_events_as_well(self):
+        call = asyncio.ensure_future(self.watcher.answer(AskChanges(10, 5.0, True)))
+        await asyncio.sleep(0.02)
+        self.history.advance(12)
+        async with asyncio.timeout(1.0):
+            self.assertEqual((await call).revision, 12)
+
+
 class ChoiceOfWatcherTest(unittest.IsolatedAsyncioTestCase):
     """A follower whose watcher has ended."""
 
