--- a/src/wasabipitch/coordination/distribution.py
+++ b/src/wasabipitch/coordination/distribution.py
@@ -37,6 +37,7 @@
 from wasabipitch.exceptions import (
     ConfigurationRefused,
     LinkError,
+    LinkLost,
     SettingsError,
     StoreError,
 )
@@ -61,6 +62,8 @@
 KEEPALIVE_S = 0.3
 # A peer that sends neither a part nor a sign of life for this long has failed.
 PART_TIMEOUT_S = 1.0
+# A host that takes no part for this long is given up, so that others get its turn.
+SEND_TIMEOUT_S = 3.0
 # A peer waits for this long for a configuration that it does not have in force yet.
 ANSWER_PATIENCE_S = 0.5
 # The store is read if no peer has begun to deliver within this time. Hosts that all
@@ -140,7 +143,7 @@
         self._measures = measures
         # The versions that were in force last, the newest at the end.
         self._versions: list[Configuration] = []
-        self._digests: dict[int, asyncio.Task[DigestedConfiguration]] = {}
+        self._digests: dict[int, asyncio.Future[DigestedConfiguration]] = {}
         self._changes: dict[tuple[str, str], asyncio.Task[EncodedChange]] = {}
         self._transfers = asyncio.Semaphore(MAX_TRANSFERS)
         # A value of the store that was read by the watch or the listing.
@@ -182,7 +185,7 @@
         offer = ConfigurationOffer(
             True, revision, version, change.base, change.digest, len(change.data)
         )
-        await exchange.send(offer, more=True)
+        await _send(exchange, offer)
         async with self._take_turn(exchange):
             return await self._send_parts(exchange, change.data, ask.bytes_per_s)
 
@@ -199,7 +202,7 @@
             size = len(part.data)
             await asyncio.sleep(max(self._pacer.reserve(size), pacer.reserve(size)))
             if n < len(parts) - 1:
-                await exchange.send(part, more=True)
+                await _send(exchange, part)
         return parts[-1]
 
     @contextlib.asynccontextmanager
@@ -208,7 +211,7 @@
         turn = asyncio.ensure_future(self._transfers.acquire())
         try:
             while not (await asyncio.wait([turn], timeout=KEEPALIVE_S))[0]:
-                await exchange.send(ConfigurationPart(), more=True)
+                await _send(exchange, ConfigurationPart())
             yield
         finally:
             turn.cancel()
@@ -295,6 +298,8 @@
             offer = await anext(replies, None)
             if not isinstance(offer, ConfigurationOffer) or not offer.known:
                 return False
+            if offer.revision < awaited:
+                raise ConfigurationRefused("the peer has an earlier configuration")
             if base is not None and offer.digest == base.digest:
                 receipt = Receipt(UNCHANGED, 0, 0.0, peer.name)
                 self._accept(base, offer.revision, receipt, since_s)
@@ -303,6 +308,9 @@
             reader = ChangeReader(base, offer.base, offer.version, offer.digest)
             size = 0
             async for part in replies:
+                if not isinstance(part, ConfigurationPart):
+                    name = type(part).__name__
+                    raise ConfigurationRefused(f"unexpected message {name}")
                 size += len(part.data)
                 await runner.run(reader.feed_steps(part.data))
         result = reader.finish()
@@ -421,6 +429,21 @@
         return await asyncio.shield(task)
 
 
+async def _send(
+    exchange: Exchange, message: ConfigurationOffer | ConfigurationPart
+) -> None:
+    """Send a message that others follow.
+
+    Raises:
+        LinkLost: The host that asked has taken none for ``SEND_TIMEOUT_S``.
+    """
+    try:
+        async with asyncio.timeout(SEND_TIMEOUT_S):
+            await exchange.send(message, more=True)
+    except TimeoutError as exc:
+        raise LinkLost(f"no part was taken for {SEND_TIMEOUT_S:g} s") from exc
+
+
 def _make_done(result: DigestedConfiguration) -> asyncio.Future:
     fut = asyncio.get_running_loop().create_future()
     fut.set_result(result)
