--- a/src/wasabipitch/instances/pool.py
+++ b/src/wasabipitch/instances/pool.py
@@ -481,9 +481,12 @@
         """Close a connection that is neither idle nor checked out any more."""
         conn.close()
         self._forget(conn.account)
+        self._count_closing(BUSY_CLOSE_SETTLE_S if conn.ended_busy else CLOSE_SETTLE_S)
+
+    def _count_closing(self, settle_s: float) -> None:
+        """Count a closed connection until the instance can have seen its end."""
         if self.has_accounts and not self._closed:
             self._closing += 1
-            settle_s = BUSY_CLOSE_SETTLE_S if conn.ended_busy else CLOSE_SETTLE_S
             asyncio.get_running_loop().call_later(settle_s, self._end_closing)
 
     def _end_closing(self) -> None:
@@ -527,6 +530,9 @@
             conn = await connect(self.entry, self._codec, account)
         except TargetDown as exc:
             self._record_failure(exc)
+            if not isinstance(exc, (ConnectionRefused, NoConnectionLeft)):
+                # The handshake may still wait for a slot of the instance.
+                self._count_closing(BUSY_CLOSE_SETTLE_S)
         else:
             self._record_opened()
         finally:
--- a/tests/wasabipitch/instances/test_accounts.py
+++ b/tests/wasabipitch/instances/test_accounts.py
@@ -9,6 +9,7 @@
 from wasabipitch.instances.dispatcher import ConnectionRequest, Dispatcher
 from wasabipitch.models import Address
 from wasabipitch.operations.decisions import DecisionLog
+from wasabipitch.operations.measures import Measures
 from wasabipitch.wire.messages import Statement, Verb
 
 from adapter.wire import LineInstanceCodec  # isort: skip
@@ -22,8 +23,10 @@
         self.group = LineGroup("ledger")
         await self.group.start()
         self.addAsyncCleanup(self.group.stop)
+        self.measures = Measures()
+        decisions = DecisionLog("host", measures=self.measures)
         self.dispatcher = Dispatcher(
-            CODEC, DecisionLog("host"), "rome", "i-0".__eq__, lambda name: None
+            CODEC, decisions, "rome", "i-0".__eq__, lambda name: None
         )
         self.addCleanup(self.dispatcher.close)
         self.update(own_share=2)
@@ -145,6 +148,30 @@
             (await waiting).release()
         north.release()
 
+    async def test_handshake_without_an_answer_counts_until_the_instance_drops_it(self):
+        self.instance.silent = True
+        with self.assertRaises(Overloaded):
+            await self.acquire("north", timeout_s=0.5)
+        self.assertEqual((self.pool.open, self.pool.held), (0, 1))
+        await asyncio.sleep(pool_module.BUSY_CLOSE_SETTLE_S)
+        self.assertEqual(self.pool.held, 0)
+
+    async def test_refused_connections_are_counted(self):
+        self.instance.max_connections = 0
+        with self.assertRaises(Overloaded):
+            await self.acquire("north", timeout_s=0.05)
+        counts = self.measures.counters["instance_connections_refused"]
+        self.assertEqual(dict(counts), {(("group", "ledger"), ("instance", "i-0")): 1})
+
+    async def test_peer_that_lacks_connections_gets_those_not_in_use_lately(self):
+        self.update(own_share=3)
+        self.pool._grows_at_s = 0.0
+        old, north = await self.run_one("old"), await self.run_one("north")
+        old.used_at_s -= 2 * pool_module.IDLE_TIMEOUT_S
+        self.dispatcher.release_unused("i-0")
+        await asyncio.sleep(0.01)
+        self.assertEqual((old.is_open, north.is_open), (False, True))
+
     async def test_lost_share_is_closed_at_once(self):
         await self.run_one("north")
         held = await self.acquire("south")
--- a/tests/wasabipitch/test_account_connections.py
+++ b/tests/wasabipitch/test_account_connections.py
@@ -14,6 +14,8 @@
 ACCOUNTS = ("north", "south", "east", "west", "middle")
 ROUTES_BY_NAME = {route.database: route for route in ROUTES}
 
+_READ = (Verb.READ, "READ job")
+
 
 class AccountDocuments(gateway_fixture.Documents):
     """Documents of a deployment with client accounts."""
@@ -139,6 +141,47 @@
             self.assertIsNone((await session.run(Verb.READ, "READ job")).failure)
         self.assertGreaterEqual(self.check_accounts(), 2 * len(sessions) + 1)
 
+    async def test_host_that_joins_waits_for_the_share_of_the_others(self):
+        await self.start(2)
+        instances = self.fleet.group.instances.values()
+        load = [
+            asyncio.ensure_future(self.send(host, account))
+            for host in ("host-0", "host-1")
+            for account in ACCOUNTS
+        ]
+        await self.fleet.add_host("host-2")
+        await self.fleet.wait_for(lambda: self.fleet.is_settled("host-2"))
+        load += [asyncio.ensure_future(self.send("host-2", name)) for name in ACCOUNTS]
+        [pool, *_] = self.fleet.dispatcher("host-2").pools.values()
+        self.assertEqual(pool.allowed, 1)
+        await self.fleet.wait_for(lambda: pool.allowed == 4)
+        await asyncio.gather(*load)
+        self.assertEqual([i.refused_connections for i in instances], [0, 0, 0])
+        self.check_accounts()
+
+    async def send(self, host, account):
+        for n in range(60):
+            session = Session(self.fleet, host, account)
+            await session.run(*((Verb.WRITE, f"WRITE job {n}") if n % 5 else _READ))
+            await asyncio.sleep(0.02)
+
+    async def test_host_that_runs_again_has_its_former_share(self):
+        # Guards the time after a loss of power, when all hosts start at once.
+        await self.start(2)
+        await self.fleet.hosts["host-1"].close()
+        await self.fleet.add_host("host-1")
+        await self.fleet.wait_for(lambda: self.fleet.is_settled("host-1"))
+        for pool in self.fleet.dispatcher("host-1").pools.values():
+            self.assertEqual(pool.allowed, 7)
+
+    async def test_hosts_that_ran_before_count_while_they_register(self):
+        await self.start(1)
+        groups = self.fleet.hosts["host-0"].groups
+        groups._live_hosts._names.update(f"host-{n}" for n in range(1, 7))
+        groups.update_group(GROUP)
+        for pool in self.fleet.dispatcher().pools.values():
+            self.assertEqual(pool.limit, 2)
+
     async def test_transaction_whose_session_changes_its_account_is_aborted(self):
         await self.start(1)
         session = Session(self.fleet, "host-0", "north")
