--- a/tests/wasabipitch/operations/test_explanations.py
+++ b/tests/wasabipitch/operations/test_explanations.py
@@ -54,6 +54,46 @@
 
 
 class ExplainTest(unittest.TestCase):
+    def test_a_key_that_a_host_without_the_store_could_not_judge(self):
+        lines = [
+            line(1.0, "a", "store unreachable", reason="no answer"),
+            failed(
+                6.0,
+                "a",
+                "r1",
+                "the configuration is not known to be current",
+                account="north",
+                version=7,
+                proof_age_s=4.61,
+            ),
+        ]
+        cause = explain_lines(lines, "r1").cause
+        self.assertIn("configuration 7", cause)
+        self.assertIn("4.61 s before", cause)
+        self.assertIn("no answer from the store after", cause)
+
+    def test_a_key_that_a_host_refused_before_its_first_proof(self):
+        reason = "the configuration is not known to be current"
+        lines = [failed(6.0, "a", "r1", reason, version=7, proof_age_s=None)]
+        cause = explain_lines(lines, "r1").cause
+        self.assertIn("not known to be current since its start", cause)
+
+    def test_a_withdrawn_key(self):
+        lines = [
+            line(1.0, "a", "configuration in force", version=8),
+            line(1.1, "b", "configuration in force", version=8),
+            failed(1.5, "b", "r1", "the key is not known", account="", version=8),
+        ]
+        cause = explain_lines(lines, "r1").cause
+        self.assertIn("no account in configuration 8", cause)
+        self.assertIn(f"b put in force at {DAY}01,100", cause)
+
+    def test_a_key_that_moved_to_another_account(self):
+        reason = "the key no longer belongs to the transaction's account"
+        lines = [failed(1.5, "b", "r1", reason, account="south", version=8)]
+        cause = explain_lines(lines, "r1").cause
+        self.assertIn("belongs to account south in configuration 8", cause)
+
     def test_a_write_whose_outcome_a_failover_left_unknown(self):
         lines = [*FAILOVER_LINES, failed(1.5, "a", "r1", "the primary was replaced")]
         found = explain_lines(reversed(lines), "r1")
