Bound connections of unknown origin at the links' port

Change: until its hello, a connection may send frames of 16 KiB for 5 s, and there are 32 of them at most; one more closes the oldest. A large statement of a peer waits for memory like one of a caller, and is refused unrun if there is none. What is closed is counted and logged. The tests of the clients show the host's log when no statement is answered.

--- a/src/wasabipitch/gateway.py
+++ b/src/wasabipitch/gateway.py
@@ -52,9 +52,14 @@
     AskRecord,
     AskStoreHead,
     RunStatement,
+    StatementReply,
     StoreCall,
 )
-from wasabipitch.policy.memory_budget import make_plan
+from wasabipitch.policy.memory_budget import (
+    SMALL_BYTES,
+    STATEMENT_COPIES,
+    make_plan,
+)
 from wasabipitch.wire.codecs import CallerCodec, InstanceCodec
 
 # With up to this many hosts, changes are rare and each host reads them at once.
@@ -199,7 +204,10 @@
             lambda name: self.groups.find_local_runner(name)
         )
         self._link_server = LinkServer(
-            self._answer_peer, clock, on_peer_lost=self._service.end_all
+            self._answer_peer,
+            clock,
+            on_peer_lost=self._service.end_all,
+            on_closed=self._record_closures_of("peers"),
         )
         self._build_coordination(host, record)
         self._build_service(host)
@@ -427,12 +435,28 @@
                 self.groups.close_unused_connections(group, instance)
                 return Done()
             case RunStatement() as statement:
-                return await self._service.run(exchange.connection, statement)
+                return await self._run_for_peer(exchange.connection, statement)
             case EndSession(session):
                 self._service.end(exchange.connection, session)
                 return Done()
         return await self._answer_question(exchange.message)
 
+    async def _run_for_peer(
+        self, connection: object, statement: RunStatement
+    ) -> StatementReply:
+        """Run a peer's statement once there is memory for it."""
+        size = statement.count_bytes()
+        if size < SMALL_BYTES:
+            return await self._service.run(connection, statement)
+        cost = STATEMENT_COPIES * size
+        if not await self._budget.admit(cost):
+            reason = "no memory is left for the statement"
+            return self._service.refuse(connection, statement, reason)
+        try:
+            return await self._service.run(connection, statement)
+        finally:
+            self._budget.release(cost)
+
     async def _answer_question(self, message: Message) -> Message:
         """Answer a peer's question about the store or a group."""
         match message:
--- a/src/wasabipitch/group/remote.py
+++ b/src/wasabipitch/group/remote.py
@@ -334,6 +334,13 @@
             floor=context.floor,
         )
 
+    def refuse(
+        self, connection: object, message: RunStatement, reason: str
+    ) -> StatementReply:
+        """Refuse a statement that has not run, and roll its transaction back."""
+        self.end(connection, message.session)
+        return _refuse(reason, message.in_transaction)
+
     def end(self, connection: object, session: str) -> None:
         """Roll back the open transaction of a session, if any."""
         context = self._open.pop((connection, session), None)
--- a/src/wasabipitch/links.py
+++ b/src/wasabipitch/links.py
@@ -44,17 +44,23 @@
 logger = logging.getLogger(__name__)
 
 
-async def read_envelope(reader: asyncio.StreamReader) -> Envelope:
+async def read_envelope(
+    reader: asyncio.StreamReader, max_bytes: int = MAX_FRAME_BYTES
+) -> Envelope:
     """Read one frame and return its envelope.
 
+    Args:
+        reader: The connection.
+        max_bytes: The size of the longest frame that is accepted.
+
     Raises:
         asyncio.IncompleteReadError: If the peer closed the connection.
         LinkError: If the frame is malformed or too long.
     """
     header = await reader.readexactly(FRAME_HEADER.size)
     (size,) = FRAME_HEADER.unpack(header)
-    if size > MAX_FRAME_BYTES:
-        raise LinkError(f"frame of {size} bytes exceeds the limit {MAX_FRAME_BYTES}")
+    if size > max_bytes:
+        raise LinkError(f"frame of {size} bytes exceeds the limit {max_bytes}")
     return contracts.unpack(await reader.readexactly(size))
 
 
--- a/src/wasabipitch/linkserver.py
+++ b/src/wasabipitch/linkserver.py
@@ -19,11 +19,24 @@
 )
 from wasabipitch.messages import Cancel, Continue, Execute, Heartbeat, Hello, Message
 from wasabipitch.models import Address, Host
+from wasabipitch.policy.memory_budget import MALFORMED, NO_HELLO, TOO_MANY
 from wasabipitch.verdict import Verdict
 
+# Anything can connect to the port. Until a connection has said which peer it comes
+# from, its frames are small, it is closed after a time, and there are few of them. A
+# peer sends its hello as soon as it has connected.
+MAX_HELLO_BYTES = 16 * 1024
+HELLO_TIMEOUT_S = 5.0
+MAX_UNIDENTIFIED = 32
+
 logger = logging.getLogger(__name__)
 
 
+def log_closed(reason: str, **fields: str) -> None:
+    """Log a connection that was closed, and why."""
+    logger.warning("link closed: %s %s", reason, fields)
+
+
 class Exchange:
     """One request received over a link, with the means to answer it.
 
@@ -105,19 +118,32 @@
     async def run(self) -> None:
         """Serve requests until the peer closes the connection."""
         try:
+            await self._read_hello()
             while True:
                 envelope = await read_envelope(self._reader)
                 if not self._is_cut_off():
                     self._accept(envelope)
+        except TimeoutError:
+            self._server.on_closed(NO_HELLO)
         except (OSError, asyncio.IncompleteReadError):
             pass
         except LinkError as exc:
-            logger.warning("link from %s: %s", self._peer_name(), exc)
+            self._server.on_closed(MALFORMED, peer=self._peer_name(), why=exc.message)
         finally:
             for task in list(self._tasks.values()):
                 task.cancel()
             self._writer.close()
 
+    async def _read_hello(self) -> None:
+        async with asyncio.timeout(HELLO_TIMEOUT_S):
+            while self.peer is None:
+                self._accept(await read_envelope(self._reader, MAX_HELLO_BYTES))
+        self._server.mark_identified(self)
+
+    def abort(self) -> None:
+        """Close the connection at once."""
+        self._writer.transport.abort()
+
     def _accept(self, envelope: Envelope) -> None:
         self._server.clock.observe(envelope.clock)
         message = envelope.message
@@ -182,6 +208,8 @@
         clock: The clock whose time is sent with every message.
         on_peer_lost: Called after a peer's connection has closed.
         cuts: The peers whose traffic fault injection drops.
+        on_closed: Called with the reason, and fields that explain it, for each
+            connection that the server closes because its client misbehaves.
     """
 
     def __init__(
@@ -191,13 +219,17 @@
         *,
         on_peer_lost: PeerLostCallback | None = None,
         cuts: Cuts | None = None,
+        on_closed: Callable[..., None] = log_closed,
     ) -> None:
         self.handler = handler
         self.clock = clock
         self.cuts = cuts or Cuts()
         self._on_peer_lost = on_peer_lost
         self._server: asyncio.Server | None = None
+        self.on_closed = on_closed
         self._connections: set[LinkConnection] = set()
+        # The connections without a hello, the oldest first.
+        self._unidentified: dict[LinkConnection, None] = {}
 
     async def start(self, address: Address) -> Address:
         """Listen on an address and return it; port 0 chooses a free port."""
@@ -218,12 +250,23 @@
         while self._connections:
             await asyncio.sleep(0)
 
+    def mark_identified(self, connection: LinkConnection) -> None:
+        """Count a connection no longer among those without a hello."""
+        self._unidentified.pop(connection, None)
+
     async def _accept(self, reader: asyncio.StreamReader, writer) -> None:
         connection = LinkConnection(self, reader, writer)
         self._connections.add(connection)
+        self._unidentified[connection] = None
+        if len(self._unidentified) > MAX_UNIDENTIFIED:
+            oldest = next(iter(self._unidentified))
+            self.mark_identified(oldest)
+            oldest.abort()
+            self.on_closed(TOO_MANY)
         try:
             await connection.run()
         finally:
+            self._unidentified.pop(connection, None)
             self._connections.discard(connection)
             if self._on_peer_lost is not None:
                 await self._on_peer_lost(connection)
--- a/src/wasabipitch/peer_messages.py
+++ b/src/wasabipitch/peer_messages.py
@@ -238,6 +238,13 @@
     begins: bool
     account: str = ""
 
+    def count_bytes(self) -> int:
+        """Return the number of bytes of the texts that callers chose."""
+        size = len(self.statement.text) + len(self.statement.arguments)
+        if self.shape is not None:
+            size += len(self.shape.text)
+        return size + sum(map(len, self.values.values()))
+
 
 class StatementReply(msgspec.Struct, frozen=True):
     """The answer to a ``RunStatement``.
--- a/tests/clients/host_fixture.py
+++ b/tests/clients/host_fixture.py
@@ -105,7 +105,11 @@
             if outcome == "ok":
                 return
             await asyncio.sleep(0.1)
-        raise AssertionError(f"an ordinary statement was not answered: {outcome}")
+        log = self.process._log.read_text(encoding="utf-8", errors="replace")
+        raise AssertionError(
+            f"an ordinary statement was not answered: {outcome}; "
+            f"running: {self.process.is_running}; log: ...{log[-1500:]}"
+        )
 
 
 class Crowd:
--- a/tests/wasabipitch/group/test_remote.py
+++ b/tests/wasabipitch/group/test_remote.py
@@ -3,12 +3,13 @@
 
 from tests.wasabipitch.coordination.peers_fixture import run_peers
 from wasabipitch.coordination.documents import Consistency, Route
-from wasabipitch.group.remote import RemoteRunner
+from wasabipitch.group.remote import RemoteRunner, StatementService
 from wasabipitch.group.session import SessionContext, Transaction
 from wasabipitch.messages import Done, EndSession
+from wasabipitch.models import ORIGIN
 from wasabipitch.operations.decisions import DecisionLog
-from wasabipitch.peer_messages import StatementReply
-from wasabipitch.wire.messages import Code, SessionState, Statement, Verb
+from wasabipitch.peer_messages import RunStatement, StatementReply
+from wasabipitch.wire.messages import Code, SessionState, Shape, Statement, Verb
 
 from wasabipitch.clock import now_s  # isort: skip
 
@@ -100,3 +101,58 @@
                 await self.run_statement(statement)
                 self.replies = dict.fromkeys(self.replies)
                 self.assertEqual((await self.run_statement(COMMIT)).code, code)
+
+
+class Checkout:
+    def __init__(self):
+        self.released = False
+
+    def release(self):
+        self.released = True
+
+
+class OwnerWithoutMemoryTest(unittest.IsolatedAsyncioTestCase):
+    """An owner that has no memory for a peer's statement refuses it unrun."""
+
+    def make_message(self, in_transaction=False, **changes):
+        fields = {
+            "session": "s-1",
+            "statement": WRITE,
+            "route": ROUTE,
+            "left_s": 0.5,
+            "values": {},
+            "shape": None,
+            "floor": ORIGIN,
+            "in_transaction": in_transaction,
+            "read_only": False,
+            "begins": False,
+        }
+        return RunStatement(**{**fields, **changes})
+
+    def test_a_statement_is_busy(self):
+        service = StatementService(lambda group: None)
+        reply = service.refuse("link", self.make_message(), "no memory")
+        self.assertEqual((reply.code, reply.state), (Code.BUSY, SessionState.IDLE))
+
+    def test_its_transaction_is_rolled_back(self):
+        # A later COMMIT must not commit the transaction without the statement.
+        service = StatementService(lambda group: None)
+        checkout = Checkout()
+        context = SessionContext("s-1", "bookings")
+        context.transaction = Transaction(False, now_s(), checkout)
+        service._open["link", "s-1"] = context
+        reply = service.refuse("link", self.make_message(True), "no memory")
+        self.assertEqual(
+            (reply.code, reply.state),
+            (Code.ABORTED, SessionState.FAILED_TRANSACTION),
+        )
+        self.assertTrue(checkout.released)
+        self.assertEqual(service._open, {})
+
+    def test_all_texts_of_callers_are_counted(self):
+        message = self.make_message(
+            statement=Statement(b"1", b"x" * 10, Verb.EXECUTE, arguments=b"y" * 20),
+            values={b"a": b"z" * 30, b"b": b"z" * 40},
+            shape=Shape(True, b"t" * 50),
+        )
+        self.assertEqual(message.count_bytes(), 150)
--- a/tests/wasabipitch/test_links.py
+++ b/tests/wasabipitch/test_links.py
@@ -3,6 +3,7 @@
 import unittest
 from unittest.mock import patch
 
+from wasabipitch.contracts import FRAME_HEADER
 from wasabipitch.events import Clock
 from wasabipitch.exceptions import LinkDown, LinkLost, NoTarget
 from wasabipitch.links import (
@@ -12,9 +13,15 @@
     Link,
     RemoteError,
 )
-from wasabipitch.linkserver import LinkConnection, LinkServer
+from wasabipitch.linkserver import (
+    MAX_HELLO_BYTES,
+    MAX_UNIDENTIFIED,
+    LinkConnection,
+    LinkServer,
+)
 from wasabipitch.messages import AskStatus, Done, EndSession, Hello, Rows
 from wasabipitch.models import Address, Host
+from wasabipitch.policy.memory_budget import MALFORMED, NO_HELLO, TOO_MANY
 from wasabipitch.verdict import Verdict
 
 REPLY_MESSAGES = 30
@@ -132,3 +139,63 @@
             await self.link.call(EndSession("fast"), timeout_s=0.05)
         self.cuts.peers = frozenset()
         await self.link.call(EndSession("fast"))
+
+
+class UnidentifiedTest(unittest.IsolatedAsyncioTestCase):
+    """Anything can connect to the port of the links."""
+
+    async def asyncSetUp(self):
+        self.closed = []
+        self.server = LinkServer(
+            self.answer,
+            Clock(),
+            on_closed=lambda reason, **fields: self.closed.append(reason),
+        )
+        self.address = await self.server.start(Address("127.0.0.1", 0))
+        self.addAsyncCleanup(self.server.close)
+
+    async def answer(self, exchange):
+        return Done(exchange.message.session)
+
+    async def connect(self, data=b""):
+        reader, writer = await asyncio.open_connection(
+            self.address.ip, self.address.port
+        )
+        # A stream that is not referenced any more closes its connection.
+        self.addCleanup(writer.close)
+        writer.write(data)
+        return reader
+
+    async def is_closed(self, reader):
+        async with asyncio.timeout(5):
+            try:
+                return not await reader.read(1)
+            except ConnectionError:
+                return True
+
+    async def test_a_large_frame_before_the_hello(self):
+        reader = await self.connect(FRAME_HEADER.pack(MAX_HELLO_BYTES + 1))
+        self.assertTrue(await self.is_closed(reader))
+        self.assertEqual(self.closed, [MALFORMED])
+
+    async def test_a_connection_without_a_hello(self):
+        with patch("wasabipitch.linkserver.HELLO_TIMEOUT_S", 0.05):
+            reader = await self.connect()
+            self.assertTrue(await self.is_closed(reader))
+        self.assertEqual(self.closed, [NO_HELLO])
+
+    async def test_silent_connections_do_not_keep_a_peer_out(self):
+        readers = [await self.connect() for _ in range(MAX_UNIDENTIFIED)]
+        links = [Link(self.address, HELLO, Clock(), peer=f"h-{n}") for n in range(3)]
+        for link in links:
+            self.addAsyncCleanup(link.close)
+            # A peer that said its hello no longer counts.
+            self.assertEqual((await link.call(EndSession("a"))).detail, "a")
+        self.assertTrue(await self.is_closed(readers[0]))
+        self.assertEqual(self.closed, [TOO_MANY])
+
+    async def test_a_large_frame_after_the_hello(self):
+        link = Link(self.address, HELLO, Clock())
+        self.addAsyncCleanup(link.close)
+        text = "x" * (1 << 20)
+        self.assertEqual((await link.call(EndSession(text))).detail, text)
