--- a/src/wasabipitch/gateway.py
+++ b/src/wasabipitch/gateway.py
@@ -63,10 +63,15 @@
     AskTokens,
     EndTransaction,
     RunStatement,
+    StatementReply,
     StoreCall,
 )
 from wasabipitch.policy.locality import DEFAULT_CROSSING_COST_S
-from wasabipitch.policy.memory_budget import make_plan
+from wasabipitch.policy.memory_budget import (
+    SMALL_BYTES,
+    STATEMENT_COPIES,
+    make_plan,
+)
 from wasabipitch.policy.token_bucket import QuotaTolerance
 from wasabipitch.wire.codecs import CallerCodec, InstanceCodec
 
@@ -205,7 +210,10 @@
             lambda name: self.groups.find_local_runner(name)
         )
         self._link_server = LinkServer(
-            self._answer_peer, clock, on_peer_lost=self._service.end_all
+            self._answer_peer,
+            clock,
+            on_peer_lost=self._service.end_all,
+            on_closed=self._record_closures_of("peers"),
         )
         self._build_coordination(host, record)
         self._build_service(host)
@@ -526,7 +534,7 @@
                 self.groups.close_unused_connections(group, instance)
                 return Done()
             case RunStatement() as statement:
-                return await self._service.run(exchange.connection, statement)
+                return await self._run_for_peer(exchange.connection, statement)
             case EndTransaction(session, number):
                 self._service.end(exchange.connection, session, number)
                 return Done()
@@ -534,6 +542,22 @@
                 return await self._distribution.answer(exchange, ask)
         return await self._answer_question(exchange.message)
 
+    async def _run_for_peer(
+        self, connection: object, statement: RunStatement
+    ) -> StatementReply:
+        """Run a peer's statement once there is memory for it."""
+        size = statement.count_bytes()
+        if size < SMALL_BYTES:
+            return await self._service.run(connection, statement)
+        cost = STATEMENT_COPIES * size
+        if not await self._budget.admit(cost):
+            reason = "no memory is left for the statement"
+            return self._service.refuse(connection, statement, reason)
+        try:
+            return await self._service.run(connection, statement)
+        finally:
+            self._budget.release(cost)
+
     async def _answer_question(self, message: Message) -> Message:
         """Answer a peer's question about the store or a group."""
         match message:
@@ -571,7 +595,6 @@
             Gauge("loop_delay_seconds", (), self._loop_delay_s),
             Gauge("store_epoch", (), self._mirror.epoch),
             Gauge("records_confirmed_age_seconds", (), confirmed_s),
-            Gauge("configuration_version", (), self._currency.version),
             Gauge("configuration_proof_age_seconds", (), self._currency.age_s),
             *self._budget.read_gauges(),
             *self.groups.read_gauges(),
--- a/src/wasabipitch/group/remote.py
+++ b/src/wasabipitch/group/remote.py
@@ -404,6 +404,13 @@
             floor=context.floor,
         )
 
+    def refuse(
+        self, connection: object, message: RunStatement, reason: str
+    ) -> StatementReply:
+        """Refuse a statement that has not run, and roll its transaction back."""
+        self._end((connection, message.session))
+        return _refuse(reason, message.in_transaction)
+
     def end(self, connection: object, session: str, number: int) -> None:
         """Roll back a transaction of a session, unless it is over.
 
--- a/src/wasabipitch/links.py
+++ b/src/wasabipitch/links.py
@@ -48,13 +48,16 @@
 
 
 async def read_envelope(
-    reader: asyncio.StreamReader, on_part: Callable[[], None] | None = None
+    reader: asyncio.StreamReader,
+    on_part: Callable[[], None] | None = None,
+    max_bytes: int = MAX_FRAME_BYTES,
 ) -> Envelope:
     """Read one frame and return its envelope.
 
     Args:
         reader: The stream.
         on_part: Called after each part of a frame longer than ``PART_BYTES``.
+        max_bytes: The size of the longest frame that is accepted.
 
     Raises:
         asyncio.IncompleteReadError: If the peer closed the connection.
@@ -62,8 +65,8 @@
     """
     header = await reader.readexactly(FRAME_HEADER.size)
     (size,) = FRAME_HEADER.unpack(header)
-    if size > MAX_FRAME_BYTES:
-        raise LinkError(f"frame of {size} bytes exceeds the limit {MAX_FRAME_BYTES}")
+    if size > max_bytes:
+        raise LinkError(f"frame of {size} bytes exceeds the limit {max_bytes}")
     if on_part is None or size <= PART_BYTES:
         return contracts.unpack(await reader.readexactly(size))
     body = bytearray()
--- a/src/wasabipitch/peer_messages.py
+++ b/src/wasabipitch/peer_messages.py
@@ -340,6 +340,13 @@
     transaction: int = 0
     account: str = ""
 
+    def count_bytes(self) -> int:
+        """Return the number of bytes of the texts that callers chose."""
+        size = len(self.statement.text) + len(self.statement.arguments)
+        if self.shape is not None:
+            size += len(self.shape.text)
+        return size + sum(map(len, self.values.values()))
+
 
 class EndTransaction(msgspec.Struct, frozen=True):
     """Tells an owner to roll back a transaction that a session will not continue.
--- a/tests/wasabipitch/front/test_any_bytes.py
+++ b/tests/wasabipitch/front/test_any_bytes.py
@@ -9,6 +9,8 @@
 
 from tests.adapter import PLATFORM  # noqa: F401 (puts the adapter on the path)
 from tests.wasabipitch.wire.test_lines import Transport, feed
+from wasabipitch.accounts.authentication import Authentication
+from wasabipitch.coordination.currency import CopyCurrency
 from wasabipitch.coordination.documents import Configuration, Consistency, Route
 from wasabipitch.exceptions import MalformedMessage
 from wasabipitch.front.budget import MemoryBudget
@@ -89,6 +91,9 @@
         lambda: CONFIGURATION,
         lambda group: runner,
         measures,
+        Authentication(
+            lambda: CONFIGURATION, CopyCurrency(), None, decisions, measures
+        ),
         budget,
     )
     stream, transport = budget.open().stream, SessionTransport()
--- a/tests/wasabipitch/group/test_remote.py
+++ b/tests/wasabipitch/group/test_remote.py
@@ -1,6 +1,8 @@
 import asyncio
 import unittest
 
+from msgspec.structs import replace
+
 from tests.wasabipitch.coordination.peers_fixture import run_peers
 from wasabipitch.coordination.documents import Consistency, Route
 from wasabipitch.group.remote import RemoteRunner, StatementService
@@ -9,7 +11,14 @@
 from wasabipitch.models import ORIGIN
 from wasabipitch.operations.decisions import DecisionLog
 from wasabipitch.peer_messages import EndTransaction, RunStatement, StatementReply
-from wasabipitch.wire.messages import Code, Reply, SessionState, Statement, Verb
+from wasabipitch.wire.messages import (
+    Code,
+    Reply,
+    SessionState,
+    Shape,
+    Statement,
+    Verb,
+)
 
 from wasabipitch.clock import now_s  # isort: skip
 
@@ -240,3 +249,28 @@
         await self.run_statement(1, begins=True)
         await self.service.end_all(self.link)
         self.assertTrue(self.runner.checkouts[0].released)
+
+    async def test_a_statement_refused_for_memory_ends_its_transaction(self):
+        # A later COMMIT must not commit the transaction without the statement.
+        await self.run_statement(1, begins=True)
+        reply = self.service.refuse(self.link, self.make(1), "no memory")
+        self.assertEqual(
+            (reply.code, reply.state),
+            (Code.ABORTED, SessionState.FAILED_TRANSACTION),
+        )
+        self.assertTrue(self.runner.checkouts[0].released)
+        reply = await self.run_statement(1, statement=COMMIT)
+        self.assertEqual(reply.code, Code.ABORTED)
+
+    def test_a_single_statement_refused_for_memory_is_busy(self):
+        reply = self.service.refuse(self.link, self.make(0), "no memory")
+        self.assertEqual((reply.code, reply.state), (Code.BUSY, SessionState.IDLE))
+
+    def test_all_texts_of_callers_are_counted(self):
+        message = replace(
+            self.make(0),
+            statement=Statement(b"1", b"x" * 10, Verb.EXECUTE, arguments=b"y" * 20),
+            values={b"a": b"z" * 30, b"b": b"z" * 40},
+            shape=Shape(True, b"t" * 50),
+        )
+        self.assertEqual(message.count_bytes(), 150)
