Bound a hot account by the other accounts of the whole group

At an instance that a hot account had for itself no other account was active, so it kept all connections and others did not begin to use that instance. Other accounts now count wherever in the group they are active. No connection is opened without a request in the first 0.5 s, when requests that waited for the host need the handshakes. A test that read the owners before all hosts had registered now waits for them.

--- a/src/wasabipitch/group/forwarding.py
+++ b/src/wasabipitch/group/forwarding.py
@@ -73,12 +73,11 @@
             needs_primary = not transaction.read_only
         else:
             needs_primary = _writes(session, statement)
+        needs_primary = needs_primary or route.max_age_s <= 0
         if now_s() >= self._state.avoid_primary_until_s:
             is_local = self._is_account_local(session.account, needs_primary)
             return self._local if is_local else self._remote
-        if needs_primary or route.max_age_s <= 0:
-            return self._remote
-        return self._local
+        return self._remote if needs_primary else self._local
 
     def _is_account_local(self, account: str, needs_primary: bool) -> bool:
         """Return whether statements of an account run here rather than on its owner."""
--- a/src/wasabipitch/instances/dispatcher.py
+++ b/src/wasabipitch/instances/dispatcher.py
@@ -415,12 +415,17 @@
             self._checkout_s,
             now_s() - request.arrived_s,
         )
+        # At an instance that a hot account has for itself, others would begin to use
+        # connections only if there were any left.
+        others_active = others_waiting or any(
+            pool.are_others_active(account) for pool in self.pools.values()
+        )
         options: list[tuple[float, Use, InstancePool, str]] = []
         may_differ = False
         for pool in pools:
             if not pool.may_open:
                 continue
-            state = pool.describe_use(account, others_waiting)
+            state = pool.describe_use(account, others_active)
             decision = connection_use.decide(demand, state)
             if decision.use in (Use.OPEN, Use.REPLACE):
                 cost_s = self._opening_cost_s(request, pool, decision.use)
--- a/src/wasabipitch/instances/pool.py
+++ b/src/wasabipitch/instances/pool.py
@@ -49,6 +49,9 @@
 # An instance without an answer for this long is shown to be back by a new connection
 # if no account uses it meanwhile.
 SILENCE_PROBE_S = 1.0
+# With accounts, no connection is opened without a request for this long after the
+# start, when requests that have waited for the host need all handshakes.
+START_S = 0.5
 # Time that an abandoned statement has to end before its connection is closed.
 ABANDONED_TIMEOUT_S = 3.0
 # A closed connection counts against the limit until the instance can have seen its
@@ -133,6 +136,7 @@
         # When each account last returned a connection, and the last one that took one.
         self._last_used_s: dict[str, float] = {}
         self._last_account = ""
+        self._created_at_s = now_s()
         # Whether the share was set; the limit until a larger one may be used, and when
         # that is.
         self._is_sized = False
@@ -294,12 +298,12 @@
         # A handshake occupies a slot, as a statement does.
         return max(1, min(self.entry.slots, self.window.size))
 
-    def describe_use(self, account: str, others_waiting: bool) -> PoolUse:
+    def describe_use(self, account: str, others_active: bool) -> PoolUse:
         """Return the state of the pool as an account's request sees it.
 
         Args:
             account: The account of the request.
-            others_waiting: Whether requests of other accounts wait.
+            others_active: Whether other accounts are active in the group.
         """
         own_idle = len(self._idle.get(account, ()))
         return PoolUse(
@@ -310,10 +314,11 @@
             own=self._held_by.get(account, 0),
             own_idle=own_idle,
             others_idle=len(self._idle_order) - own_idle,
-            others_active=others_waiting or self._are_others_active(account),
+            others_active=others_active,
         )
 
-    def _are_others_active(self, account: str) -> bool:
+    def are_others_active(self, account: str) -> bool:
+        """Return whether another account uses a connection or did so lately."""
         used = len(self._checked_out) - self.count_used(account)
         if used or self._opening > self.count_opening(account):
             return True
@@ -369,6 +374,8 @@
         """Open a connection if there is none, which also shows a lost instance."""
         if not self.has_accounts:
             self.open_up_to(min(MIN_IDLE_CONNECTIONS, self.limit))
+        elif now_s() - self._created_at_s < START_S:
+            return
         elif not self.held or self._is_unasked():
             count = min(self.held + MIN_IDLE_CONNECTIONS, self.allowed)
             self.open_up_to(count, self._last_account)
--- a/src/wasabipitch/policy/connection_use.py
+++ b/src/wasabipitch/policy/connection_use.py
@@ -91,8 +91,8 @@
         own: The number that the account holds, those being opened included.
         own_idle: The number of these that are idle.
         others_idle: The number of idle connections of other accounts.
-        others_active: Whether another account waits, uses a connection or used one
-            within ``ACTIVE_S``.
+        others_active: Whether another account waits, uses a connection to any of the
+            group's instances or used one within ``ACTIVE_S``.
     """
 
     limit: int
--- a/tests/wasabipitch/instances/test_load_patterns.py
+++ b/tests/wasabipitch/instances/test_load_patterns.py
@@ -139,10 +139,23 @@
         owner, instances = run_virtual(replay)
         served = join(owner.served)
         self.assertEqual(len(served), 40)
+        # Nothing is opened that no request needs.
+        self.assertNotIn("", [a for i in instances for a in i.handshakes])
         # One handshake at a time, of 14 ms each, would take 0.18 s at three instances.
         self.assertLess(max(served), 0.15)
         self.assertLessEqual(max(instance.most for instance in instances), 6)
 
+    def test_connection_that_shows_a_lost_instance_is_opened_later(self):
+        async def replay():
+            with simulated_instances() as instances:
+                owner = Owner(instances, share=6)
+                await asyncio.sleep(1.0)
+                owner.close()
+            return instances
+
+        instances = run_virtual(replay)
+        self.assertEqual([i.handshakes for i in instances], [[""], [""], [""]])
+
     def test_several_owners_start_at_once_within_the_limit(self):
         async def replay():
             with simulated_instances(max_connections=28) as instances:
--- a/tests/wasabipitch/test_account_connections.py
+++ b/tests/wasabipitch/test_account_connections.py
@@ -108,8 +108,9 @@
 
     async def test_statements_after_an_owner_is_lost(self):
         await self.start(7, connections=14)
-        owners = self.fleet.state("host-0").owners
-        self.assertEqual(len(owners), 2)
+        states = [self.fleet.state(host) for host in self.fleet.hosts]
+        await self.fleet.wait_for(lambda: all(len(s.owners) == 2 for s in states))
+        owners = states[0].owners
         pools = [
             (owner, pool)
             for owner in owners
