Date the end of a registration by its lease, not by the write of its keys

Cause: listed_until_s took the time of the last write of the keys. The lease is opened before, and a write that is repeated does not renew it, so a host could have taken its registration for valid after its lease had ended.

Change: the time before the call that opened or renewed the lease counts. A test of it, and one of three hosts that start again after a power loss, of which one counts at once.

--- a/src/wasabipitch/coordination/registration.py
+++ b/src/wasabipitch/coordination/registration.py
@@ -71,6 +71,8 @@
         # The time of the first registration, or of the first one after a gap longer
         # than ``MAX_STORE_OUTAGE_S``.
         self.registered_since_s = math.inf
+        # When the call was made by which the lease was opened or last renewed, or 0.
+        self._lease_at_s = 0.0
         # Since when the store has listed this host without interruption.
         self._listed_since_s = math.inf
         # Whether this run took over the settled registration of an earlier one, and
@@ -221,7 +223,7 @@
     @property
     def listed_until_s(self) -> float:
         """Until when the lease of the registration can't end."""
-        return self._registered_at_s + HOST_LEASE_S if self._registered_at_s else 0.0
+        return self._lease_at_s + HOST_LEASE_S if self._lease_at_s else 0.0
 
     @property
     def is_successor(self) -> bool:
@@ -290,11 +292,13 @@
         if self._needs_lease:
             # Cleared first, since the store may be restored again meanwhile.
             self._needs_lease = False
+            opened_at_s = now_s()
             try:
                 self.lease = await self._store.open_lease(HOST_LEASE_S)
             except StoreError:
                 self._needs_lease = True
                 raise
+            self._lease_at_s = opened_at_s
         try:
             await self._write()
         except LeaseEnded:
@@ -442,6 +446,7 @@
                 self._needs_lease = True
                 raise
             self._record_registration(started_s)
+            self._lease_at_s = started_s
             await self._settle()
             if not self._is_complete():
                 # The store may remove a key although its lease has not ended.
--- a/tests/wasabipitch/coordination/test_settling.py
+++ b/tests/wasabipitch/coordination/test_settling.py
@@ -109,6 +109,21 @@
         await self.wait_for(lambda: since_s < first.listed_since_s < math.inf)
         self.assertFalse(first.is_successor)
 
+    async def test_a_late_write_does_not_prolong_the_lease(self):
+        # The lease runs from its own call; the keys may be written seconds later.
+        open_lease, opened_s = self.store.open_lease, []
+
+        async def open_slowly(ttl_s):
+            lease = await open_lease(ttl_s)
+            opened_s.append(now_s())
+            await asyncio.sleep(0.3)
+            return lease
+
+        self.store.open_lease = open_slowly
+        with patch.object(registration, "RENEW_INTERVAL_S", 60.0):
+            first = await self.start(1)
+        self.assertLessEqual(first.listed_until_s, opened_s[0] + 6.0)
+
     async def test_a_host_that_leaves_is_not_listed(self):
         first = await self.start(1)
         await first.leave()
--- a/tests/wasabipitch/test_account_limits.py
+++ b/tests/wasabipitch/test_account_limits.py
@@ -183,6 +183,35 @@
 
         return sum(await asyncio.gather(*map(flood, callers)))
 
+    async def test_after_a_power_loss_one_host_counts_at_once(self):
+        fleet, names = self.fleet, list(self.fleet.hosts)
+        await fleet.wait_for(
+            lambda: all(
+                gateway.registration.record.settled_epoch is not None
+                for gateway in fleet.hosts.values()
+            )
+        )
+        for gateway in fleet.hosts.values():
+            await gateway.close()
+        started_s = now_s()
+        for name in names:
+            await fleet.add_host(name)
+        account = Account("acme", RATE_PER_S, BURST)
+
+        def list_counters():
+            return [
+                name
+                for name, gateway in fleet.hosts.items()
+                if gateway._limits._counter.grant(account, 0).counts
+            ]
+
+        await fleet.wait_for(list_counters)
+        self.assertLess(now_s() - started_s, COUNTING_WAIT_S - 0.4)
+        self.assertEqual(len(list_counters()), 1)
+        self.assertTrue(
+            fleet.hosts[list_counters()[0]].registration.is_successor,
+        )
+
     async def test_hosts_settle_and_count_under_their_own_registrations(self):
         def is_settled():
             return all(
