Search for refusals in calm, and for reserves above the tolerance

Cause: the drawn faults checked only that the hosts grant no more than the bound.

Change: with drawn limits, strengths and delays of the store, half of a limit is never refused in calm and at least nine tenths of the whole are granted. The search also has to find reserves that together exceed the tolerance.

--- a/tests/wasabipitch/accounts/test_bound.py
+++ b/tests/wasabipitch/accounts/test_bound.py
@@ -8,8 +8,10 @@
 from hypothesis import HealthCheck, Phase, given, settings
 from hypothesis import strategies as st
 
-from tests.wasabipitch.accounts.world import LIMITS, World
+from tests.wasabipitch.accounts.world import LIMITS, NAME, TICK_S, World
 from wasabipitch.accounts import counting
+from wasabipitch.coordination.documents import Account
+from wasabipitch.policy.counters import Standing
 from wasabipitch.policy.token_bucket import QuotaTolerance, TokenBucket
 
 STRONG, WEAK, UNKNOWN = (2.15, 100.0), (0.516, 5.0), (0.0, 0.0)
@@ -155,6 +157,50 @@
 
         self.assertTrue(search(400, TokenBucket=make_full))
 
+    def test_the_search_finds_reserves_above_the_tolerance(self):
+        def take_whole(rate_per_s, burst, tolerance):
+            limit = rate_per_s * tolerance.window_s + burst
+            return limit * tolerance.excess + tolerance.slack
+
+        self.assertTrue(search(400, reserve_bound=take_whole))
+
+
+class CalmTest(unittest.TestCase):
+    """Guards accounts against refusals that their limit does not call for."""
+
+    @settings(max_examples=15, derandomize=True, deadline=None, database=None)
+    @given(STRENGTHS, st.floats(0.5, 100.0), st.floats(1.0, 50.0), st.integers(0, 3))
+    def test_in_calm_the_whole_limit_is_usable_and_half_is_never_refused(
+        self, strengths, rate_per_s, burst, delay
+    ):
+        # Operations are sent in ticks, so a tick's worth has to fit into the burst.
+        account = Account(NAME, rate_per_s, max(burst, rate_per_s * TICK_S + 1))
+        world = World(strengths, demand=0)
+        for host in world.hosts.values():
+            host.delay = delay
+        world.advance(90)
+        self.check_half(world, account)
+        granted, ticks = 0, 150
+        for _ in range(ticks):
+            world.advance(1)
+            granted += self.grant(world, account, 1000)
+        self.assertGreaterEqual(granted, 0.9 * int(rate_per_s * ticks * TICK_S))
+
+    def check_half(self, world, account):
+        due = 0.0
+        for _ in range(100):
+            world.advance(1)
+            due += account.rate_per_s / 2 * TICK_S
+            self.assertEqual(self.grant(world, account, int(due)), int(due))
+            due -= int(due)
+
+    def grant(self, world, account, count):
+        host = next(iter(world.hosts.values()))
+        standing = Standing(NAME, host.name)
+        standing.update(host.counter.membership)
+        counter = world.hosts[int(standing.order[0][-1])].counter
+        return counter.grant(account, count).granted
+
 
 if __name__ == "__main__":
     unittest.main()
