Find the earlier run of a host that registers before it has loaded the store

Change: the earlier run is looked for once the copy has reached the revision of the registration; a registration that is still there was listed until then, unless a late call wrote it again.

--- a/src/wasabipitch/coordination/registration.py
+++ b/src/wasabipitch/coordination/registration.py
@@ -78,6 +78,8 @@
         # Whether this run took over the settled registration of an earlier one, and
         # has been listed ever since.
         self._is_successor = False
+        # The revision of the first registration, until the copy has reached it.
+        self._first_revision = 0
         # Whether registrations are marked as settled, which takes a call for each run.
         self.needs_settling: Callable[[], bool] = lambda: False
         self._store = store
@@ -228,8 +230,26 @@
     @property
     def is_successor(self) -> bool:
         """Whether this host was listed before its start, without interruption."""
+        self._look_for_predecessor()
         return self._is_successor and self.listed_since_s < math.inf
 
+    def _look_for_predecessor(self) -> None:
+        """Look for an earlier run that was listed when this one was registered.
+
+        A host registers while it still loads the store. An earlier run that the copy
+        contains at the revision of the registration, or later, was listed until then.
+        """
+        revision = self._first_revision
+        if not revision or not self._mirror.loaded.is_set():
+            return
+        if self._mirror.received_revision >= revision:
+            self._first_revision = 0
+            predecessor = self._find_predecessor()
+            # A call of the earlier run may have been executed late.
+            self._is_successor = (
+                predecessor is not None and predecessor.revision < revision
+            )
+
     def _find_predecessor(self) -> Item | None:
         """Return the settled registration of an earlier run, or None.
 
@@ -310,6 +330,7 @@
         """Record that the store may not list this host any more."""
         self._listed_since_s = math.inf
         self._is_successor = False
+        self._first_revision = 0
         self.record = replace(self.record, settled_epoch=None)
 
     async def _write(self) -> None:
@@ -355,9 +376,9 @@
         self._record_registration(started_s)
         at_s = now_s()
         self._listed_since_s = min(self._listed_since_s, at_s)
-        self._is_successor = self._is_successor or (
-            is_first and predecessor is not None
-        )
+        if is_first:
+            self._is_successor = predecessor is not None
+            self._first_revision = 0 if predecessor else revision
         self._serving_since_s.update(dict.fromkeys(missing, at_s))
 
     async def _remove_dropped(self) -> None:
--- a/tests/wasabipitch/coordination/test_settling.py
+++ b/tests/wasabipitch/coordination/test_settling.py
@@ -57,6 +57,37 @@
         self.assertIsNone(second.record.settled_epoch)
         self.assertGreater(second.listed_until_s, now_s() + 5.0)
 
+    async def start_before_loading(self, run, before_loading):
+        """Register a run before its copy of the store is loaded, as at a real start."""
+        mirror = StoreMirror(self.store, DecisionLog("a"))
+        record = HostRecord("a", "rome", f"a.{run}", "127.0.0.1:1", 1.0, 10.0)
+        host = HostRegistration(self.store, mirror, record)
+        self.addAsyncCleanup(tasks.cancel, tasks.spawn(host.run(), "test"))
+        await self.wait_for(lambda: host.key in self.store.items)
+        self.assertFalse(host.is_successor)
+        before_loading()
+        self.addAsyncCleanup(tasks.cancel, tasks.spawn(mirror.run(), "test"))
+        await self.wait_for(mirror.loaded.is_set)
+        return host
+
+    async def test_a_run_that_registers_before_it_has_loaded_the_store_succeeds(self):
+        # No host counted for 2.5 s after a loss of power, since every host registers
+        # before its copy shows the earlier run.
+        first = await self.start(1)
+        await self.settle(first)
+        first.end()
+        second = await self.start_before_loading(2, lambda: None)
+        self.assertTrue(second.is_successor)
+
+    async def test_a_late_write_of_an_earlier_run_is_no_predecessor(self):
+        first = await self.start(1)
+        await self.settle(first)
+        first.end()
+        value = self.store.items[first.key].value
+        self.store.remove(first.key)
+        late = lambda: self.store.put(first.key, value)  # noqa: E731
+        self.assertFalse((await self.start_before_loading(2, late)).is_successor)
+
     async def test_an_unsettled_registration_has_no_successor(self):
         (await self.start(1, needs_settling=False)).end()
         self.assertFalse((await self.start(2)).is_successor)
