Let operations wait shortly for a counter after the start of a host

Cause: hosts that lost power together start up to 0.5 s apart. An early one found the counter's link refused, avoided the counter for 1 s and refused all operations with a limit, while their callers used up their retries.

Change: a host that refuses connections is avoided for 0.05 s; in the first 3 s of a host, operations wait up to 0.4 s for a host that counts. The live hosts are only taken over when they changed.

The effect on a power loss was not measured.

--- a/src/wasabipitch/accounts/counting.py
+++ b/src/wasabipitch/accounts/counting.py
@@ -126,6 +126,8 @@
         self._counting_proofs = ProofChain(COUNTING_PROOF_S)
         self._reserve_proofs = ProofChain(RESERVE_PROOF_S)
         self._states: dict[str, _AccountState] = {}
+        # The records at the last change of the live hosts.
+        self._hosts: dict[str, HostRecord] = {}
 
     def update_hosts(self, hosts: Mapping[str, HostRecord]) -> None:
         """Take the live hosts over after a change of the copy.
@@ -134,6 +136,9 @@
             hosts: The records of the live hosts.
         """
         self.observe_proof()
+        if hosts == self._hosts:
+            return
+        self._hosts = dict(hosts)
         self.membership.record(
             frozenset(
                 Candidate(record.name, record.cores, record.link_mbps)
--- a/src/wasabipitch/accounts/limits.py
+++ b/src/wasabipitch/accounts/limits.py
@@ -31,6 +31,15 @@
 # A silent host is not asked again for this long, so that each operation does not wait
 # for it anew.
 AVOID_S = 1.0
+# A host that refuses connections costs no waiting. After a power loss it may be back at
+# any moment.
+AVOID_DOWN_S = 0.05
+# Hosts that lost power together start within some 0.5 s of each other. For the first
+# seconds, operations wait for a host that counts; refused at once, their callers would
+# use up their retries.
+STARTING_S = 3.0
+STARTING_PATIENCE_S = 0.4
+STARTING_RETRY_S = 0.06
 # The operations of one message; more are sent in the next one.
 MAX_COUNT = 1000
 # State of an account without operations is dropped after this time.
@@ -96,6 +105,7 @@
         self._measures = measures
         self._askers: dict[str, _Asker] = {}
         self._avoid_until_s: dict[str, float] = {}
+        self._started_at_s = now_s()
 
     async def acquire(self, account: Account) -> str | None:
         """Take a token for an operation, which is then spent even if it does not run.
@@ -198,13 +208,27 @@
             # The limit was removed while the operations waited.
             _resolve(batch, len(batch), "")
             return
-        asker.standing.update(self._counter.membership)
-        outcome = await self._ask_in_order(account, asker.standing.order, count)
+        outcome = await self._ask_patiently(account, asker, count)
         refused = count - outcome.granted
         for _ in range(refused):
             self._refuse(account, asker, outcome)
         _resolve(batch, outcome.granted, outcome.reason)
 
+    async def _ask_patiently(
+        self, account: Account, asker: _Asker, count: int
+    ) -> _Outcome:
+        """Ask for tokens, again for a while if no host counts after the start."""
+        at_s = now_s()
+        is_starting = at_s - self._started_at_s < STARTING_S
+        until_s = at_s + STARTING_PATIENCE_S if is_starting else at_s
+        while True:
+            asker.standing.update(self._counter.membership)
+            outcome = await self._ask_in_order(account, asker.standing.order, count)
+            is_decided = outcome.granted > 0 or outcome.reason == OVER_LIMIT
+            if is_decided or now_s() + STARTING_RETRY_S > until_s:
+                return outcome
+            await asyncio.sleep(STARTING_RETRY_S)
+
     async def _ask_in_order(
         self, account: Account, order: tuple[str, ...], count: int
     ) -> _Outcome:
@@ -229,19 +253,19 @@
             return self._grant(account, count)
         if self._avoid_until_s.get(host, 0.0) > now_s():
             return None
-        outcome = "answered"
+        outcome, avoid_s = "answered", 0.0
         try:
             async with asyncio.timeout(ASK_TIMEOUT_S):
                 link = self._links.find(self._find_host(host))
                 # An answer that comes after the timeout is dropped with its tokens.
                 report = await link.call(AskTokens(account.name, count), ASK_TIMEOUT_S)
         except TimeoutError:
-            outcome, report = "late", None
+            outcome, avoid_s, report = "late", AVOID_S, None
         except (LinkError, RemoteError, KeyError):
-            outcome, report = "failed", None
+            outcome, avoid_s, report = "failed", AVOID_DOWN_S, None
         self._measures.count("token_asks", outcome=outcome)
         if report is None:
-            self._avoid_until_s[host] = now_s() + AVOID_S
+            self._avoid_until_s[host] = now_s() + avoid_s
             return None
         # A peer's answer is never taken for more than was asked for.
         if report.granted > count:
--- a/tests/wasabipitch/accounts/test_limits.py
+++ b/tests/wasabipitch/accounts/test_limits.py
@@ -8,6 +8,8 @@
     NO_COUNTER,
     OVER_LIMIT,
     SILENT,
+    STARTING_PATIENCE_S,
+    STARTING_S,
     AccountLimits,
 )
 from wasabipitch.coordination.documents import Account, Configuration
@@ -103,6 +105,8 @@
             self.decisions,
             self.measures,
         )
+        # The host has run for long.
+        self.limits._started_at_s -= STARTING_S
 
     async def test_the_counter_itself_decides_without_a_message(self):
         self.make(FIRST)
@@ -215,6 +219,34 @@
         self.assertEqual(await self.limits.acquire(ACCOUNT), SILENT)
         self.assertEqual(len(self.links.asked), 2)
 
+    async def test_after_its_start_a_host_waits_for_one_that_counts(self):
+        # After a power loss the counter may start later than this host.
+        self.make(OTHER)
+        self.limits._started_at_s += STARTING_S
+        self.links.answers = {FIRST: refuse_connection, SECOND: refuse_connection}
+        waiting = asyncio.ensure_future(self.limits.acquire(ACCOUNT))
+        await asyncio.sleep(0.15)
+        self.assertFalse(waiting.done())
+        self.links.answers[FIRST] = reply(1)
+        self.assertIsNone(await waiting)
+
+    async def test_a_host_that_starts_does_not_wait_for_long(self):
+        self.make(OTHER)
+        self.limits._started_at_s += STARTING_S
+        self.links.answers = {FIRST: refuse_connection, SECOND: refuse_connection}
+        started_s = asyncio.get_running_loop().time()
+        self.assertEqual(await self.limits.acquire(ACCOUNT), SILENT)
+        took_s = asyncio.get_running_loop().time() - started_s
+        self.assertLess(took_s, STARTING_PATIENCE_S + 0.1)
+
+    async def test_an_operation_above_the_limit_never_waits(self):
+        self.make(OTHER)
+        self.limits._started_at_s += STARTING_S
+        self.links.answers[FIRST] = reply(0)
+        started_s = asyncio.get_running_loop().time()
+        self.assertEqual(await self.limits.acquire(ACCOUNT), OVER_LIMIT)
+        self.assertLess(asyncio.get_running_loop().time() - started_s, 0.05)
+
     async def test_without_live_hosts_the_operation_is_refused(self):
         self.make(OTHER)
         self.counter.membership = Membership(10.0)
