Let the soak withdraw keys while hosts get no changes

Cause: nothing checked against real processes, freezes and outages that a withdrawn key is refused in time.

Change: the form keys of the soak: each version of the configuration withdraws a key, callers go on with old keys, and the store is off, a host frozen or cut off for longer than the bound. The adapter writes the platform's names for it. The other forms are as before.

--- a/src/soak/callers.py
+++ b/src/soak/callers.py
@@ -15,6 +15,8 @@
 # The pause before a caller connects again after a failed attempt.
 RETRY_PAUSE_S = 0.1
 THINK_TIME_S = 0.02
+# The key that callers use unless another one is given.
+DEFAULT_KEY = "lasting"
 _request_numbers = itertools.count(1)
 
 
@@ -35,6 +37,18 @@
     """The connection to a host is closed, or no reply came in time."""
 
 
+class Refused(Disconnected):
+    """The host refused the session.
+
+    Args:
+        code: The error code.
+    """
+
+    def __init__(self, code: str) -> None:
+        super().__init__(f"the host refused the session: {code}")
+        self.code = code
+
+
 class Connection:
     """A session with a host over the line protocol."""
 
@@ -45,10 +59,13 @@
         self._writer = writer
 
     @classmethod
-    async def open(cls, address: Address, database: str) -> "Connection":
+    async def open(
+        cls, address: Address, database: str, key: str = DEFAULT_KEY
+    ) -> "Connection":
         """Connect to a host and start a session.
 
         Raises:
+            Refused: The host answers the startup with an error.
             Disconnected: The host does not accept the connection in time.
         """
         try:
@@ -57,7 +74,7 @@
         except (OSError, TimeoutError) as exc:
             raise Disconnected(str(exc)) from exc
         conn = cls(*streams)
-        await conn._exchange(f"STARTUP {database} soak\r\n")
+        await conn._exchange(f"STARTUP {database} {key}\r\n")
         return conn
 
     async def execute(self, text: str) -> tuple[str, str]:
@@ -81,6 +98,8 @@
             async with asyncio.timeout(ANSWER_TIMEOUT_S):
                 while not lines or not lines[-1].startswith("READY"):
                     line = await self._reader.readline()
+                    if not line and lines and lines[-1].startswith("ERROR "):
+                        raise Refused(lines[-1].split()[1])
                     if not line:
                         raise Disconnected("connection closed by the host")
                     lines.append(line.decode().strip())
@@ -135,8 +154,10 @@
             address = self._rng.choice(self._read_addresses())
             try:
                 conn = await Connection.open(address, database)
-            except Disconnected:
+            except Disconnected as exc:
                 self._history.outcomes["no session"] += 1
+                if isinstance(exc, Refused):
+                    self._history.check_refusal(exc.code)
                 await asyncio.sleep(RETRY_PAUSE_S)
                 continue
             try:
@@ -180,6 +201,7 @@
         item, started_s = self._rng.choice(self._all_items), now_s()
         code, data = await conn.execute(f"READ {item}")
         self._history.outcomes[f"read {code}"] += 1
+        self._history.check_refusal(code)
         if code == "ok":
             reader = session if database.own_writes else ""
             self._history.check_read(item, data, started_s, database.max_age_s, reader)
@@ -192,6 +214,7 @@
         self, session: str, items: tuple[str, ...], data: str, code: str
     ) -> None:
         self._history.outcomes[f"write {code}"] += 1
+        self._history.check_refusal(code)
         if code == "ok":
             write = AcknowledgedWrite(now_s(), self._version, session)
             self._history.record_acknowledged(items, write, data)
--- a/src/soak/faults.py
+++ b/src/soak/faults.py
@@ -18,6 +18,9 @@
 MAX_SERIES = 4
 RETURN_INTERVAL_S = (0.2, 4.0)
 STORE_ABSENCE_S = (0.0, 2.5)
+# Longer than the time for which a withdrawn key may be used (``keys.REVOCATION_S``).
+SEPARATION_S = (3.5, 7.0)
+SEPARATION_PAUSE_S = (1.0, 2.5)
 
 
 @dataclass(frozen=True, slots=True)
@@ -264,6 +267,35 @@
         store.down = False
 
 
+async def run_separations(
+    fleet: SoakFleet, rng: random.Random, log: Callable[[str], None]
+) -> None:
+    """Keep changes of the configuration from hosts for longer than a key may live.
+
+    Either the store answers nobody while the operator goes on changing it, or a host is
+    frozen, or cut off from the store. Goes on until cancelled, and then ends the fault.
+
+    Args:
+        fleet: The fleet.
+        rng: The source of all random choices.
+        log: Writes a line to the fault log.
+    """
+    kinds = (
+        FaultKind("store off", _make_store_unavailable),
+        FaultKind("freeze host", _freeze_host),
+        FaultKind("cut host from store", _cut_host_from_store),
+    )
+    while True:
+        await asyncio.sleep(rng.uniform(*SEPARATION_PAUSE_S))
+        kind, duration_s = rng.choice(kinds), rng.uniform(*SEPARATION_S)
+        log(f"{kind.name} for {duration_s:.1f} s")
+        end_fault = await kind.inject(fleet, rng)
+        try:
+            await asyncio.sleep(duration_s)
+        finally:
+            await end_fault()
+
+
 async def _end_after(
     end_fault: Callable[[], Awaitable], duration_s: float, ended: asyncio.Event
 ) -> None:
--- a/src/soak/fleet.py
+++ b/src/soak/fleet.py
@@ -7,6 +7,8 @@
 from pathlib import Path
 
 from soak.hosts import HostProcess
+from soak.keys import REVOCATION_S, Withdrawals, make_accounts
+from soak.platform_names import load_writing
 from soak.proxy import FaultyProxy
 from standins.http_store import PlatformService, RouteSpec
 from standins.line_group import HOST, LineGroup, LineInstance
@@ -36,9 +38,11 @@
     Args:
         folder: The directory for the hosts' settings and logs.
         count: The number of hosts.
+        has_keys: Whether the configuration has client accounts, whose keys change with
+            each version.
     """
 
-    def __init__(self, folder: Path, count: int) -> None:
+    def __init__(self, folder: Path, count: int, has_keys: bool = False) -> None:
         self.group = LineGroup(GROUP)
         self.platform = PlatformService({GROUP: self.group})
         self.hosts: list[HostProcess] = []
@@ -49,6 +53,9 @@
         # The version of the operator's configuration, and whether it still changes.
         self.version = 1
         self.is_changing = True
+        # When the store last held each key that the operator withdraws.
+        self.withdrawals = Withdrawals()
+        self._writing = load_writing() if has_keys else None
         # The latest copies of the store, the oldest first.
         self.copies: deque[StoreCopy] = deque(maxlen=int(MAX_COPY_AGE_S / HEARTBEAT_S))
         self._folder = folder
@@ -80,7 +87,10 @@
         task = asyncio.ensure_future(self._run_heartbeats())
         self._stack.callback(task.cancel)
         for host in self.hosts:
-            host.write_settings([other.links for other in self.hosts])
+            bounds = {}
+            if self._writing is not None:
+                bounds = self._writing.encode_revocation(REVOCATION_S)
+            host.write_settings([other.links for other in self.hosts], bounds)
             await host.start()
         return self
 
@@ -122,7 +132,17 @@
     def _configure(self) -> None:
         added = RouteSpec(self.newest_database, "primary")
         routes = (*ROUTES, added)
-        self.platform.configure(self.version, GROUP, routes, MAX_CONNECTIONS)
+        fields = {}
+        if self._writing is not None:
+            # The keys that this version withdraws were held until now.
+            self._record_held_keys()
+            fields = self._writing.encode_accounts(make_accounts(self.version))
+        self.platform.configure(self.version, GROUP, routes, MAX_CONNECTIONS, fields)
+
+    def _record_held_keys(self) -> None:
+        version = self.platform.read_version()
+        if version is not None:
+            self.withdrawals.record_held(make_accounts(version))
 
     async def _run_heartbeats(self) -> None:
         for beat in itertools.count(1):
--- a/src/soak/history.py
+++ b/src/soak/history.py
@@ -9,7 +9,7 @@
 
 # Error codes which guarantee that the attempt had no effect.
 NOT_RUN_CODES = frozenset(
-    {"BUSY", "ABORTED", "LAGGING", "READONLY", "MISROUTED", "TOOMANY"}
+    {"BUSY", "ABORTED", "LAGGING", "READONLY", "MISROUTED", "TOOMANY", "NOAUTH"}
 )
 
 
@@ -92,6 +92,16 @@
         """Record an attempt whose error code guarantees that it had no effect."""
         self.not_run_data[data] = code
 
+    def check_refusal(self, code: str) -> None:
+        """Check that a caller was not refused for its key, which is valid throughout.
+
+        Args:
+            code: The error code of a session or statement, or ``ok``.
+        """
+        if code == "NOAUTH":
+            detail = "a caller whose key is valid was answered NOAUTH"
+            self.violations.append(Violation("valid key refused", detail))
+
     def check_read(
         self, item: str, data: str, started_s: float, max_age_s: float, caller: str
     ) -> None:
--- a/src/soak/hosts.py
+++ b/src/soak/hosts.py
@@ -6,7 +6,9 @@
 import signal
 import socket
 import sys
+from collections.abc import Mapping
 from pathlib import Path
+from typing import Any
 
 from wasabipitch.models import Address
 
@@ -51,8 +53,15 @@
         """Whether the process has been started and has not exited."""
         return self._process is not None and self._process.returncode is None
 
-    def write_settings(self, seeds: list[Address]) -> None:
-        """Write the settings file that the process reads when it starts."""
+    def write_settings(
+        self, seeds: list[Address], bounds: Mapping[str, Any] | None = None
+    ) -> None:
+        """Write the settings file that the process reads when it starts.
+
+        Args:
+            seeds: The addresses of the hosts' links.
+            bounds: More fields of the bounds.
+        """
         fields = {
             "Node": self.name,
             "Ip": self.ip,
@@ -63,7 +72,7 @@
                 "Control": str(self.links),
             },
             "Seeds": [str(seed) for seed in seeds],
-            "Bounds": {"GraceS": GRACE_S},
+            "Bounds": {"GraceS": GRACE_S, **(bounds or {})},
             "platform": {"Addr": str(self._store)},
             "Cloud": {"Addr": str(self._store)},
         }
--- a/src/soak/run.py
+++ b/src/soak/run.py
@@ -7,15 +7,17 @@
 import sys
 import tempfile
 import time
+from collections.abc import Callable
 from pathlib import Path
 
 import fire
 
 from soak.callers import Caller, Connection, Database, Disconnected
-from soak.faults import run_faults, run_returns
+from soak.faults import run_faults, run_returns, run_separations
 from soak.fleet import SoakFleet
 from soak.history import History, Report, Violation
 from soak.incident import run_incident
+from soak.keys import KeyCaller
 
 DATABASES = {
     "payments": Database(0.0, True),
@@ -23,14 +25,19 @@
     "bookings": Database(2.5, True),
 }
 CALLER_COUNT = 16
+KEY_CALLER_COUNT = 6
 HOST_COUNT = 3
 # Hosts start within a second or two. Recovery takes at most as long as a failover
 # plus the time for which restarted hosts wait for the others.
 START_TIMEOUT_S = 15.0
 RECOVERY_TIMEOUT_S = 30.0
 EXIT_VIOLATION = 1
-# The counts of the incident form that a run prints.
-COUNTS = ("losses", "promotions", "lost commits", "late commits")
+# The counts that a run of each form prints.
+COUNTS = {
+    "faults": (),
+    "incident": ("losses", "promotions", "lost commits", "late commits"),
+    "keys": ("key ok", "key NOAUTH", "key BUSY"),
+}
 
 
 async def run_seed(seed: int, seconds: float, folder: Path) -> Report:
@@ -43,13 +50,7 @@
     """
     rng = random.Random(seed)
     history = History()
-    started_s = time.monotonic()
-
-    def log_fault(text: str) -> None:
-        line = f"{time.monotonic() - started_s:7.2f}  {text}\n"
-        with (folder / "faults.log").open("a", encoding="utf-8") as file:
-            file.write(line)
-
+    log_fault = _make_fault_log(folder)
     async with SoakFleet(folder, HOST_COUNT) as fleet:
         await _wait_writable(fleet, history, START_TIMEOUT_S)
         callers = _start_callers(fleet, history, rng)
@@ -71,6 +72,43 @@
     return Report(seed, tuple(history.violations), dict(history.outcomes), folder)
 
 
+async def run_keys(seed: int, seconds: float, folder: Path) -> Report:
+    """Run callers whose keys are withdrawn while hosts get no changes.
+
+    Args:
+        seed: The seed of all random choices.
+        seconds: How long faults are injected.
+        folder: The directory for logs and settings.
+    """
+    rng = random.Random(seed)
+    history = History()
+    log_fault = _make_fault_log(folder)
+    async with SoakFleet(folder, HOST_COUNT, has_keys=True) as fleet:
+        await _wait_writable(fleet, history, START_TIMEOUT_S)
+        callers = _start_callers(fleet, history, rng)
+        callers += _start_key_callers(fleet, history, rng)
+        faults = asyncio.ensure_future(run_separations(fleet, rng, log_fault))
+        await asyncio.sleep(seconds)
+        await _cancel([faults])
+        await fleet.heal()
+        log_fault("all faults ended")
+        await _wait_writable(fleet, history, RECOVERY_TIMEOUT_S, fleet.newest_database)
+        await _cancel(callers)
+        history.check_log(fleet.group.primary.log)
+    return Report(seed, tuple(history.violations), dict(history.outcomes), folder)
+
+
+def _make_fault_log(folder: Path) -> Callable[[str], None]:
+    started_s = time.monotonic()
+
+    def log_fault(text: str) -> None:
+        line = f"{time.monotonic() - started_s:7.2f}  {text}\n"
+        with (folder / "faults.log").open("a", encoding="utf-8") as file:
+            file.write(line)
+
+    return log_fault
+
+
 def _start_callers(
     fleet: SoakFleet, history: History, rng: random.Random
 ) -> list[asyncio.Task]:
@@ -91,6 +129,23 @@
     ]
 
 
+def _start_key_callers(
+    fleet: SoakFleet, history: History, rng: random.Random
+) -> list[asyncio.Task]:
+    return [
+        asyncio.ensure_future(
+            KeyCaller(
+                lambda: [host.front for host in fleet.hosts],
+                lambda: fleet.version,
+                fleet.withdrawals,
+                history,
+                random.Random(rng.random()),
+            ).run()
+        )
+        for _ in range(KEY_CALLER_COUNT)
+    ]
+
+
 async def _wait_writable(
     fleet: SoakFleet, history: History, timeout_s: float, database: str = "payments"
 ) -> None:
@@ -147,11 +202,12 @@
         runs: Number of runs; each one uses the next seed.
         keep: Directory for the logs; by default a new temporary one.
         form: ``faults`` for three hosts and one group, ``incident`` for six hosts and
-            three groups that are lost and return.
+            three groups that are lost and return, ``keys`` for three hosts and keys
+            that are withdrawn.
         late: Whether answers of instances may leave late, in the incident form.
         busy: Number of processes that compute beside a run of the incident form.
     """
-    if form not in ("faults", "incident"):
+    if form not in COUNTS:
         raise ValueError(f"there is no form {form}")
     first = secrets.randbelow(1_000_000) if seed < 0 else seed
     base = Path(keep) if keep else Path(tempfile.mkdtemp(prefix="soak-"))
@@ -161,14 +217,16 @@
         folder.mkdir(parents=True, exist_ok=True)
         if form == "incident":
             run = run_incident(number, seconds, folder, late, busy)
+        elif form == "keys":
+            run = run_keys(number, seconds, folder)
         else:
             run = run_seed(number, seconds, folder)
         report = asyncio.run(run)
         served = sum(n for name, n in report.outcomes.items() if name.endswith(" ok"))
         total = sum(report.outcomes.values())
         print(f"seed {number}: {served} of {total} served", flush=True)
-        if form == "incident":
-            counts = [f"{n} {report.outcomes[n]}" for n in COUNTS]
+        counts = [f"{n} {report.outcomes.get(n, 0)}" for n in COUNTS[form]]
+        if counts:
             print(f"  {', '.join(counts)}", flush=True)
         for violation in report.violations[:5]:
             print(f"  {violation.promise}: {violation.detail}")
--- a/src/standins/http_store.py
+++ b/src/standins/http_store.py
@@ -120,7 +120,12 @@
         self._expiries_s = {n: at_s + self._ttls_s[n] for n in copy.leases}
 
     def configure(
-        self, version: int, group: str, routes: Iterable[RouteSpec], connections: int
+        self,
+        version: int,
+        group: str,
+        routes: Iterable[RouteSpec],
+        connections: int,
+        fields: Mapping[str, Any] | None = None,
     ) -> None:
         """Store a configuration unless it is unchanged, as operators would.
 
@@ -129,14 +134,16 @@
             group: The only group.
             routes: The routes, all to that group.
             connections: The connections that each instance accepts.
+            fields: More fields of the configuration.
         """
-        self.configure_groups(version, {group: routes}, connections)
+        self.configure_groups(version, {group: routes}, connections, fields)
 
     def configure_groups(
         self,
         version: int,
         routes: Mapping[str, Iterable[RouteSpec]],
         connections: int,
+        fields: Mapping[str, Any] | None = None,
     ) -> None:
         """Store a configuration of several groups unless it is unchanged.
 
@@ -144,6 +151,7 @@
             version: The version of the configuration.
             routes: The routes to each group, by its name.
             connections: The connections that each instance accepts.
+            fields: More fields of the configuration.
         """
         document = {
             "Version": version,
@@ -165,12 +173,18 @@
                 for group in routes
             ],
             "Limits": {"TxIdleMs": 1000},
+            **(fields or {}),
         }
         value = json.dumps(document).encode()
         known = self.store.items.get(CONFIGURATION_KEY)
         if known is None or known.value != value:
             self.store.put(CONFIGURATION_KEY, value)
 
+    def read_version(self) -> int | None:
+        """Return the version of the stored configuration, or None without one."""
+        item = self.store.items.get(CONFIGURATION_KEY)
+        return None if item is None else json.loads(item.value)["Version"]
+
     def register(self, instance: LineInstance, address: Address, leaving: bool) -> None:
         """Store the registration of an instance unless it is unchanged."""
         entry = {
