Let callers wait for the first proof of a host only while it asks its peers

Cause: on a host that has no proof since its start because a peer knows a greater version of the configuration, each caller waited 1.5 s before its answer, also on public routes.

Change: callers of public routes don't wait, and others only until the peers were asked. Tests date a slow listing and a read that is shared again by their requests.

--- a/src/wasabipitch/accounts/authentication.py
+++ b/src/wasabipitch/accounts/authentication.py
@@ -78,10 +78,22 @@
             return True
         return self._currency.is_proven_within(self._max_proof_age_s + later_s)
 
-    @property
-    def is_awaiting_proof(self) -> bool:
-        """Whether this host has accounts, but no proof since its start."""
-        return self._is_needed and self._currency.proven_at_s == 0
+    def is_awaiting_proof(self, database: str) -> bool:
+        """Return whether a caller should wait for the first proof after a start.
+
+        It takes as long as asking the peers for their versions. A host whose peers know
+        a greater version may have no proof for long, and refuses callers at once.
+
+        Args:
+            database: The database that the caller uses.
+        """
+        configuration = self._read_configuration()
+        if not self._is_needed or configuration is None:
+            return False
+        route = configuration.routes.get(database)
+        if route is None or route.public:
+            return False
+        return self._currency.proven_at_s == 0 and not self._currency.is_surveyed
 
     @property
     def is_refusing(self) -> bool:
--- a/src/wasabipitch/front/server.py
+++ b/src/wasabipitch/front/server.py
@@ -157,7 +157,7 @@
     async def _run_session(self, stream: LineStream, startup: Startup) -> None:
         self._starting += 1
         try:
-            configuration = await self._wait_for_configuration()
+            configuration = await self._wait_for_configuration(startup.database)
         finally:
             self._starting -= 1
         if configuration is None or startup.database not in configuration.routes:
@@ -182,10 +182,11 @@
         finally:
             self.sessions.discard(session)
 
-    async def _wait_for_configuration(self) -> Configuration | None:
+    async def _wait_for_configuration(self, database: str) -> Configuration | None:
         until_s = now_s() + CONFIGURATION_WAIT_S
         while now_s() < until_s and (
-            self._read_configuration() is None or self._authentication.is_awaiting_proof
+            self._read_configuration() is None
+            or self._authentication.is_awaiting_proof(database)
         ):
             await asyncio.sleep(CONFIGURATION_POLL_S)
         return self._read_configuration()
--- a/tests/wasabipitch/accounts/test_authentication.py
+++ b/tests/wasabipitch/accounts/test_authentication.py
@@ -4,13 +4,23 @@
 
 from wasabipitch.accounts.authentication import Authentication
 from wasabipitch.coordination.currency import CopyCurrency
-from wasabipitch.coordination.documents import Account, Configuration
+from wasabipitch.coordination.documents import (
+    Account,
+    Configuration,
+    Consistency,
+    Route,
+)
 from wasabipitch.operations.decisions import REFUSAL_LINES_PER_S, DecisionLog
 from wasabipitch.operations.measures import Measures
 from wasabipitch.policy.authorization import Refused, Served
 from wasabipitch.wire.messages import Code, Startup
 
 REVOCATION_S = 5.0
+DATABASES = ("private", "open", "unknown")
+ROUTES = {
+    name: Route(name, "g", Consistency.PRIMARY, 0.0, 1.0, 0.2, 1, name == "open")
+    for name in DATABASES[:2]
+}
 
 
 class Lines:
@@ -27,7 +37,7 @@
 def make_configuration(version=3, keys=("k1",)):
     accounts = {"north": Account("north")}
     names = dict.fromkeys(keys, "north")
-    return Configuration(version, accounts=accounts, account_names=names)
+    return Configuration(version, ROUTES, accounts=accounts, account_names=names)
 
 
 class AuthenticationTest(unittest.TestCase):
@@ -50,7 +60,7 @@
 
     def check_at(self, at_s, key="k1"):
         with patch("wasabipitch.coordination.currency.now_s", return_value=at_s):
-            return self.authentication.check(Startup("db", key))
+            return self.authentication.check(Startup("private", key))
 
     def test_each_check_uses_the_configuration_in_force(self):
         self.assertEqual(self.check_at(101.0), Served("north"))
@@ -77,9 +87,17 @@
         self.currency = CopyCurrency()
         self.authentication = self.make_authentication(REVOCATION_S)
         self.assertEqual(self.check_at(100.0).code, Code.BUSY)
-        self.assertTrue(self.authentication.is_awaiting_proof)
         self.assertFalse(self.authentication.is_refusing_longer_than(2.0))
 
+    def test_callers_wait_for_the_first_proof_until_the_peers_were_asked(self):
+        # If a peer knows a greater version, the host may have no proof for long.
+        self.currency = CopyCurrency(needs_survey=True)
+        self.authentication = self.make_authentication(REVOCATION_S)
+        waiting = self.authentication.is_awaiting_proof
+        self.assertEqual([waiting(n) for n in DATABASES], [True, False, False])
+        self.currency.record_survey(9, 0)
+        self.assertEqual([waiting(n) for n in DATABASES], [False, False, False])
+
     def test_without_a_bound_no_proof_is_needed(self):
         self.authentication = self.make_authentication(None)
         self.assertEqual(self.check_at(1e6), Served("north"))
@@ -100,7 +118,7 @@
         self.configuration = Configuration(3)
         self.assertEqual(self.check_at(1e6), Served(""))
         self.assertFalse(self.authentication.is_refusing)
-        self.assertFalse(self.authentication.is_awaiting_proof)
+        self.assertFalse(self.authentication.is_awaiting_proof("private"))
 
     def test_a_refusal_names_what_it_was_decided_by(self):
         refusal = Refused(Code.BUSY, "reason", "north")
--- a/tests/wasabipitch/coordination/test_checks.py
+++ b/tests/wasabipitch/coordination/test_checks.py
@@ -56,6 +56,14 @@
             self.assertGreater(read_at_s, asked_s - 0.5)
         self.assertEqual(self.store.calls.count("read_revision"), 1)
 
+    async def test_a_read_that_is_shared_again_is_dated_by_its_first_request(self):
+        # A proof from the time of the question would miss what was acknowledged since.
+        first_s, _, _ = await self.checks["host-0"].read()
+        await asyncio.sleep(0.2)
+        again_s, _, _ = await self.checks["host-3"].read()
+        self.assertEqual(self.store.calls.count("read_revision"), 1)
+        self.assertLessEqual(again_s, first_s + 0.02)
+
     async def test_a_host_reads_the_store_when_the_checker_is_down(self):
         await self.peers["host-0"].server.close()
         _, revision, _ = await self.checks["host-3"].read()
--- a/tests/wasabipitch/coordination/test_currency.py
+++ b/tests/wasabipitch/coordination/test_currency.py
@@ -120,6 +120,20 @@
         self.assertGreaterEqual(self.currency.proven_at_s, self.started_s)
         self.assertLessEqual(self.currency.proven_at_s, now_s())
 
+    async def test_a_slow_listing_proves_the_copy_as_of_its_request(self):
+        at_s = now_s() + 50
+
+        async def list_slowly(prefix, read=self.store.list):
+            clock.return_value = at_s + 3
+            return await read(prefix)
+
+        with (
+            patch("wasabipitch.coordination.mirror.now_s", return_value=at_s) as clock,
+            patch.object(self.store, "list", list_slowly),
+        ):
+            await self.mirror._load()
+        self.assertEqual(self.currency.proven_at_s, at_s)
+
     async def test_a_check_proves_the_copy_as_of_its_request(self):
         at_s = now_s() + 50
 
--- a/tests/wasabipitch/test_accounts.py
+++ b/tests/wasabipitch/test_accounts.py
@@ -165,6 +165,11 @@
         for _ in range(10):
             _, greeting = await self.fleet.connect(PRIMARY_DB, "host-2", "k1")
             self.assertTrue(greeting.startswith("ERROR BUSY"), greeting)
+        async with asyncio.timeout(0.5):
+            _, greeting = await self.fleet.connect(PRIMARY_DB, "host-2", "k1")
+            self.assertTrue(greeting.startswith("ERROR BUSY"), greeting)
+            _, greeting = await self.fleet.connect(BOUNDED_DB, "host-2", "k1")
+            self.assertEqual(greeting, "READY I -")
         await self.configure(3, {"north": ["k2"], "south": ["k3"]})
         await self.fleet.wait_for(gateway._is_ready)
         _, greeting = await self.fleet.connect(PRIMARY_DB, "host-2", "k1")
