--- a/src/wasabipitch/sockets.py
+++ b/src/wasabipitch/sockets.py
@@ -18,9 +18,9 @@
 def limit_buffers(listener: socket.socket, size: int) -> None:
     """Set the size of the kernel's buffers of the connections to be accepted.
 
-    Without it, the kernel lets the buffer of each connection grow, up to megabytes by the
-    system's settings. It counts towards the memory of the machine while the process
-    doesn't read.
+    Without it, the kernel lets the buffer of each connection grow, up to the maximum of
+    the system's settings, which may be megabytes. It counts towards the memory of the
+    machine while the process doesn't read.
 
     Args:
         listener: A listening socket.
