Keep the mark of a settled registration under a key of its own

Cause: the mark was written into the host's registration. A call of an ended run may be executed seconds later; the registration of that run would then be newer than that of the next one, and other hosts would take the next run for ended (coordination/writers.py).

Change: wasabipitch/settled/INCARNATION under the lease. It counts only if it was written after the registration, so that one that was lost and written again is not settled.

--- a/src/wasabipitch/coordination/documents.py
+++ b/src/wasabipitch/coordination/documents.py
@@ -25,6 +25,10 @@
 NAMED_KEY = "wasabipitch/named"
 # The hosts that serve each group, under their leases.
 SERVING_PREFIX = "wasabipitch/serving/"
+# The epochs in which hosts had been registered for so long that every host that counts
+# operations knows them. Apart from the registration, since a late write of an earlier
+# run must not look like a registration of that run.
+SETTLED_PREFIX = "wasabipitch/settled/"
 # The hosts that have stopped using a primary that is being replaced.
 RELINQUISHED_PREFIX = "wasabipitch/seen/"
 # The incarnations of hosts that may have acknowledged commits of a group; without a
@@ -226,7 +230,7 @@
         )
 
 
-class HostRecord(msgspec.Struct, frozen=True, omit_defaults=True):
+class HostRecord(msgspec.Struct, frozen=True):
     """The registration of a host, under its lease.
 
     Args:
@@ -236,8 +240,6 @@
         links: The address that it accepts links from its peers at, as ``ip:port``.
         cores: The processor time that it may use, in cores of normal speed.
         link_mbps: The bandwidth of its network link, in Mbit/s, or 0 if unknown.
-        settled_epoch: The store's epoch in which it had been registered for long
-            enough that every host that counts operations knows it, or None.
     """
 
     name: str
@@ -246,7 +248,6 @@
     links: str = ""
     cores: float = 0.0
     link_mbps: float = 0.0
-    settled_epoch: int | None = None
 
 
 class RelinquishedRecord(msgspec.Struct, frozen=True):
--- a/src/wasabipitch/coordination/registration.py
+++ b/src/wasabipitch/coordination/registration.py
@@ -6,7 +6,6 @@
 from collections.abc import Callable, Iterable
 
 import msgspec
-from msgspec.structs import replace
 
 from wasabipitch.clock import now_s
 from wasabipitch.coordination.documents import (
@@ -14,6 +13,7 @@
     NAMED_KEY,
     NAMES_PREFIX,
     SERVING_PREFIX,
+    SETTLED_PREFIX,
     WRITERS_PREFIX,
     HostRecord,
     WriterRecord,
@@ -244,33 +244,44 @@
             except msgspec.MsgspecError:
                 continue
             strength = (record.cores, record.link_mbps)
-            if record.settled_epoch == self._mirror.epoch and strength == (
+            if self._is_settled(item) and strength == (
                 self.record.cores,
                 self.record.link_mbps,
             ):
                 return item
         return None
 
+    @property
+    def is_settled(self) -> bool:
+        """Whether this run's registration is marked as settled."""
+        own = self._mirror.items.get(self.key)
+        return own is not None and self._is_settled(own)
+
+    def _is_settled(self, item: Item) -> bool:
+        """Return whether a registration was marked after it was last written."""
+        incarnation = item.key.removeprefix(HOSTS_PREFIX)
+        mark = self._mirror.items.get(SETTLED_PREFIX + incarnation)
+        return (
+            mark is not None
+            and mark.value == encode(self._mirror.epoch)
+            and mark.revision > item.revision
+        )
+
     async def _settle(self) -> None:
-        """Mark the registration as settled, once in each epoch."""
-        epoch, own = self._mirror.epoch, self._mirror.items.get(self.key)
+        """Mark the registration as settled, again after it was written again."""
+        own = self._mirror.items.get(self.key)
         is_due = now_s() - self.listed_since_s >= SETTLE_S and own is not None
-        if (
-            not is_due
-            or self.record.settled_epoch == epoch
-            or not self.needs_settling()
-        ):
+        if not is_due or self.is_settled or not self.needs_settling():
             return
-        record = replace(self.record, settled_epoch=epoch)
-        expected = {self.key: own.revision}
-        writes = {self.key: encode(record)}
+        mark = encode(self._mirror.epoch)
+        writes = {SETTLED_PREFIX + self.record.incarnation: mark}
         try:
+            expected = {self.key: own.revision}
             revision = await self._store.commit(expected, writes, (), self.lease)
         except RecordConflict:
             # The store was restored or the key was written by another program; a later
             # call finds the new revision.
             return
-        self.record = record
         self._mirror.apply_writes(writes, revision)
 
     def _serving_key(self, group: str) -> str:
@@ -310,7 +321,6 @@
         """Record that the store may not list this host any more."""
         self._listed_since_s = math.inf
         self._is_successor = False
-        self.record = replace(self.record, settled_epoch=None)
 
     async def _write(self) -> None:
         started_s = now_s()
--- a/tests/wasabipitch/accounts/world.py
+++ b/tests/wasabipitch/accounts/world.py
@@ -19,6 +19,12 @@
 LIMITS = ((0.5, 1.0), (4.0, 3.0), (20.0, 10.0), (60.0, 90.0))
 
 
+class Record(HostRecord, frozen=True):
+    """A registration with its mark, which the store keeps under a key of its own."""
+
+    settled_epoch: int | None = None
+
+
 class Store:
     """Registrations with leases, in epochs that begin when it is restored."""
 
@@ -67,7 +73,7 @@
         self.world = world
         self.name = name
         cores, link_mbps = strength
-        self.record = HostRecord(name, "rome", f"{name}.{run}", "", cores, link_mbps)
+        self.record = Record(name, "rome", f"{name}.{run}", "", cores, link_mbps)
         self.frozen = self.cut = self.leaving = False
         self.delay = 0
         self.registration = Registration()
--- a/tests/wasabipitch/coordination/test_settling.py
+++ b/tests/wasabipitch/coordination/test_settling.py
@@ -9,7 +9,7 @@
 from wasabipitch import tasks
 from wasabipitch.clock import now_s
 from wasabipitch.coordination import registration
-from wasabipitch.coordination.documents import HostRecord, decode
+from wasabipitch.coordination.documents import SETTLED_PREFIX, HostRecord
 from wasabipitch.coordination.mirror import StoreMirror
 from wasabipitch.coordination.registration import HostRegistration
 from wasabipitch.operations.decisions import DecisionLog
@@ -43,18 +43,20 @@
                 await asyncio.sleep(0.01)
 
     async def settle(self, host):
-        await self.wait_for(lambda: host.record.settled_epoch is not None)
+        await self.wait_for(lambda: host.is_settled)
 
     async def test_a_run_that_takes_over_a_settled_registration_succeeds_it(self):
         first = await self.start(1)
         self.assertFalse(first.is_successor)
+        registered = self.store.items[first.key].revision
         await self.settle(first)
-        stored = decode(self.store.items[first.key].value, HostRecord)
-        self.assertEqual(stored.settled_epoch, 0)
+        self.assertEqual(self.store.items[SETTLED_PREFIX + "a.1"].value, b"0")
+        # A late mark must not look like a registration of the earlier run.
+        self.assertEqual(self.store.items[first.key].revision, registered)
         first.end()
         second = await self.start(2)
         self.assertTrue(second.is_successor)
-        self.assertIsNone(second.record.settled_epoch)
+        self.assertFalse(second.is_settled)
         self.assertGreater(second.listed_until_s, now_s() + 5.0)
 
     async def test_an_unsettled_registration_has_no_successor(self):
@@ -65,7 +67,7 @@
         first = await self.start(1, needs_settling=False)
         calls = self.store.calls.count("commit")
         await asyncio.sleep(0.4)
-        self.assertIsNone(first.record.settled_epoch)
+        self.assertFalse(first.is_settled)
         self.assertEqual(self.store.calls.count("commit"), calls)
 
     async def test_a_registration_that_ended_before_has_no_successor(self):
@@ -124,6 +126,16 @@
             first = await self.start(1)
         self.assertLessEqual(first.listed_until_s, opened_s[0] + 6.0)
 
+    async def test_a_mark_from_before_the_registration_was_lost_is_void(self):
+        first = await self.start(1)
+        await self.settle(first)
+        with patch.object(registration, "SETTLE_S", 60.0):
+            self.store.remove(first.key)
+            await self.wait_for(lambda: first.key in self.store.items)
+            await self.wait_for(lambda: first.listed_since_s < math.inf)
+            self.assertFalse(first.is_settled)
+        await self.settle(first)
+
     async def test_a_host_that_leaves_is_not_listed(self):
         first = await self.start(1)
         await first.leave()
--- a/tests/wasabipitch/test_account_limits.py
+++ b/tests/wasabipitch/test_account_limits.py
@@ -187,8 +187,7 @@
         fleet, names = self.fleet, list(self.fleet.hosts)
         await fleet.wait_for(
             lambda: all(
-                gateway.registration.record.settled_epoch is not None
-                for gateway in fleet.hosts.values()
+                gateway.registration.is_settled for gateway in fleet.hosts.values()
             )
         )
         for gateway in fleet.hosts.values():
@@ -215,8 +214,7 @@
     async def test_hosts_settle_and_count_under_their_own_registrations(self):
         def is_settled():
             return all(
-                gateway.registration.record.settled_epoch is not None
-                for gateway in self.fleet.hosts.values()
+                gateway.registration.is_settled for gateway in self.fleet.hosts.values()
             )
 
         await self.fleet.wait_for(is_settled)
