--- a/src/wasabipitch/accounts/counting.py
+++ b/src/wasabipitch/accounts/counting.py
@@ -38,8 +38,8 @@
 # By this time after a host was registered, every other host that still counts has it in
 # its copy.
 COUNTING_WAIT_S = COUNTING_PROOF_S + MARGIN_S
-# The reserve bridges an outage of the store for this long. With ``StrictRevoke`` no
-# operation of an account runs on an older proof in any case.
+# The reserve bridges an outage of the store for this long. Where every host has to
+# refuse withdrawn keys, no operation of an account runs on an older proof in any case.
 RESERVE_PROOF_S = 5.0
 # State of an account that is not asked for is dropped after this time.
 RETENTION_S = 30.0
