Don't count overdue statements as running, and close their connections sooner

A statement whose answer is lost counted as running until its time limit and for 3 s more while its connection was rolled back, so that an owner with a window of two statements had no place for others: 889 requests were refused with "no connection became free", at 28 statements a second for each owner and primary.

Change: a statement without an answer for 0.25 s doesn't count against the window, and the connection of an abandoned one is closed after 0.25 s instead of 3 s, unless the answer to a commit is missing, which a succession needs.

--- a/src/wasabipitch/group/exchange.py
+++ b/src/wasabipitch/group/exchange.py
@@ -120,7 +120,7 @@
             TimeoutError: The request's time limit passed; the message may still run.
         """
         sent_at_s = now_s()
-        fut = checkout.conn.send(message)
+        fut = checkout.conn.send(message, commits=relinquished is not None)
         if relinquished is not None:
             self._state.unanswered.watch(fut)
         awaited = {fut} if relinquished is None else {fut, relinquished}
--- a/src/wasabipitch/instances/connection.py
+++ b/src/wasabipitch/instances/connection.py
@@ -100,6 +100,8 @@
         self._stream = stream
         self._codec = codec
         self._pending: deque[asyncio.Future[Reply]] = deque()
+        # The answer of the last statement that may have committed a write.
+        self._commit: asyncio.Future[Reply] | None = None
         self._reader = asyncio.ensure_future(self._read())
 
     @property
@@ -118,10 +120,19 @@
         idle = self.state is SessionState.IDLE and not self._pending
         return idle and self.is_open and self.values_bytes <= MAX_IDLE_VALUES_BYTES
 
-    def send(self, message: bytes) -> asyncio.Future[Reply]:
+    @property
+    def has_unanswered_commit(self) -> bool:
+        """Whether a statement that commits has no answer yet."""
+        return self._commit is not None and not self._commit.done()
+
+    def send(self, message: bytes, commits: bool = False) -> asyncio.Future[Reply]:
         """Send a statement and return the future of its answer.
 
         The future raises ``InstanceLost`` if the connection ends before the answer.
+
+        Args:
+            message: The encoded statement.
+            commits: Whether it may commit a write.
         """
         fut = asyncio.get_running_loop().create_future()
         if not self.is_open:
@@ -131,6 +142,8 @@
         # be logged as never retrieved.
         fut.add_done_callback(tasks.ignore_failure)
         self._pending.append(fut)
+        if commits:
+            self._commit = fut
         self.used_at_s = now_s()
         self._stream.write(message)
         return fut
--- a/src/wasabipitch/instances/pool.py
+++ b/src/wasabipitch/instances/pool.py
@@ -52,8 +52,14 @@
 # With accounts, no connection is opened without a request for this long after the
 # start, when requests that have waited for the host need all handshakes.
 START_S = 0.5
-# Time that an abandoned statement has to end before its connection is closed.
-ABANDONED_TIMEOUT_S = 3.0
+# A statement without an answer for this long no longer counts as running: it is five
+# rounds of the longest statements at an instance at its limit. Answers are lost
+# without any sign, and statements that wait for them would close the window.
+OVERDUE_S = 0.25
+# Time that an abandoned statement has to end before its connection is closed. The
+# answer to a commit is worth waiting for, since it shows what a successor must hold.
+ABANDONED_TIMEOUT_S = 0.25
+ABANDONED_COMMIT_TIMEOUT_S = 3.0
 # A closed connection counts against the limit until the instance can have seen its
 # end, which takes one way of a round trip of up to 1 ms and a turn of its event loop.
 CLOSE_SETTLE_S = 0.002
@@ -185,8 +191,15 @@
 
     @property
     def running(self) -> int:
-        """The number of connections whose statements have no answer yet."""
-        return sum(conn.outstanding > 0 for conn in self._checked_out)
+        """The number of connections whose statements occupy the instance.
+
+        A statement that is long overdue has been lost, or its answer has.
+        """
+        overdue_s = now_s() - OVERDUE_S
+        return sum(
+            conn.outstanding > 0 and conn.used_at_s > overdue_s
+            for conn in self._checked_out
+        )
 
     @property
     def connections(self) -> list[InstanceConnection]:
@@ -508,7 +521,11 @@
 
     async def _clean(self, conn: InstanceConnection) -> None:
         try:
-            async with asyncio.timeout(ABANDONED_TIMEOUT_S):
+            async with asyncio.timeout(
+                ABANDONED_COMMIT_TIMEOUT_S
+                if conn.has_unanswered_commit
+                else ABANDONED_TIMEOUT_S
+            ):
                 # Answers come in order, so this one follows those of all statements
                 # sent before.
                 reply = await conn.send(self._codec.rollback())
--- a/tests/wasabipitch/instances/simulation.py
+++ b/tests/wasabipitch/instances/simulation.py
@@ -112,6 +112,10 @@
         idle = self.state is SessionState.IDLE and not self.outstanding
         return idle and self.is_open
 
+    @property
+    def has_unanswered_commit(self):
+        return False
+
     def send(self, message):
         """Roll back, after the statements sent before."""
         return asyncio.ensure_future(self._roll_back())
--- a/tests/wasabipitch/instances/test_pool.py
+++ b/tests/wasabipitch/instances/test_pool.py
@@ -11,6 +11,7 @@
     make_prepared_key,
 )
 from wasabipitch.instances.dispatcher import ConnectionRequest, Dispatcher
+from wasabipitch.instances.pool import OVERDUE_S
 from wasabipitch.models import Address
 from wasabipitch.operations.decisions import DecisionLog
 from wasabipitch.wire.messages import Shape
@@ -72,6 +73,37 @@
             while checkout.conn.is_open:
                 await asyncio.sleep(0.01)
 
+    async def test_lost_answers_do_not_close_the_window(self):
+        # An instance that loses a fifth of its answers left owners without a place for
+        # other statements: each one counted as running for up to 3.8 s.
+        self.update(own_share=8, names=("i-0",))
+        size = self.dispatcher.pools["i-0"].window.size
+        spare, *held = [
+            await self.dispatcher.acquire(self.request("i-0")) for _ in range(size + 1)
+        ]
+        spare.release()
+        self.group.instances["i-0"].silent = True
+        for checkout in held:
+            checkout.conn.send(LineInstanceCodec().status())
+        with self.assertRaises(Overloaded):
+            await self.dispatcher.acquire(self.request("i-0", timeout_s=OVERDUE_S / 2))
+        await self.dispatcher.acquire(self.request("i-0", timeout_s=2 * OVERDUE_S))
+
+    async def test_a_connection_whose_answer_is_lost_is_closed_soon(self):
+        self.update(own_share=8, names=("i-0",))
+        read = await self.dispatcher.acquire(self.request("i-0"))
+        commit = await self.dispatcher.acquire(self.request("i-0"))
+        self.group.instances["i-0"].silent = True
+        read.conn.send(LineInstanceCodec().status())
+        commit.conn.send(LineInstanceCodec().status(), commits=True)
+        read.release()
+        commit.release()
+        async with asyncio.timeout(2):
+            while read.conn.is_open:
+                await asyncio.sleep(0.01)
+        # The answer to a commit shows what a successor of the primary must hold.
+        self.assertTrue(commit.conn.is_open)
+
     async def test_queue_is_served_by_priority(self):
         checkouts = [
             await self.dispatcher.acquire(self.request("i-0")) for _ in range(4)
