--- a/src/wasabipitch/policy/connection_use.py
+++ b/src/wasabipitch/policy/connection_use.py
@@ -193,6 +193,10 @@
         return Decision(Use.WAIT, OWN_WAIT)
     if not pool.others_idle:
         return Decision(Use.WAIT, "all connections are in use")
+    if pool.opening:
+        # With several at once, the handshakes of an instance at its limit took as many
+        # of its slots as the statements.
+        return Decision(Use.WAIT, "another connection is being replaced")
     if own_wait_s > REPLACEMENT_COST_S:
         return Decision(Use.REPLACE, "another account's connection is idle")
     return Decision(Use.WAIT, OWN_WAIT)
--- a/tests/wasabipitch/policy/test_connection_use.py
+++ b/tests/wasabipitch/policy/test_connection_use.py
@@ -57,6 +57,12 @@
         self.check(Use.WAIT, {}, {"held": 6, "others_idle": 0})
         self.check(Use.WAIT, {}, {"held": 5, "opening": 3})
 
+    def test_one_connection_is_replaced_at_a_time(self):
+        # At a peak the handshakes of an instance at its limit took as many of its slots
+        # as the statements.
+        self.check(Use.WAIT, {}, {"opening": 1})
+        self.check(Use.OPEN, {}, {"held": 5, "opening": 1})
+
     def test_each_waiting_request_has_at_most_one_connection_opened(self):
         self.check(Use.WAIT, {"opening": 1}, {"held": 2, "own": 1})
         self.check(Use.OPEN, {"opening": 1, "position": 2}, {"held": 2, "own": 1})
