Hold the configuration's version in the proof again

Cause: two merges left two methods _apply_configuration in the gateway. The second one replaced the first, which tells the proof of the version in force, so that a host that started with an older copy of the store served a withdrawn key.

Change: one method does both. The store of test_cut_off_currency answers read_progress_s, which the relay asks since the distribution of configurations.

No other definition is doubled in src, platform and tests.

--- a/src/wasabipitch/gateway.py
+++ b/src/wasabipitch/gateway.py
@@ -368,10 +368,6 @@
     def _record_closures_of(self, listener: str) -> Callable[..., None]:
         return ListenerLog(listener, self.decisions, self.measures).record_closed
 
-    def _apply_configuration(self, configuration: Configuration) -> None:
-        self._currency.hold_version(configuration.version)
-        self.groups.apply_configuration(configuration)
-
     async def start(self, callers: socket.socket) -> None:
         """Start serving; callers are answered once the store has been read.
 
@@ -508,6 +504,7 @@
         ]
 
     def _apply_configuration(self, configuration: Configuration) -> None:
+        self._currency.hold_version(configuration.version)
         self._distribution.record(configuration)
         self.groups.apply_configuration(configuration)
 
--- a/tests/wasabipitch/coordination/test_cut_off_currency.py
+++ b/tests/wasabipitch/coordination/test_cut_off_currency.py
@@ -69,6 +69,10 @@
         self.fail = None
         self._store = store
 
+    def read_progress_s(self):
+        """Return when the last bytes of an answer arrived."""
+        return self._store.read_progress_s()
+
     def __getattr__(self, name):
         method = getattr(self._store, name)
 
