Count overdue statements out only where connections belong to accounts

Deployments without accounts are to be served as before. test_a_slow_listing_proves_the_copy_as_of_its_request replaced a method without its new parameter.

Change: both rules hold only with accounts; the test's replacement takes the parameter.

--- a/src/wasabipitch/instances/pool.py
+++ b/src/wasabipitch/instances/pool.py
@@ -193,8 +193,10 @@
     def running(self) -> int:
         """The number of connections whose statements occupy the instance.
 
-        A statement that is long overdue has been lost, or its answer has.
+        With accounts, a statement that is long overdue counts as lost.
         """
+        if not self.has_accounts:
+            return sum(conn.outstanding > 0 for conn in self._checked_out)
         overdue_s = now_s() - OVERDUE_S
         return sum(
             conn.outstanding > 0 and conn.used_at_s > overdue_s
@@ -523,7 +525,7 @@
         try:
             async with asyncio.timeout(
                 ABANDONED_COMMIT_TIMEOUT_S
-                if conn.has_unanswered_commit
+                if conn.has_unanswered_commit or not self.has_accounts
                 else ABANDONED_TIMEOUT_S
             ):
                 # Answers come in order, so this one follows those of all statements
--- a/tests/wasabipitch/coordination/test_currency.py
+++ b/tests/wasabipitch/coordination/test_currency.py
@@ -123,9 +123,9 @@
     async def test_a_slow_listing_proves_the_copy_as_of_its_request(self):
         at_s = now_s() + 50
 
-        async def list_slowly(prefix, read=self.store.list):
+        async def list_slowly(prefix, max_bytes=0, read=self.store.list):
             clock.return_value = at_s + 3
-            return await read(prefix)
+            return await read(prefix, max_bytes)
 
         with (
             patch("wasabipitch.coordination.mirror.now_s", return_value=at_s) as clock,
--- a/tests/wasabipitch/instances/test_pool.py
+++ b/tests/wasabipitch/instances/test_pool.py
@@ -77,6 +77,7 @@
         # An instance that loses a fifth of its answers left owners without a place for
         # other statements: each one counted as running for up to 3.8 s.
         self.update(own_share=8, names=("i-0",))
+        self.dispatcher.pools["i-0"].has_accounts = True
         size = self.dispatcher.pools["i-0"].window.size
         spare, *held = [
             await self.dispatcher.acquire(self.request("i-0")) for _ in range(size + 1)
@@ -91,6 +92,7 @@
 
     async def test_a_connection_whose_answer_is_lost_is_closed_soon(self):
         self.update(own_share=8, names=("i-0",))
+        self.dispatcher.pools["i-0"].has_accounts = True
         read = await self.dispatcher.acquire(self.request("i-0"))
         commit = await self.dispatcher.acquire(self.request("i-0"))
         self.group.instances["i-0"].silent = True
