--- a/review/common/database.py
+++ b/review/common/database.py
@@ -58,6 +58,12 @@
         self.seq = 0
         self._server = None
         self._writers = set()
+        # The open sessions, with the time of their last statement.
+        self._sessions = {}
+
+    def count_open(self, at_s):
+        """Return for how long each open transaction has had no statement."""
+        return [at_s - s for session, s in self._sessions.items() if session.state == "T"]
 
     async def start(self):
         self._server = await asyncio.start_server(
@@ -126,6 +132,7 @@
     async def _serve(self, reader, writer):
         self._writers.add(writer)
         self.connections += 1
+        session = Session()
         try:
             line = await self._line(reader)
             _, service, _, name = (line.split(" ") + ["", "", ""])[:4]
@@ -136,12 +143,12 @@
                 writer.write(b"ERROR TOOMANY -\r\n")
                 return
             await asyncio.sleep(HANDSHAKE_S)
-            session = Session()
             writer.write(self._ready(session))
             while True:
                 line = await self._line(reader)
                 if line == "QUIT":
                     return
+                self._sessions[session] = time.monotonic()
                 _, request, text = line.split(" ", 2)
                 answer = await self._run(session, request, text)
                 writer.write(answer.encode() + self._ready(session))
@@ -150,6 +157,7 @@
             pass
         finally:
             self.connections -= 1
+            self._sessions.pop(session, None)
             self._writers.discard(writer)
             writer.close()
 
--- a/review/common/deployment.py
+++ b/review/common/deployment.py
@@ -127,6 +127,10 @@
         self._record = Path(record).open("w")
         self._stack = contextlib.AsyncExitStack()
 
+    def callback(self, end):
+        """Call a coroutine function at the end."""
+        self._stack.push_async_callback(end)
+
     def note(self, text):
         line = f"{time.monotonic() - self.started_s:8.3f} {text}"
         print(line, file=self._record, flush=True)
@@ -146,10 +150,10 @@
             Host(n, self.folder, self.store.address, self.store.address)
             for n in range(1, self.count + 1)
         ]
-        seeds = ["%s:%d" % host.control for host in self.hosts[:3]]
+        self.seeds = ["%s:%d" % host.control for host in self.hosts[:3]]
         for host in self.hosts:
-            self._stack.push_async_callback(host.kill)
-            host.write_settings(seeds, self.limits)
+            self.callback(host.kill)
+            host.write_settings(self.seeds, self.limits)
             await host.start()
         return self
 
